Fold configuration records into contracts, allotments and upstreams

Cause: the entries need one state from the configuration stream. Ruled out: generic key-value records (no typed checks at the fold). No tests yet; they follow.

--- a/internal/coordination/api.go
+++ b/internal/coordination/api.go
@@ -13,10 +13,10 @@
 )
 
 // EntryID names one run of an entry process: "<VM ID>/<incarnation>".
-type EntryID string
+type EntryID = state.EntryID
 
 // ShardID names a shard of a failure domain's upstreams: "<domain>/<number>".
-type ShardID string
+type ShardID = state.ShardID
 
 // Submission is a job on its way from its caller to the owner of a shard.
 // Durations are relative, so that hops need no common clock.
--- /dev/null
+++ b/internal/state/config/apply_entries.go
@@ -0,0 +1,130 @@
+package config
+
+import (
+	"cmp"
+
+	"github.com/samphirerail/samphirerail/internal/state"
+)
+
+func (f *Fold) registerEntry(offset int64, body RegisterEntry) Result {
+	if result := validateEntry(body); result.Outcome != Accepted {
+		return result
+	}
+	if _, ok := f.ended.get(string(body.Entry)); ok {
+		return invalid("entry", "the entry was unregistered; restart it to get a new incarnation")
+	}
+	if old, ok := f.entries.rows[body.Entry]; ok && old.Domain != body.Domain {
+		return invalid("domain", "the entry is registered in another failure domain; restart it to get a new incarnation")
+	}
+	for _, id := range sortedKeys(f.entries.rows) {
+		if id != body.Entry && id.VM() == body.Entry.VM() {
+			f.endEntry(offset, id)
+		}
+	}
+	f.entries.put(body.Entry, Entry{ID: body.Entry, Domain: body.Domain, Confirmed: offset})
+	return accepted()
+}
+
+func (f *Fold) unregisterEntry(offset int64, id state.EntryID) Result {
+	if _, ok := f.entries.rows[id]; !ok {
+		return invalid("entry", "the entry is not registered; list the entries")
+	}
+	f.endEntry(offset, id)
+	return accepted()
+}
+
+func (f *Fold) endEntry(offset int64, id state.EntryID) {
+	f.entries.remove(id)
+	if _, ok := f.ended.get(string(id)); !ok {
+		f.ended.add(string(id), offset)
+	}
+}
+
+func (f *Fold) confirm(offset int64, body Confirm) Result {
+	entry, ok := f.entries.rows[body.Entry]
+	if !ok {
+		return invalid("entry", "the entry is not registered; register it first")
+	}
+	if body.Version < 0 || body.Version >= offset {
+		return invalid("version", "confirm a version that was folded before the record was written")
+	}
+	if body.Version > entry.Confirmed {
+		entry.Confirmed = body.Version
+		f.entries.put(body.Entry, entry)
+	}
+	settled, ok := f.settled.rows[entry.Domain]
+	if body.Settled && (!ok || body.Version > settled) {
+		f.settled.put(entry.Domain, body.Version)
+	}
+	return accepted()
+}
+
+func (f *Fold) joinUpstreams(offset int64, body JoinUpstreams) Result {
+	if result := validateJoin(body); result.Outcome != Accepted {
+		return result
+	}
+	for domain, s := range f.shards.rows {
+		if domain == body.Domain {
+			continue
+		}
+		for _, u := range body.Upstreams {
+			if s.has(u.ID) {
+				return invalid("upstreams.id", "the upstream belongs to another failure domain; drop it there first")
+			}
+		}
+	}
+	f.shards.put(body.Domain, f.shards.rows[body.Domain].add(offset, body.Upstreams))
+	f.pending = true
+	return accepted()
+}
+
+func (f *Fold) dropUpstreams(body DropUpstreams) Result {
+	s, ok := f.shards.rows[body.Domain]
+	if !ok {
+		return invalid("domain", "the failure domain has no upstreams; list the upstreams")
+	}
+	drop := make(map[state.VMID]bool, len(body.Upstreams))
+	for _, id := range body.Upstreams {
+		drop[id] = true
+	}
+	left := s.edit(func(u Upstream) (Upstream, bool) { return u, !drop[u.ID] })
+	if left.empty() {
+		f.shards.remove(body.Domain)
+	} else {
+		f.shards.put(body.Domain, left)
+	}
+	return accepted()
+}
+
+func (f *Fold) drain(domain state.DomainID, id state.VMID, draining bool) Result {
+	s := f.shards.rows[domain]
+	if !s.has(id) {
+		return invalid("upstream", "the failure domain has no such upstream; list the upstreams")
+	}
+	f.shards.put(domain, s.edit(func(u Upstream) (Upstream, bool) {
+		if u.ID == id {
+			u.Draining = draining
+		}
+		return u, true
+	}))
+	return accepted()
+}
+
+func (f *Fold) claimShard(offset int64, body ClaimShard) Result {
+	if body.Shard == "" || body.Owner == "" {
+		return invalid("shard", "name the shard and its owner")
+	}
+	old, ok := f.claims.rows[body.Shard]
+	if ok && compareClaim(body, old) <= 0 {
+		return Result{Outcome: Conflict, Current: old.Version}
+	}
+	f.claims.put(body.Shard, Claim{Shard: body.Shard, Number: body.Number, Owner: body.Owner, Version: offset})
+	return accepted()
+}
+
+func compareClaim(a ClaimShard, b Claim) int {
+	if c := cmp.Compare(a.Number, b.Number); c != 0 {
+		return c
+	}
+	return cmp.Compare(a.Owner, b.Owner)
+}
--- /dev/null
+++ b/internal/state/config/fold.go
@@ -0,0 +1,271 @@
+package config
+
+import (
+	"math"
+
+	"github.com/samphirerail/samphirerail/internal/state"
+)
+
+// write is what is remembered of a folded record.
+type write struct {
+	Offset int64  `json:"offset"`
+	Result Result `json:"result"`
+}
+
+// Counts are numbers of records that a fold has met since it was made.
+type Counts struct {
+	// Accepted changed the state.
+	Accepted int64
+	// Rejected were conflicts or invalid.
+	Rejected int64
+	// Duplicates had an ID that was folded before.
+	Duplicates int64
+	// Skipped were of an unknown kind.
+	Skipped int64
+}
+
+// Fold is the state after the records up to a version. It is not safe for
+// concurrent use; its views are.
+type Fold struct {
+	version        int64
+	contracts      table[state.TeamID, Contract]
+	keys           table[string, Key]
+	queues         table[state.QueueID, Queue]
+	domains        []Domain
+	domainsVersion int64
+	entries        table[state.EntryID, Entry]
+	shards         table[state.DomainID, *shard]
+	claims         table[state.ShardID, Claim]
+	ledgers        table[state.TeamID, *ledger]
+	// settled is the newest version that an owner in the domain has settled.
+	settled table[state.DomainID, int64]
+	writes  recent[write]
+	// ended are entries that were unregistered, with the offset.
+	ended  recent[int64]
+	counts Counts
+	// pending says that a join or a hold may be waiting.
+	pending bool
+	view    *View
+
+	// skipConfirm and skipSettle switch the rules off, for tests.
+	skipConfirm bool
+	skipSettle  bool
+}
+
+// NewFold returns a fold that has folded nothing.
+func NewFold() *Fold {
+	return &Fold{
+		version:        NoVersion,
+		domainsVersion: NoVersion,
+		contracts:      newTable[state.TeamID, Contract](),
+		keys:           newTable[string, Key](),
+		queues:         newTable[state.QueueID, Queue](),
+		entries:        newTable[state.EntryID, Entry](),
+		shards:         newTable[state.DomainID, *shard](),
+		claims:         newTable[state.ShardID, Claim](),
+		ledgers:        newTable[state.TeamID, *ledger](),
+		settled:        newTable[state.DomainID, int64](),
+		writes:         newRecent[write](nil),
+		ended:          newRecent[int64](nil),
+	}
+}
+
+// Version returns the offset of the last folded record, or NoVersion.
+func (f *Fold) Version() int64 { return f.version }
+
+// Counts returns how many records the fold has met.
+func (f *Fold) Counts() Counts { return f.counts }
+
+// Written returns what became of the write with the ID, as long as it is among
+// the last writes.
+func (f *Fold) Written(id string) (result Result, offset int64, ok bool) {
+	w, ok := f.writes.get(id)
+	return w.Result, w.Offset, ok
+}
+
+// Skip moves the version past an offset that holds no record.
+func (f *Fold) Skip(offset int64) {
+	if offset > f.version {
+		f.version = offset
+		f.view = nil
+	}
+}
+
+// Apply folds one record. Offsets never fall; records of one batch share
+// theirs. A record at an offset below the version is a duplicate.
+func (f *Fold) Apply(offset int64, record Record) Result {
+	if offset < f.version {
+		f.counts.Duplicates++
+		return Result{Outcome: Duplicate}
+	}
+	f.version = offset
+	f.view = nil
+	result := f.applyOnce(offset, record)
+	f.count(result)
+	if f.pending {
+		f.release(offset)
+	}
+	return result
+}
+
+func (f *Fold) applyOnce(offset int64, record Record) Result {
+	if record.Body == nil {
+		return Result{Outcome: Skipped}
+	}
+	if !remembered(record.Body) {
+		return f.change(offset, record)
+	}
+	if record.ID == "" {
+		return invalid("id", "give the write an ID of its own")
+	}
+	if _, ok := f.writes.get(record.ID); ok {
+		return Result{Outcome: Duplicate}
+	}
+	result := f.change(offset, record)
+	f.writes.add(record.ID, write{Offset: offset, Result: result})
+	return result
+}
+
+// remembered reports whether a second record with the same ID must be dropped.
+// The others can be folded twice without harm and are many.
+func remembered(body Body) bool {
+	switch body.(type) {
+	case Confirm, Snapshot:
+		return false
+	default:
+		return true
+	}
+}
+
+func (f *Fold) count(result Result) {
+	switch result.Outcome {
+	case Accepted:
+		f.counts.Accepted++
+	case Conflict, Invalid:
+		f.counts.Rejected++
+	case Duplicate:
+		f.counts.Duplicates++
+	case Skipped:
+		f.counts.Skipped++
+	}
+}
+
+func (f *Fold) change(offset int64, record Record) Result {
+	switch body := record.Body.(type) {
+	case PutContract:
+		return f.putContract(offset, record.Base, body.Contract)
+	case WithdrawContract:
+		return f.withdrawContract(offset, record.Base, body.Team)
+	case GrantKey:
+		return f.grantKey(offset, record.Base, body.Key)
+	case WithdrawKey:
+		return f.withdrawKey(offset, record.Base, body.Key)
+	case OpenQueue:
+		return f.openQueue(offset, record.Base, body.Queue)
+	case CloseQueue:
+		return f.closeQueue(record.Base, body.Queue)
+	case PutDomains:
+		return f.putDomains(offset, record.Base, body.Domains)
+	case RegisterEntry:
+		return f.registerEntry(offset, body)
+	case UnregisterEntry:
+		return f.unregisterEntry(offset, body.Entry)
+	case Confirm:
+		return f.confirm(offset, body)
+	case MoveAllotment:
+		return f.moveAllotment(offset, record.Base, body)
+	case JoinUpstreams:
+		return f.joinUpstreams(offset, body)
+	case DropUpstreams:
+		return f.dropUpstreams(body)
+	case DrainUpstream:
+		return f.drain(body.Domain, body.Upstream, true)
+	case UndrainUpstream:
+		return f.drain(body.Domain, body.Upstream, false)
+	case ClaimShard:
+		return f.claimShard(offset, body)
+	case Snapshot:
+		return accepted()
+	default:
+		return Result{Outcome: Skipped}
+	}
+}
+
+// release brings into force what every entry concerned has confirmed.
+func (f *Fold) release(offset int64) {
+	f.pending = false
+	for _, domain := range sortedKeys(f.shards.rows) {
+		s := f.shards.rows[domain]
+		if len(s.Joins) == 0 {
+			continue
+		}
+		if upTo := f.confirmed(domain); s.Joins[0].Offset <= upTo {
+			s = s.admit(upTo)
+			f.shards.put(domain, s)
+		}
+		f.pending = f.pending || len(s.Joins) > 0
+	}
+	for _, team := range sortedKeys(f.ledgers.rows) {
+		f.releaseHolds(offset, team)
+	}
+}
+
+func (f *Fold) releaseHolds(offset int64, team state.TeamID) {
+	old := f.ledgers.rows[team]
+	if len(old.Holds) == 0 {
+		return
+	}
+	l := old.clone()
+	l.Holds = l.Holds[:0]
+	for _, h := range old.Holds {
+		if h.Folded == notFolded && h.Offset <= f.confirmed(h.Domain) {
+			h.Folded = offset
+		}
+		if !f.released(h) {
+			l.Holds = append(l.Holds, h)
+		}
+	}
+	l.raise(f.contracts.rows[team].Limit)
+	f.putLedger(team, l)
+	f.pending = f.pending || len(l.Holds) > 0
+}
+
+// released reports whether the domain is known to do without a held amount:
+// no entry may place above the cut any more, and an owner has since stated
+// that what runs fits.
+func (f *Fold) released(h hold) bool {
+	if f.skipConfirm {
+		return true
+	}
+	if h.Folded == notFolded {
+		return false
+	}
+	if f.skipSettle || f.shards.rows[h.Domain].empty() {
+		return true
+	}
+	settled, ok := f.settled.rows[h.Domain]
+	return ok && settled >= h.Folded
+}
+
+// confirmed returns the newest version that all entries registered in a domain
+// have confirmed; without entries, any version counts as confirmed.
+func (f *Fold) confirmed(domain state.DomainID) int64 {
+	lowest := int64(math.MaxInt64)
+	if f.skipConfirm {
+		return lowest
+	}
+	for _, entry := range f.entries.rows {
+		if entry.Domain == domain {
+			lowest = min(lowest, entry.Confirmed)
+		}
+	}
+	return lowest
+}
+
+func (f *Fold) putLedger(team state.TeamID, l *ledger) {
+	if _, ok := f.contracts.rows[team]; !ok && l.empty() {
+		f.ledgers.remove(team)
+		return
+	}
+	f.ledgers.put(team, l)
+}
