Follow the configuration stream

Cause: entries need the folded configuration, writes that survive lost answers, and a way to learn while the log is out of reach. Ruled out: conditional appends (ExpectedOffset) for operators' writes: a lost answer then looks like a conflict with oneself; base versions at the fold don't have that flaw. Tests on virtual time against a log in memory.

--- /dev/null
+++ b/internal/coordination/configlog/follower.go
@@ -0,0 +1,142 @@
+package configlog
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+
+	"github.com/hashicorp/go-hclog"
+	"golang.org/x/sync/errgroup"
+	"golang.org/x/time/rate"
+
+	"github.com/samphirerail/samphirerail/internal/state/config"
+	"github.com/samphirerail/samphirerail/platform"
+)
+
+// published is what other goroutines see. It does not change.
+type published struct {
+	view *config.View
+	// history are the last records, without gaps, up to the view's version.
+	history []platform.StoredRecord
+	// next is closed when a newer one is published.
+	next chan struct{}
+}
+
+// Follower keeps the configuration of one entry. Its methods are safe for
+// concurrent use.
+type Follower struct {
+	opts    Options
+	log     hclog.Logger
+	limiter *rate.Limiter
+	meters  meters
+
+	current   atomic.Pointer[published]
+	ready     chan struct{}
+	readyOnce sync.Once
+	running   atomic.Bool
+	stopped   chan struct{}
+
+	// events reach the goroutine that owns the fold.
+	events chan event
+
+	snapshotMu    sync.Mutex
+	snapshotView  *config.View
+	snapshotBytes []byte
+}
+
+// New returns a follower that has folded nothing; Run starts it.
+func New(opts Options) (*Follower, error) {
+	if opts.Log == nil || opts.Entry == "" || opts.Domain == "" {
+		return nil, errors.New("configlog: options lack the log, the entry or the domain; set all three")
+	}
+	opts = opts.withDefaults()
+	f := &Follower{
+		opts:    opts,
+		log:     opts.Logger.Named("configlog"),
+		limiter: rate.NewLimiter(rate.Limit(opts.AppendsPerSecond), appendBurst),
+		meters:  newMeters(opts.Metrics),
+		ready:   make(chan struct{}),
+		stopped: make(chan struct{}),
+		events:  make(chan event),
+	}
+	f.current.Store(&published{view: config.NewFold().View(), next: make(chan struct{})})
+	return f, nil
+}
+
+// Run follows the stream until ctx ends, and returns nil then. It is called
+// once.
+func (f *Follower) Run(ctx context.Context) error {
+	if !f.running.CompareAndSwap(false, true) {
+		return errors.New("configlog: the follower runs already; call Run once")
+	}
+	defer close(f.stopped)
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return newControl(f).run(ctx) })
+	group.Go(func() error { return f.read(ctx) })
+	group.Go(func() error { return f.write(ctx) })
+	if err := group.Wait(); err != nil && !errors.Is(err, context.Canceled) && !errors.Is(err, context.DeadlineExceeded) {
+		return err
+	}
+	return nil
+}
+
+// View returns the newest view. It is never nil and its version never falls.
+func (f *Follower) View() *config.View { return f.current.Load().view }
+
+// Version returns the version of the newest view.
+func (f *Follower) Version() int64 { return f.View().Version() }
+
+// Changed returns a channel that is closed when a view newer than the present
+// one is published. Take the channel before the view, so that no change is
+// missed.
+func (f *Follower) Changed() <-chan struct{} { return f.current.Load().next }
+
+// Ready returns a channel that is closed once the follower has folded up to
+// the tail that it first saw, or has taken the configuration of a peer.
+func (f *Follower) Ready() <-chan struct{} { return f.ready }
+
+// IsReady reports whether Ready is closed.
+func (f *Follower) IsReady() bool {
+	select {
+	case <-f.ready:
+		return true
+	default:
+		return false
+	}
+}
+
+// WaitVersion returns once the follower has folded a version, or with the
+// error of ctx.
+func (f *Follower) WaitVersion(ctx context.Context, version int64) error {
+	for {
+		changed := f.Changed()
+		if f.Version() >= version {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func (f *Follower) markReady() {
+	f.readyOnce.Do(func() {
+		f.log.Info("configuration ready", "version", f.Version())
+		close(f.ready)
+	})
+}
+
+// send hands an event to the goroutine that owns the fold.
+func (f *Follower) send(ctx context.Context, e event) error {
+	select {
+	case f.events <- e:
+		return nil
+	case <-f.stopped:
+		return ErrStopped
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/internal/coordination/configlog/follower_test.go
@@ -0,0 +1,327 @@
+package configlog
+
+import (
+	"context"
+	"crypto/sha256"
+	"errors"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/goleak"
+
+	"github.com/samphirerail/samphirerail/internal/coordination"
+	"github.com/samphirerail/samphirerail/internal/state"
+	"github.com/samphirerail/samphirerail/internal/state/config"
+	"github.com/samphirerail/samphirerail/platform"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// bubble runs a test on virtual time with a fresh log.
+func bubble(t *testing.T, test func(t *testing.T, ctx context.Context, log *fakeLog)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer synctest.Wait()
+		defer cancel()
+		test(t, ctx, newFakeLog())
+	})
+}
+
+func startFollower(t *testing.T, ctx context.Context, port platform.Log, entry state.EntryID, change func(*Options)) *Follower {
+	opts := Options{Log: port, Entry: entry, Domain: "d1"}
+	if change != nil {
+		change(&opts)
+	}
+	f, err := New(opts)
+	is.New(t).NoErr(err)
+	go func() { _ = f.Run(ctx) }()
+	return f
+}
+
+func putContract(team state.TeamID, base int64) config.Record {
+	return config.Record{Base: base, Body: config.PutContract{Contract: config.Contract{
+		Team: team, Services: []state.Service{"fitting"}, Classes: []state.Class{state.ClassRequest},
+		SubmitRate: 10, SubmitBurst: 10, MaxQueued: 10, Weight: 1, OnCut: config.CutServe,
+		Limit: state.Vector{CPUMilli: 1000, MemoryMB: 1000, Slots: 10},
+	}}}
+}
+
+func grantKey(id, secret string) config.Record {
+	hash := sha256.Sum256([]byte(secret))
+	return config.Record{Base: config.NoVersion, Body: config.GrantKey{Key: config.Key{ID: id, Team: "a", Role: config.RoleCaller, Secret: hash[:]}}}
+}
+
+func TestWrite(t *testing.T) {
+	tests := []struct {
+		name    string
+		prepare func(log *fakeLog, port *fakePort)
+		record  config.Record
+		outcome config.Outcome
+		// written is the verdict of the *UnavailableError expected.
+		written state.Verdict
+		is      error
+	}{
+		{name: "accepted", record: putContract("a", config.NoVersion), outcome: config.Accepted},
+		{name: "conflict", record: putContract("a", 17), outcome: config.Conflict},
+		{name: "invalid", record: putContract("", config.NoVersion), outcome: config.Invalid},
+		{
+			name: "answer lost", record: putContract("a", config.NoVersion), outcome: config.Accepted,
+			prepare: func(log *fakeLog, _ *fakePort) { log.loseAnswers = 2 },
+		},
+		{
+			name: "appended twice", record: putContract("a", config.NoVersion), outcome: config.Accepted,
+			prepare: func(log *fakeLog, _ *fakePort) { log.twice = true },
+		},
+		{
+			name: "log down for a while", record: putContract("a", config.NoVersion), outcome: config.Accepted,
+			prepare: func(_ *fakeLog, port *fakePort) {
+				port.set(true, false)
+				time.AfterFunc(3*time.Second, func() { port.set(false, false) })
+			},
+		},
+		{
+			name: "log down throughout", record: putContract("a", config.NoVersion), written: state.Unknown,
+			prepare: func(_ *fakeLog, port *fakePort) { port.set(true, false) },
+		},
+		{
+			name: "reads down throughout", record: putContract("a", config.NoVersion), written: state.Unknown,
+			prepare: func(_ *fakeLog, port *fakePort) { port.set(false, true) },
+		},
+		{
+			name: "too large", record: grantKey(strings.Repeat("x", platform.MaxRecordBytes), "s"), is: platform.ErrTooLarge,
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			bubble(t, func(t *testing.T, ctx context.Context, log *fakeLog) {
+				is := is.New(t)
+				port := log.port()
+				f := startFollower(t, ctx, port, "e1/1", nil)
+				<-f.Ready()
+				if tt.prepare != nil {
+					tt.prepare(log, port)
+				}
+				result, version, err := f.Write(ctx, tt.record)
+				var unavailable *UnavailableError
+				switch {
+				case tt.written != "":
+					is.True(errors.As(err, &unavailable))
+					is.Equal(unavailable.Written, tt.written)
+					is.True(unavailable.RetryAfter > 0)
+				case tt.is != nil:
+					is.True(errors.Is(err, tt.is))
+				default:
+					is.NoErr(err)
+					is.Equal(result.Outcome, tt.outcome)
+					is.Equal(version, int64(0))
+				}
+				if tt.outcome == config.Accepted {
+					_, ok := f.View().Contract("a")
+					is.True(ok)
+				}
+			})
+		})
+	}
+}
+
+func TestWriteNeverSent(t *testing.T) {
+	bubble(t, func(t *testing.T, ctx context.Context, log *fakeLog) {
+		is := is.New(t)
+		port := log.port()
+		f := startFollower(t, ctx, port, "e1/1", nil)
+		<-f.Ready()
+		port.set(true, false)
+		go func() { _, _, _ = f.Write(ctx, putContract("a", config.NoVersion)) }()
+		time.Sleep(time.Second)
+		short, cancel := context.WithTimeout(ctx, time.Second)
+		defer cancel()
+		_, _, err := f.Write(short, putContract("b", config.NoVersion))
+		var unavailable *UnavailableError
+		is.True(errors.As(err, &unavailable))
+		is.Equal(unavailable.Written, state.NotRun) // it waited behind the first
+		port.set(false, false)
+		time.Sleep(20 * time.Second)
+		_, ok := f.View().Contract("b")
+		is.True(!ok)
+		_, ok = f.View().Contract("a")
+		is.True(ok)
+	})
+}
+
+func TestWriteRepeatedWithItsID(t *testing.T) {
+	bubble(t, func(t *testing.T, ctx context.Context, log *fakeLog) {
+		is := is.New(t)
+		f := startFollower(t, ctx, log.port(), "e1/1", nil)
+		other := startFollower(t, ctx, log.port(), "e2/1", nil)
+		record := putContract("a", config.NoVersion)
+		record.ID = NewWriteID()
+		for _, via := range []*Follower{f, f, other} {
+			result, version, err := via.Write(ctx, record)
+			is.NoErr(err)
+			is.Equal(result.Outcome, config.Accepted)
+			is.Equal(version, int64(0))
+		}
+	})
+}
+
+func TestRacingOperators(t *testing.T) {
+	bubble(t, func(t *testing.T, ctx context.Context, log *fakeLog) {
+		is := is.New(t)
+		outcomes := make(chan config.Outcome, 2)
+		for _, entry := range []state.EntryID{"e1/1", "e2/1"} {
+			f := startFollower(t, ctx, log.port(), entry, nil)
+			go func() {
+				<-f.Ready()
+				result, _, _ := f.Write(ctx, putContract("a", config.NoVersion))
+				outcomes <- result.Outcome
+			}()
+		}
+		seen := map[config.Outcome]int{<-outcomes: 1}
+		seen[<-outcomes]++
+		is.Equal(seen, map[config.Outcome]int{config.Accepted: 1, config.Conflict: 1})
+	})
+}
+
+func TestWritesAreBatched(t *testing.T) {
+	bubble(t, func(t *testing.T, ctx context.Context, log *fakeLog) {
+		is := is.New(t)
+		f := startFollower(t, ctx, log.port(), "e1/1", nil)
+		<-f.Ready()
+		const writers = 300
+		done := make(chan error, writers)
+		for i := range writers {
+			go func() {
+				_, _, err := f.Write(ctx, putContract(state.TeamID("t"+string(rune('a'+i%26))+NewWriteID()), config.NoVersion))
+				done <- err
+			}()
+		}
+		for range writers {
+			is.NoErr(<-done)
+		}
+		is.Equal(len(f.View().Contracts()), writers)
+		appends, _ := log.count()
+		is.True(appends <= appendBurst+2)
+	})
+}
+
+func TestRestoreFromLog(t *testing.T) {
+	tests := []struct {
+		name string
+		// forget is how far behind the snapshot the log forgets.
+		forget int64
+		ready  bool
+	}{
+		{name: "log holds all", forget: -100, ready: true},
+		{name: "log holds the snapshot and what follows", forget: 0, ready: true},
+		{name: "log has forgotten the snapshot", forget: 1, ready: false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			bubble(t, func(t *testing.T, ctx context.Context, log *fakeLog) {
+				is := is.New(t)
+				f := startFollower(t, ctx, log.port(), "e1/1", nil)
+				for _, team := range []state.TeamID{"a", "b", "c"} {
+					_, _, err := f.Write(ctx, putContract(team, config.NoVersion))
+					is.NoErr(err)
+				}
+				time.Sleep(DefaultSnapshotAge + DefaultSnapshotDelay + tickInterval) // writes the snapshot
+				_, tail := log.count()
+				is.Equal(tail, int64(4))
+				_, _, err := f.Write(ctx, putContract("d", config.NoVersion))
+				is.NoErr(err)
+				log.forget(tail - 1 + tt.forget)
+				late := startFollower(t, ctx, log.port(), "e2/1", nil)
+				time.Sleep(time.Minute)
+				is.Equal(late.IsReady(), tt.ready)
+				if !tt.ready {
+					update, err := f.Since(late.Version() + 1)
+					is.NoErr(err)
+					taken, err := late.Adopt(ctx, update)
+					is.NoErr(err)
+					is.True(taken)
+					is.True(late.IsReady())
+				}
+				is.Equal(late.View().Contracts(), f.View().Contracts())
+				_, _, err = f.Write(ctx, putContract("e", config.NoVersion))
+				is.NoErr(err)
+				is.NoErr(late.WaitVersion(ctx, f.Version()))
+				is.Equal(late.View().Contracts(), f.View().Contracts())
+			})
+		})
+	}
+}
+
+func TestSnapshotIsRepublishedOnce(t *testing.T) {
+	bubble(t, func(t *testing.T, ctx context.Context, log *fakeLog) {
+		is := is.New(t)
+		var first *Follower
+		for _, entry := range []state.EntryID{"e1/1", "e2/1", "e3/1", "e4/1"} {
+			first = startFollower(t, ctx, log.port(), entry, nil)
+		}
+		_, _, err := first.Write(ctx, putContract("a", config.NoVersion))
+		is.NoErr(err)
+		const rounds = 10
+		time.Sleep(rounds * (DefaultSnapshotAge + DefaultSnapshotDelay + tickInterval))
+		_, tail := log.count()
+		is.True(tail-1 >= rounds)   // none is missing
+		is.True(tail-1 <= rounds+4) // others are suppressed, but for ties
+	})
+}
+
+func TestGossipWithoutLog(t *testing.T) {
+	bubble(t, func(t *testing.T, ctx context.Context, log *fakeLog) {
+		is := is.New(t)
+		port := log.port()
+		near := startFollower(t, ctx, log.port(), "e1/1", nil)
+		far := startFollower(t, ctx, port, "e2/1", nil)
+		_, _, err := near.Write(ctx, grantKey("k", "s"))
+		is.NoErr(err)
+		synctest.Wait()
+		port.set(true, false)
+		_, version, err := near.Write(ctx, config.Record{Base: 0, Body: config.WithdrawKey{Key: "k"}})
+		is.NoErr(err)
+		_, err = far.View().Authenticate("k", "s")
+		is.NoErr(err) // not yet known there
+
+		fetch := func(_ context.Context, from int64) (coordination.ConfigUpdate, error) { return near.Since(from) }
+		taken, err := far.Offer(ctx, version, fetch)
+		is.NoErr(err)
+		is.True(taken)
+		_, err = far.View().Authenticate("k", "s")
+		var refused *config.AuthError
+		is.True(errors.As(err, &refused))
+		is.Equal(refused.Reason, config.AuthWithdrawn)
+
+		// An older snapshot, older records and a gap change nothing.
+		update, err := near.Since(0)
+		is.NoErr(err)
+		taken, err = far.Adopt(ctx, update)
+		is.NoErr(err)
+		is.True(!taken)
+		gap := coordination.ConfigUpdate{Records: []platform.StoredRecord{{Offset: version + 2}}}
+		taken, err = far.Adopt(ctx, gap)
+		is.NoErr(err)
+		is.True(!taken)
+		is.Equal(far.Version(), version)
+		_, err = far.Adopt(ctx, coordination.ConfigUpdate{Snapshot: []byte("x"), SnapshotVersion: 99})
+		is.True(errors.Is(err, config.ErrBadSnapshot))
+	})
+}
+
+func TestMalformedRecordsAreSkipped(t *testing.T) {
+	bubble(t, func(t *testing.T, ctx context.Context, log *fakeLog) {
+		is := is.New(t)
+		for _, data := range []string{"", "junk\n", `{"v":1,"records":[{"id":"1","kind":"of_tomorrow","body":{}}]}`, `{"v":2,"records":[{"id":"2"}]}`} {
+			_, err := log.append(platform.AppendRequest{Record: platform.Record{ID: "x", Data: []byte(data)}})
+			is.NoErr(err)
+		}
+		f := startFollower(t, ctx, log.port(), "e1/1", nil)
+		<-f.Ready()
+		is.Equal(f.Version(), int64(3))
+		_, _, err := f.Write(ctx, putContract("a", config.NoVersion))
+		is.NoErr(err)
+	})
+}
--- /dev/null
+++ b/internal/coordination/configlog/write.go
@@ -0,0 +1,121 @@
+package configlog
+
+import (
+	"context"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/rotisserie/eris"
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
+
+	"github.com/samphirerail/samphirerail/internal/state"
+	"github.com/samphirerail/samphirerail/internal/state/config"
+	"github.com/samphirerail/samphirerail/platform"
+)
+
+// NewWriteID returns a fresh ID for a write.
+func NewWriteID() string {
+	id, err := uuid.NewV7()
+	if err != nil {
+		return uuid.NewString()
+	}
+	return id.String()
+}
+
+// Write appends a record and waits until this entry has folded it. It returns
+// what the fold made of the record and the version at which it did. A record
+// without an ID gets a fresh one; repeat a write whose outcome is unknown with
+// the same ID.
+//
+// The error is an *UnavailableError when the record was not seen in the stream
+// in time, platform.ErrTooLarge, ErrQueueFull or ErrStopped. A record that was
+// folded and not accepted is no error: see config.Result.Err.
+func (f *Follower) Write(ctx context.Context, record config.Record) (config.Result, int64, error) {
+	ctx, span := otel.Tracer(tracerName).Start(ctx, "config.write")
+	defer span.End()
+	if record.Body == nil {
+		return config.Result{}, 0, eris.New("configlog: the record has no body; set one")
+	}
+	if record.ID == "" {
+		record.ID = NewWriteID()
+	}
+	if record.At == 0 {
+		record.At = time.Now().UnixMilli()
+	}
+	span.SetAttributes(attribute.String("kind", string(record.Body.Kind())), attribute.String("write", record.ID))
+	ctx, cancel := context.WithTimeout(ctx, f.opts.WriteTimeout)
+	defer cancel()
+	asked := writeAsked{record: record, done: make(chan writeOutcome, 1)}
+	if err := f.send(ctx, asked); err != nil {
+		return config.Result{}, 0, notWritten(record.ID, err)
+	}
+	select {
+	case outcome := <-asked.done:
+		return outcome.result, outcome.offset, outcome.err
+	case <-f.stopped:
+		return config.Result{}, 0, unknownWrite(record.ID, ErrStopped)
+	case <-ctx.Done():
+		return f.giveUp(record.ID, asked.done, ctx.Err())
+	}
+}
+
+// giveUp ends the wait for a write and finds out whether it was ever sent.
+func (f *Follower) giveUp(id string, done <-chan writeOutcome, cause error) (config.Result, int64, error) {
+	given := writeGivenUp{id: id, sent: make(chan bool, 1)}
+	if err := f.send(context.Background(), given); err != nil {
+		return config.Result{}, 0, unknownWrite(id, cause)
+	}
+	select {
+	case outcome := <-done:
+		return outcome.result, outcome.offset, outcome.err
+	case sent := <-given.sent:
+		if sent {
+			return config.Result{}, 0, unknownWrite(id, cause)
+		}
+		return config.Result{}, 0, notWritten(id, cause)
+	case <-f.stopped:
+		return config.Result{}, 0, unknownWrite(id, cause)
+	}
+}
+
+func notWritten(id string, cause error) error {
+	return &UnavailableError{WriteID: id, Written: state.NotRun, RetryAfter: unavailableRetryAfter, Cause: cause}
+}
+
+func unknownWrite(id string, cause error) error {
+	return &UnavailableError{WriteID: id, Written: state.Unknown, RetryAfter: unavailableRetryAfter, Cause: cause}
+}
+
+// Register makes this entry one of those that must confirm changes in its
+// domain. Until it returns nil the entry must own no upstreams. Errors are
+// those of Write and of config.Result.Err.
+func (f *Follower) Register(ctx context.Context) error {
+	return f.writeOwn(ctx, config.RegisterEntry{Entry: f.opts.Entry, Domain: f.opts.Domain})
+}
+
+// Leave ends the registration of this entry. The caller must have ended all
+// that it owns before. Errors are those of Write and of config.Result.Err.
+func (f *Follower) Leave(ctx context.Context) error {
+	return f.writeOwn(ctx, config.UnregisterEntry{Entry: f.opts.Entry})
+}
+
+func (f *Follower) writeOwn(ctx context.Context, body config.Body) error {
+	result, _, err := f.Write(ctx, config.Record{Base: config.AnyVersion, Body: body})
+	if err != nil {
+		return eris.Wrapf(err, "write %s", body.Kind())
+	}
+	return eris.Wrapf(result.Err(), "write %s", body.Kind())
+}
+
+// encodeOne checks that a record fits into an append and returns its size.
+func encodeOne(record config.Record) (int, error) {
+	data, err := config.Encode([]config.Record{record})
+	if err != nil {
+		return 0, err
+	}
+	if len(data) > platform.MaxRecordBytes {
+		return 0, platform.ErrTooLarge
+	}
+	return len(data), nil
+}
--- /dev/null
+++ b/internal/coordination/configlog/writer.go
@@ -0,0 +1,74 @@
+package configlog
+
+import (
+	"context"
+	"errors"
+
+	"github.com/cenkalti/backoff/v5"
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
+
+	"github.com/samphirerail/samphirerail/platform"
+)
+
+const tracerName = "github.com/samphirerail/samphirerail/internal/coordination/configlog"
+
+// write appends the batches that the owner of the fold hands out, within the
+// budget. A batch is made up as late as possible, so that it holds much.
+func (f *Follower) write(ctx context.Context) error {
+	for {
+		if err := f.limiter.Wait(ctx); err != nil {
+			return ctx.Err()
+		}
+		batches := make(chan batch, 1)
+		if err := f.send(ctx, batchWanted{batch: batches}); err != nil {
+			return err
+		}
+		select {
+		case b := <-batches:
+			err := f.append(ctx, b)
+			if f.send(ctx, batchDone{batch: b, err: err}) != nil {
+				return ctx.Err()
+			}
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// append repeats the append of a batch with the same ID until the log service
+// answers. Readers drop the records of a repeat.
+func (f *Follower) append(ctx context.Context, b batch) error {
+	ctx, span := otel.Tracer(tracerName).Start(ctx, "config.append")
+	defer span.End()
+	span.SetAttributes(attribute.Int("records", len(b.records)), attribute.Int("bytes", len(b.data)))
+	pause := backoff.NewExponentialBackOff()
+	pause.InitialInterval = appendBackoff
+	pause.MaxInterval = maxAppendBackoff
+	_, err := backoff.Retry(ctx, func() (int64, error) {
+		return f.appendOnce(ctx, b)
+	}, backoff.WithBackOff(pause), backoff.WithMaxElapsedTime(f.opts.WriteTimeout))
+	if err != nil {
+		span.RecordError(err)
+	}
+	return err
+}
+
+func (f *Follower) appendOnce(ctx context.Context, b batch) (int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
+	defer cancel()
+	f.meters.appends.Inc(1)
+	offset, err := f.opts.Log.Append(ctx, platform.AppendRequest{
+		Stream: f.opts.Stream,
+		Record: platform.Record{ID: b.id, Data: b.data},
+	})
+	if err == nil {
+		return offset, nil
+	}
+	f.meters.appendFailures.Inc(1)
+	f.log.Warn("configuration append failed", "write", b.id, "records", len(b.records), "error", oneLine(err))
+	if errors.Is(err, platform.ErrTooLarge) || errors.Is(err, platform.ErrInvalid) {
+		return 0, backoff.Permanent(err)
+	}
+	return 0, err
+}
