Find room through an index in place of a scan

Cause: a scan of all upstreams for each decision costs time in proportion to their number, and first fit ignores what a choice leaves unused. Ruled out: sampling random upstreams, which misses the last free room when the shard is nearly full and then needs the scan after all. First fit stays as the baseline.

--- a/internal/state/cell/cell.go
+++ b/internal/state/cell/cell.go
@@ -5,7 +5,6 @@
 import (
 	"errors"
 	"fmt"
-	"slices"
 
 	"github.com/samphirerail/samphirerail/internal/state"
 )
@@ -51,138 +50,133 @@
 	Readiness   Readiness
 }
 
-// Request asks for room for one or more equal tasks.
-type Request struct {
-	Service state.Service
-	Each    state.Vector
-	// Spread prefers racks that hold few of the tasks already placed for the
-	// same request.
-	Spread bool
-	// Avoid lists upstreams not to use.
-	Avoid []state.VMID
-}
-
 // Cell is the set of upstreams of a shard. It is not safe for concurrent use.
 type Cell struct {
-	upstreams map[state.VMID]*Upstream
-	order     []state.VMID
+	upstreams map[state.VMID]*record
+	services  map[state.Service]*pool
+	// policy picks among candidates; tests and reports swap it.
+	policy policy
+}
+
+// record is an upstream with its place in its service's pool.
+type record struct {
+	Upstream
+	leaf int
 }
 
 // New returns an empty cell.
 func New() *Cell {
-	return &Cell{upstreams: map[state.VMID]*Upstream{}}
+	return &Cell{
+		upstreams: map[state.VMID]*record{},
+		services:  map[state.Service]*pool{},
+		policy:    bestFit,
+	}
+}
+
+// NewFirstFit returns an empty cell that takes the first upstream with room. It
+// is the baseline that placement is compared with.
+func NewFirstFit() *Cell {
+	c := New()
+	c.policy = firstFit
+	return c
 }
 
 // Put adds an upstream or replaces the record of one.
 func (c *Cell) Put(u Upstream) {
-	if _, ok := c.upstreams[u.VM]; !ok {
-		i, _ := slices.BinarySearch(c.order, u.VM)
-		c.order = slices.Insert(c.order, i, u.VM)
-	}
-	c.upstreams[u.VM] = &u
+	c.Remove(u.VM)
+	r := &record{Upstream: u}
+	c.upstreams[u.VM] = r
+	c.pool(u.Service).add(r)
 }
 
 // Remove forgets an upstream.
 func (c *Cell) Remove(vm state.VMID) {
-	if _, ok := c.upstreams[vm]; !ok {
+	r, ok := c.upstreams[vm]
+	if !ok {
 		return
 	}
 	delete(c.upstreams, vm)
-	i, _ := slices.BinarySearch(c.order, vm)
-	c.order = slices.Delete(c.order, i, i+1)
+	c.pool(r.Service).remove(r)
+}
+
+func (c *Cell) pool(service state.Service) *pool {
+	p, ok := c.services[service]
+	if !ok {
+		p = &pool{}
+		c.services[service] = p
+	}
+	return p
 }
 
 // Get returns a copy of the record of an upstream.
 func (c *Cell) Get(vm state.VMID) (Upstream, bool) {
-	u, ok := c.upstreams[vm]
+	r, ok := c.upstreams[vm]
 	if !ok {
 		return Upstream{}, false
 	}
-	return *u, true
+	return r.Upstream, true
 }
 
 // Len returns the number of upstreams.
 func (c *Cell) Len() int { return len(c.upstreams) }
 
 // SetReadiness changes whether an upstream takes new work.
-func (c *Cell) SetReadiness(vm state.VMID, r Readiness) {
-	if u, ok := c.upstreams[vm]; ok {
-		u.Readiness = r
+func (c *Cell) SetReadiness(vm state.VMID, readiness Readiness) {
+	r, ok := c.upstreams[vm]
+	if !ok || r.Readiness == readiness {
+		return
 	}
+	r.Readiness = readiness
+	c.pool(r.Service).update(r)
 }
 
 // Commit takes an amount of an upstream. It fails with an *OvercommitError or
 // ErrUnknownUpstream and then changes nothing.
 func (c *Cell) Commit(vm state.VMID, amount state.Vector) error {
-	u, ok := c.upstreams[vm]
+	r, ok := c.upstreams[vm]
 	if !ok {
 		return ErrUnknownUpstream
 	}
-	if !amount.Fits(u.Free) {
-		return &OvercommitError{VM: vm, Need: amount, Free: u.Free}
+	if !amount.Fits(r.Free) {
+		return &OvercommitError{VM: vm, Need: amount, Free: r.Free}
 	}
-	u.Free = u.Free.Sub(amount)
+	c.change(r, state.Vector{}.Sub(amount))
 	return nil
 }
 
 // Release gives an amount back.
 func (c *Cell) Release(vm state.VMID, amount state.Vector) {
-	if u, ok := c.upstreams[vm]; ok {
-		u.Free = u.Free.Add(amount)
+	if r, ok := c.upstreams[vm]; ok {
+		c.change(r, amount)
 	}
 }
 
-// Pick finds an upstream for one task.
-func (c *Cell) Pick(req Request) (state.VMID, bool) {
-	for _, vm := range c.order {
-		u := c.upstreams[vm]
-		if u.Readiness == Ready && u.Service == req.Service && req.Each.Fits(u.Free) && !slices.Contains(req.Avoid, vm) {
-			return vm, true
-		}
-	}
-	return "", false
-}
-
-// PickMany finds upstreams for n tasks at once, or none. The result may name an
-// upstream more than once. Nothing is committed.
-func (c *Cell) PickMany(req Request, n int) ([]state.VMID, bool) {
-	picked := make([]state.VMID, 0, n)
-	defer func() {
-		for _, vm := range picked {
-			c.Release(vm, req.Each)
-		}
-	}()
-	for range n {
-		vm, ok := c.Pick(req)
-		if !ok || c.Commit(vm, req.Each) != nil {
-			return nil, false
-		}
-		picked = append(picked, vm)
-	}
-	return slices.Clone(picked), true
+func (c *Cell) change(r *record, amount state.Vector) {
+	r.Free = r.Free.Add(amount)
+	p := c.pool(r.Service)
+	p.free = p.free.Add(amount)
+	p.update(r)
 }
 
 // Largest returns the largest capacity of each kind among the upstreams of a
 // service, whatever their readiness, and whether one of them alone can hold
 // the amount when empty.
 func (c *Cell) Largest(service state.Service, each state.Vector) (largest state.Vector, fits bool) {
-	for _, u := range c.upstreams {
-		if u.Service != service {
-			continue
-		}
-		largest = largest.Max(u.Capacity)
-		fits = fits || each.Fits(u.Capacity)
+	p, ok := c.services[service]
+	if !ok {
+		return state.Vector{}, false
+	}
+	for _, s := range p.shapes {
+		largest = largest.Max(s.capacity)
+		fits = fits || each.Fits(s.capacity)
 	}
 	return largest, fits
 }
 
 // Total returns the capacity and the free amount of all upstreams of a service.
 func (c *Cell) Total(service state.Service) (capacity, free state.Vector) {
-	for _, u := range c.upstreams {
-		if u.Service == service {
-			capacity = capacity.Add(u.Capacity)
-			free = free.Add(u.Free)
-		}
+	if p, ok := c.services[service]; ok {
+		return p.capacity, p.free
 	}
-	return capacity, free
+	return state.Vector{}, state.Vector{}
 }
--- /dev/null
+++ b/internal/state/cell/tree.go
@@ -0,0 +1,64 @@
+package cell
+
+import "github.com/samphirerail/samphirerail/internal/state"
+
+// maxTree is a segment tree over the free amounts of a list of upstreams. Each
+// node holds the largest value of each part below it, so that a search leaves
+// out every part of the list where no upstream can fit.
+type maxTree struct {
+	size  int
+	nodes []state.Vector
+}
+
+// nothing is the free amount of an upstream that takes no work: no request,
+// not even a zero one, fits in it.
+var nothing = state.Vector{CPUMilli: -1, MemoryMB: -1, Accelerators: -1, Slots: -1}
+
+func newMaxTree(leaves []state.Vector) *maxTree {
+	size := 1
+	for size < len(leaves) {
+		size *= 2
+	}
+	t := &maxTree{size: size, nodes: make([]state.Vector, 2*size)}
+	for i := range size {
+		t.nodes[size+i] = nothing
+	}
+	copy(t.nodes[size:], leaves)
+	for i := size - 1; i >= 1; i-- {
+		t.nodes[i] = t.nodes[2*i].Max(t.nodes[2*i+1])
+	}
+	return t
+}
+
+// set changes one leaf.
+func (t *maxTree) set(leaf int, v state.Vector) {
+	i := t.size + leaf
+	t.nodes[i] = v
+	for i /= 2; i >= 1; i /= 2 {
+		largest := t.nodes[2*i].Max(t.nodes[2*i+1])
+		if largest == t.nodes[i] {
+			return
+		}
+		t.nodes[i] = largest
+	}
+}
+
+// find visits the leaves from low up to, not including, high in which need
+// fits, in order, until visit returns false.
+func (t *maxTree) find(low, high int, need state.Vector, visit func(leaf int) bool) {
+	t.search(1, 0, t.size, low, high, need, visit)
+}
+
+// search reports whether the visit goes on. The node covers leaves from start
+// up to, not including, end.
+func (t *maxTree) search(node, start, end, low, high int, need state.Vector, visit func(leaf int) bool) bool {
+	if end <= low || high <= start || !need.Fits(t.nodes[node]) {
+		return true
+	}
+	if end-start == 1 {
+		return visit(start)
+	}
+	middle := (start + end) / 2
+	return t.search(2*node, start, middle, low, high, need, visit) &&
+		t.search(2*node+1, middle, end, low, high, need, visit)
+}
