Run an owned shard: fence, sync, start, stop and hand back

Cause: the pure machine needs its events and someone to carry out its actions. Ruled out: one goroutine per task for stops (10,000 cancels would make 10,000 calls): verbs are sent in batches per worker. Change: a control goroutine per claim, a link per worker with a lease on the worker's own clock, waiting callers, resignation that hands queued jobs back.

--- /dev/null
+++ b/internal/coordination/owner/jobs.go
@@ -0,0 +1,255 @@
+package owner
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"go.opentelemetry.io/otel/trace"
+
+	"github.com/samphirerail/samphirerail/internal/coordination"
+	"github.com/samphirerail/samphirerail/internal/state"
+	"github.com/samphirerail/samphirerail/internal/state/jobid"
+	"github.com/samphirerail/samphirerail/internal/state/machine"
+)
+
+// ErrEnded says that the shard ended before the outcome of a call was known.
+var ErrEnded = errors.New("owner: this entry no longer owns the shard; ask the new owner for the job")
+
+func sortVMs(vms []state.VMID) { slices.Sort(vms) }
+
+// Submit hands a job to the machine and waits for its end as the submission
+// asks. It fails with ErrEnded when the shard ends first: the outcome is then
+// the new owner's to tell.
+func (s *Shard) Submit(ctx context.Context, sub coordination.Submission) (coordination.JobStatus, error) {
+	status := make(chan coordination.JobStatus, 1)
+	traced := trace.SpanContextFromContext(ctx)
+	ok := s.do(ctx, func(loop context.Context) { s.submit(loop, sub, traced, status) })
+	if !ok {
+		return coordination.JobStatus{}, ErrEnded
+	}
+	return s.await(ctx, sub.ID, sub.Wait, status)
+}
+
+// submit runs on the control goroutine.
+func (s *Shard) submit(ctx context.Context, sub coordination.Submission, traced trace.SpanContext, status chan<- coordination.JobStatus) {
+	job := s.job(sub)
+	if traced.IsValid() {
+		s.traces[job.ID] = trace.ContextWithRemoteSpanContext(ctx, traced)
+	}
+	if _, known := s.machine.Job(job.ID); !known {
+		s.waiting[job.ID] = waitingJob{submission: sub, received: s.now()}
+	}
+	actions := s.machine.Step(s.now(), machine.Submit{Job: job})
+	own, rest := splitConflict(actions, job.ID)
+	s.perform(ctx, rest)
+	if own != nil {
+		status <- statusOfAnswer(*own)
+		return
+	}
+	s.waitFor(job.ID, sub.Wait > 0, status)
+}
+
+// splitConflict takes out the refusal that concerns this submission and not the
+// job that already has its ID.
+func splitConflict(actions []machine.Action, id state.JobID) (*machine.Answer, []machine.Action) {
+	for i, action := range actions {
+		a, ok := action.(machine.Answer)
+		if ok && a.Job == id && a.Refusal != nil && a.Refusal.Reason == state.ReasonConflict {
+			return &a, slices.Delete(slices.Clone(actions), i, i+1)
+		}
+	}
+	return nil, actions
+}
+
+// waitFor sends the job's status now when it has ended or wait is false, else
+// at its end.
+func (s *Shard) waitFor(id state.JobID, wait bool, status chan<- coordination.JobStatus) {
+	view, ok := s.machine.Job(id)
+	if !ok {
+		status <- coordination.JobStatus{ID: id, State: state.JobUnknown, Refusal: unknownJob(id)}
+		return
+	}
+	if view.State.Ended() || !wait {
+		status <- statusOfView(view)
+		return
+	}
+	s.waiters[id] = append(s.waiters[id], status)
+}
+
+// await waits for a status; when the wait is over first it returns the status
+// of the moment.
+func (s *Shard) await(ctx context.Context, id state.JobID, wait time.Duration, status <-chan coordination.JobStatus) (coordination.JobStatus, error) {
+	timer := time.NewTimer(max(wait, 0))
+	defer timer.Stop()
+	expired := timer.C
+	if wait <= 0 {
+		expired = nil
+	}
+	for {
+		select {
+		case st, ok := <-status:
+			if !ok {
+				return coordination.JobStatus{}, ErrEnded
+			}
+			return st, nil
+		case <-ctx.Done():
+			return coordination.JobStatus{}, ErrEnded
+		case <-s.done:
+			return s.lastWord(status)
+		case <-expired:
+			expired = nil
+			now := make(chan coordination.JobStatus, 1)
+			if !s.do(ctx, func(context.Context) { s.waitFor(id, false, now) }) {
+				return coordination.JobStatus{}, ErrEnded
+			}
+			return <-now, nil
+		}
+	}
+}
+
+func (s *Shard) lastWord(status <-chan coordination.JobStatus) (coordination.JobStatus, error) {
+	select {
+	case st, ok := <-status:
+		if ok {
+			return st, nil
+		}
+	default:
+	}
+	return coordination.JobStatus{}, ErrEnded
+}
+
+// job converts a submission.
+func (s *Shard) job(sub coordination.Submission) state.Job {
+	job := state.Job{
+		ID: sub.ID, Team: sub.Team, Queue: sub.Queue, Class: sub.Class, Service: sub.Service,
+		Tasks: sub.Tasks, Each: sub.Each, RunTime: sub.RunTime, Urgent: sub.Urgent,
+		Idempotent: sub.Idempotent, Preemptible: sub.Preemptible, Payload: sub.Payload,
+	}
+	if sub.DeadlineIn > 0 {
+		job.Deadline = s.now() + sub.DeadlineIn
+	}
+	job.IssuedBeforeTakeover = !sub.Fresh && s.issuedBeforeTakeover(sub.ID)
+	return job
+}
+
+func (s *Shard) issuedBeforeTakeover(id state.JobID) bool {
+	parsed, err := jobid.Parse(id)
+	if err != nil {
+		return true
+	}
+	return parsed.Issued.Before(s.takeover.Add(s.cfg.Timing.ClockMargin))
+}
+
+// Get returns the status of a team's job after waiting for its end.
+func (s *Shard) Get(ctx context.Context, team state.TeamID, id state.JobID, wait time.Duration) (coordination.JobStatus, error) {
+	status := make(chan coordination.JobStatus, 1)
+	found := false
+	ok := s.do(ctx, func(context.Context) {
+		if view, known := s.machine.Job(id); known && view.Team == team {
+			found = true
+			s.waitFor(id, wait > 0, status)
+		}
+	})
+	switch {
+	case !ok:
+		return coordination.JobStatus{}, ErrEnded
+	case !found:
+		return coordination.JobStatus{}, unknownJob(id)
+	}
+	return s.await(ctx, id, wait, status)
+}
+
+// Cancel ends a team's job and waits for its final status.
+func (s *Shard) Cancel(ctx context.Context, team state.TeamID, id state.JobID) (coordination.JobStatus, error) {
+	status := make(chan coordination.JobStatus, 1)
+	found := false
+	ok := s.do(ctx, func(loop context.Context) {
+		view, known := s.machine.Job(id)
+		if !known || view.Team != team {
+			return
+		}
+		found = true
+		s.step(loop, machine.CancelJob{Job: id, Team: team})
+		s.waitFor(id, true, status)
+	})
+	switch {
+	case !ok:
+		return coordination.JobStatus{}, ErrEnded
+	case !found:
+		return coordination.JobStatus{}, unknownJob(id)
+	}
+	return s.await(ctx, id, 0, status)
+}
+
+// answer wakes those who wait for the job.
+func (s *Shard) answer(a machine.Answer) {
+	delete(s.traces, a.Job)
+	delete(s.waiting, a.Job)
+	waiting := s.waiters[a.Job]
+	delete(s.waiters, a.Job)
+	if len(waiting) == 0 {
+		return
+	}
+	status := statusOfAnswer(a)
+	if view, ok := s.machine.Job(a.Job); ok {
+		status = statusOfView(view)
+	}
+	for _, w := range waiting {
+		w <- status
+	}
+}
+
+// waitingJob is a submission of which no task has started.
+type waitingJob struct {
+	submission coordination.Submission
+	received   state.Time
+}
+
+// again returns the submission for the next owner.
+func (w waitingJob) again(now state.Time) coordination.Submission {
+	sub := w.submission
+	sub.Wait = 0
+	sub.Fresh = true
+	if sub.DeadlineIn > 0 {
+		sub.DeadlineIn = max(sub.DeadlineIn-(now-w.received), 1)
+	}
+	return sub
+}
+
+// giveBack carries out the actions of a resignation: jobs that no caller waits
+// for are returned to be submitted to the next owner.
+func (s *Shard) giveBack(ctx context.Context, actions []machine.Action) {
+	var returned []coordination.Submission
+	for _, action := range actions {
+		a, ok := action.(machine.Answer)
+		if !ok || len(s.waiters[a.Job]) > 0 {
+			continue
+		}
+		if w, waits := s.waiting[a.Job]; waits {
+			returned = append(returned, w.again(s.now()))
+		}
+	}
+	s.perform(ctx, actions)
+	if len(returned) > 0 && s.cfg.OnReturned != nil {
+		s.cfg.OnReturned(returned)
+	}
+}
+
+// failWaiters tells everyone who still waits that the shard has ended.
+func (s *Shard) failWaiters() {
+	for _, waiting := range s.waiters {
+		for _, w := range waiting {
+			close(w)
+		}
+	}
+}
+
+// traced returns the context for calls made for a job.
+func (s *Shard) traced(ctx context.Context, id state.JobID) context.Context {
+	if t, ok := s.traces[id]; ok {
+		return t
+	}
+	return ctx
+}
--- /dev/null
+++ b/internal/coordination/owner/labels.go
@@ -0,0 +1,91 @@
+package owner
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/samphirerail/samphirerail/internal/state"
+	"github.com/samphirerail/samphirerail/internal/state/machine"
+	"github.com/samphirerail/samphirerail/platform"
+)
+
+// labels travel with a task, so that a new owner can rebuild the job from what
+// its workers tell.
+type labels struct {
+	Job state.Job `json:"job"`
+	// DeadlineUnixMS is the deadline on the wall clock; 0 when none. It takes
+	// the place of Job.Deadline, which is on the old owner's clock.
+	DeadlineUnixMS int64 `json:"deadline_unix_ms,omitempty"`
+}
+
+// maxLabelPayload is the largest payload, in bytes, that travels with a task. A
+// task with a larger one can't be started again by another owner.
+const maxLabelPayload = 8 << 10
+
+func encodeLabels(job *state.Job, now state.Time, wall time.Time) ([]byte, error) {
+	l := labels{Job: *job}
+	if job.Class == state.ClassRequest || len(job.Payload) > maxLabelPayload {
+		l.Job.Payload = nil
+		l.Job.Idempotent = false
+	}
+	if job.Deadline > 0 {
+		l.DeadlineUnixMS = wall.Add(job.Deadline - now).UnixMilli()
+		l.Job.Deadline = 0
+	}
+	return json.Marshal(l)
+}
+
+func decodeLabels(data []byte, now state.Time, wall time.Time) (state.Job, error) {
+	var l labels
+	if err := json.Unmarshal(data, &l); err != nil {
+		return state.Job{}, eris.Wrap(err, "owner: a worker returned labels of another format; drain it before use")
+	}
+	if l.DeadlineUnixMS > 0 {
+		l.Job.Deadline = max(now+time.UnixMilli(l.DeadlineUnixMS).Sub(wall), 1)
+	}
+	return l.Job, nil
+}
+
+// adopt turns a worker's record of a task into the machine's.
+func adopt(status platform.TaskStatus, now state.Time, wall time.Time) (machine.AdoptedTask, error) {
+	job, err := decodeLabels(status.Spec.Labels, now, wall)
+	if err != nil {
+		return machine.AdoptedTask{}, err
+	}
+	return machine.AdoptedTask{
+		Task:   state.TaskID(status.Spec.TaskID),
+		Job:    job,
+		Ended:  status.State.Ended(),
+		End:    endOf(status.State),
+		Output: status.Output,
+	}, nil
+}
+
+func endOf(s platform.TaskState) machine.TaskEnd {
+	switch s {
+	case platform.TaskSucceeded:
+		return machine.EndSucceeded
+	case platform.TaskFailed:
+		return machine.EndFailed
+	case platform.TaskRefused:
+		return machine.EndNotRun
+	case platform.TaskStopped, platform.TaskRunning, platform.TaskUnknown:
+		return machine.EndStopped
+	}
+	return machine.EndStopped
+}
+
+func resourcesOf(v state.Vector) platform.Resources {
+	return platform.Resources{CPUMilli: v.CPUMilli, MemoryMB: v.MemoryMB, Accelerators: v.Accelerators}
+}
+
+// CapacityVector converts a worker's capacity.
+func CapacityVector(c platform.Capacity) state.Vector {
+	return state.Vector{CPUMilli: c.CPUMilli, MemoryMB: c.MemoryMB, Accelerators: c.Accelerators, Slots: c.Slots}
+}
+
+func usageVector(r platform.Resources) state.Vector {
+	return state.Vector{CPUMilli: r.CPUMilli, MemoryMB: r.MemoryMB, Accelerators: r.Accelerators, Slots: 1}
+}
--- /dev/null
+++ b/internal/coordination/owner/reconcile.go
@@ -0,0 +1,83 @@
+package owner
+
+import (
+	"context"
+
+	"github.com/samphirerail/samphirerail/internal/state"
+	"github.com/samphirerail/samphirerail/internal/state/machine"
+)
+
+// reconcile brings the machine's upstreams and quotas in line with the source.
+func (s *Shard) reconcile(ctx context.Context) {
+	version := s.cfg.Source.Version()
+	if version == s.version || s.resigned {
+		return
+	}
+	inventory := s.cfg.Source.Load()
+	if !inventory.Known {
+		return
+	}
+	s.version = version
+	s.configVersion = inventory.ConfigVersion
+	list := inventory.Upstreams
+	s.step(ctx, machine.QuotasChanged{Quotas: inventory.Quotas})
+	present := make(map[state.VMID]bool, len(list))
+	for _, info := range list {
+		present[info.VM] = !info.Gone
+		if !info.Gone {
+			s.reconcileOne(ctx, info)
+		}
+	}
+	for _, vm := range s.absent(present) {
+		s.drop(ctx, vm)
+	}
+}
+
+// absent returns the upstreams that are no longer listed, in the order of the
+// machine's events (sorted by VM).
+func (s *Shard) absent(present map[state.VMID]bool) []state.VMID {
+	var gone []state.VMID
+	for vm := range s.upstreams {
+		if !present[vm] {
+			gone = append(gone, vm)
+		}
+	}
+	sortVMs(gone)
+	return gone
+}
+
+func (s *Shard) reconcileOne(ctx context.Context, info Upstream) {
+	u, ok := s.upstreams[info.VM]
+	if !ok {
+		s.step(ctx, machine.UpstreamJoined{VM: info.VM, Rack: info.Rack, Service: info.Service, Capacity: info.Capacity})
+		s.link(ctx, info)
+		return
+	}
+	if u.info.Address != info.Address || u.info.Incarnation != info.Incarnation {
+		u.cancel()
+		s.link(ctx, info)
+	}
+	if info.Leaving && !u.info.Leaving {
+		s.step(ctx, machine.UpstreamLeaving{VM: info.VM})
+	}
+	s.upstreams[info.VM].info.Leaving = info.Leaving
+}
+
+// link starts the goroutine that looks after a worker. An upstream without an
+// address stays unfenced.
+func (s *Shard) link(ctx context.Context, info Upstream) {
+	u := newUpstream(s, info)
+	linkCtx, cancel := context.WithCancel(ctx)
+	u.cancel = cancel
+	s.upstreams[info.VM] = u
+	if info.Address == "" {
+		return
+	}
+	s.spawn(func() { u.run(linkCtx) })
+}
+
+func (s *Shard) drop(ctx context.Context, vm state.VMID) {
+	s.upstreams[vm].cancel()
+	delete(s.upstreams, vm)
+	s.step(ctx, machine.UpstreamGone{VM: vm})
+}
--- /dev/null
+++ b/internal/coordination/owner/start.go
@@ -0,0 +1,110 @@
+package owner
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
+
+	"github.com/samphirerail/samphirerail/internal/state/machine"
+	"github.com/samphirerail/samphirerail/platform"
+)
+
+var tracer = otel.Tracer("samphirerail/owner")
+
+// start carries out a Start action and sends its outcome to the machine.
+func (u *upstream) start(ctx context.Context, a machine.Start) {
+	ctx, span := tracer.Start(ctx, "worker.start", trace.WithAttributes(
+		attribute.String("task", string(a.Task)), attribute.String("vm", string(a.VM))))
+	defer span.End()
+	spec, err := u.taskSpec(a)
+	if err != nil {
+		u.shard.log.Error("can't encode a task", "task", a.Task, "error", err)
+		u.shard.send(machine.StartRefused{Task: a.Task})
+		return
+	}
+	req := platform.StartRequest{
+		Epoch:       u.shard.cfg.Epoch,
+		Incarnation: a.Incarnation,
+		Spec:        spec,
+		LeaseUntil:  u.clock.extend(u.shard.cfg.Timing.Lease, time.Now()),
+		Wait:        a.Wait,
+	}
+	callCtx, cancel := context.WithTimeout(ctx, u.startTimeout(a))
+	defer cancel()
+	reply, err := u.worker.Start(callCtx, req)
+	if err != nil {
+		span.RecordError(err)
+		u.startFailed(a, err)
+		return
+	}
+	u.clock.observe(reply.Clock, time.Now())
+	u.shard.send(u.outcome(a, reply.Status))
+}
+
+func (u *upstream) taskSpec(a machine.Start) (platform.TaskSpec, error) {
+	data, err := encodeLabels(a.Job, u.shard.now(), time.Now())
+	if err != nil {
+		return platform.TaskSpec{}, err
+	}
+	return platform.TaskSpec{
+		TaskID:    string(a.Task),
+		JobID:     string(a.Job.ID),
+		Team:      string(a.Job.Team),
+		Class:     string(a.Job.Class),
+		Resources: resourcesOf(a.Job.Each),
+		RunTime:   a.Job.RunTime,
+		Labels:    data,
+		Payload:   a.Job.Payload,
+	}, nil
+}
+
+// outcome turns the state of a started task into the machine's event.
+func (u *upstream) outcome(a machine.Start, status platform.TaskStatus) machine.Event {
+	switch {
+	case status.State == platform.TaskRunning:
+		return machine.Started{Task: a.Task}
+	case status.State == platform.TaskRefused:
+		return machine.StartRefused{Task: a.Task}
+	case status.State.Ended():
+		return endedEvent(status)
+	}
+	return machine.StartUnknown{Task: a.Task}
+}
+
+func (u *upstream) startFailed(a machine.Start, err error) {
+	var fenced *platform.FencedError
+	switch {
+	case errors.As(err, &fenced):
+		u.shard.fencedBy(fenced)
+		u.shard.send(machine.StartRefused{Task: a.Task})
+	case errors.Is(err, platform.ErrLeaving):
+		u.shard.send(machine.UpstreamLeaving{VM: a.VM})
+		u.shard.send(machine.StartRefused{Task: a.Task, VMFault: true})
+	case errors.Is(err, platform.ErrWrongIncarnation), errors.Is(err, platform.ErrNotSent), errors.Is(err, platform.ErrTooLarge):
+		u.shard.send(machine.StartRefused{Task: a.Task, VMFault: true})
+	default:
+		u.shard.log.Warn("start without an answer", "task", a.Task, "vm", a.VM, "error", err)
+		u.shard.send(machine.StartUnknown{Task: a.Task})
+	}
+}
+
+// startTimeout bounds a start: one that is held may take as long as the job.
+func (u *upstream) startTimeout(a machine.Start) time.Duration {
+	if !a.Wait {
+		return u.shard.cfg.Timing.Call
+	}
+	if a.Job.Deadline == 0 {
+		return u.shard.cfg.Timing.MaxRequest
+	}
+	return max(a.Job.Deadline-u.shard.now(), 0) + u.shard.cfg.Timing.Call
+}
+
+func (u *upstream) inspect(ctx context.Context, task string) (platform.StartReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, u.shard.cfg.Timing.Call)
+	defer cancel()
+	return u.worker.Inspect(ctx, platform.InspectRequest{TaskID: task})
+}
--- /dev/null
+++ b/internal/coordination/owner/status.go
@@ -0,0 +1,38 @@
+package owner
+
+import (
+	"fmt"
+
+	"github.com/samphirerail/samphirerail/internal/coordination"
+	"github.com/samphirerail/samphirerail/internal/state"
+	"github.com/samphirerail/samphirerail/internal/state/machine"
+	"github.com/samphirerail/samphirerail/platform"
+)
+
+func statusOfAnswer(a machine.Answer) coordination.JobStatus {
+	return coordination.JobStatus{ID: a.Job, Team: a.Team, State: a.State, Outputs: a.Outputs, Refusal: a.Refusal}
+}
+
+func statusOfView(v machine.JobView) coordination.JobStatus {
+	status := coordination.JobStatus{
+		ID: v.ID, Team: v.Team, Class: v.Class, State: v.State,
+		Outputs: v.Outputs, Refusal: v.Refusal, Waiting: v.Waiting,
+	}
+	for _, t := range v.Tasks {
+		place := coordination.TaskPlace{Task: t.Task, VM: t.VM, State: platform.TaskUnknown}
+		if t.State == machine.TaskRunning {
+			place.State = platform.TaskRunning
+		}
+		status.Tasks = append(status.Tasks, place)
+	}
+	return status
+}
+
+func unknownJob(id state.JobID) *state.Refusal {
+	return &state.Refusal{
+		Reason:  state.ReasonNotFound,
+		Verdict: state.Unknown,
+		Detail:  fmt.Sprintf("no job %s of this team is on record", id),
+		Remedy:  "check the ID and the key; ended jobs are kept for a limited time",
+	}
+}
--- /dev/null
+++ b/internal/coordination/owner/upstream.go
@@ -0,0 +1,223 @@
+package owner
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+
+	"github.com/samphirerail/samphirerail/internal/state"
+	"github.com/samphirerail/samphirerail/internal/state/machine"
+	"github.com/samphirerail/samphirerail/platform"
+)
+
+// silentAfter is the number of Syncs in a row without an answer after which an
+// upstream counts as silent.
+const silentAfter = 2
+
+// upstream is the owner's link to one worker: it fences it, renews its lease
+// and brings its news. One goroutine runs it; others start and stop tasks
+// through it.
+type upstream struct {
+	shard  *Shard
+	info   Upstream
+	worker platform.Worker
+	clock  leaseClock
+	cancel context.CancelFunc
+
+	mu          sync.Mutex
+	incarnation string
+	pending     []control
+	controlling bool
+
+	// The fields below belong to the goroutine of run.
+	fenced   bool
+	silent   bool
+	lapsed   bool
+	leaving  bool
+	failures int
+	ackEvent int64
+}
+
+func newUpstream(s *Shard, info Upstream) *upstream {
+	return &upstream{shard: s, info: info, worker: s.cfg.Dial(info.Address)}
+}
+
+// newBackoff returns the delays between attempts to reach a worker.
+func newBackoff() *backoff.ExponentialBackOff {
+	b := backoff.NewExponentialBackOff()
+	b.InitialInterval = 50 * time.Millisecond
+	b.MaxInterval = 2 * time.Second
+	return b
+}
+
+// run fences the worker and then syncs with it until ctx ends.
+func (u *upstream) run(ctx context.Context) {
+	delays := newBackoff()
+	for ctx.Err() == nil {
+		if u.step(ctx) {
+			delays.Reset()
+			continue
+		}
+		u.checkLapse()
+		sleep(ctx, delays.NextBackOff())
+	}
+}
+
+// step makes one call to the worker and reports whether it was answered.
+func (u *upstream) step(ctx context.Context) bool {
+	if !u.fenced {
+		return u.fence(ctx)
+	}
+	return u.sync(ctx)
+}
+
+func (u *upstream) fence(ctx context.Context) bool {
+	callCtx, cancel := context.WithTimeout(ctx, u.shard.cfg.Timing.Call)
+	defer cancel()
+	reply, err := u.worker.Fence(callCtx, platform.FenceRequest{Epoch: u.shard.cfg.Epoch})
+	if err != nil {
+		u.failed(ctx, err)
+		return false
+	}
+	if reply.VMID != string(u.info.VM) {
+		u.shard.log.Warn("address belongs to another VM", "vm", u.info.VM, "address", u.info.Address, "found", reply.VMID)
+		return false
+	}
+	u.clock.reset(reply.Clock, reply.LeaseUntil, time.Now())
+	u.setIncarnation(reply.Incarnation)
+	u.ackEvent = 0
+	u.fenced, u.lapsed, u.silent, u.failures = true, false, false, 0
+	u.shard.send(u.fencedEvent(reply))
+	return true
+}
+
+func (u *upstream) fencedEvent(reply platform.FenceReply) machine.Fenced {
+	ev := machine.Fenced{VM: u.info.VM, Incarnation: reply.Incarnation, Capacity: CapacityVector(reply.Capacity)}
+	now, wall := u.shard.now(), time.Now()
+	for _, status := range reply.Tasks {
+		task, err := adopt(status, now, wall)
+		if err != nil {
+			u.shard.log.Error("can't adopt a task", "vm", u.info.VM, "task", status.Spec.TaskID, "error", err)
+			continue
+		}
+		ev.Tasks = append(ev.Tasks, task)
+	}
+	return ev
+}
+
+func (u *upstream) sync(ctx context.Context) bool {
+	timing := u.shard.cfg.Timing
+	callCtx, cancel := context.WithTimeout(ctx, timing.SyncWait+timing.Call)
+	defer cancel()
+	reply, err := u.worker.Sync(callCtx, platform.SyncRequest{
+		Epoch:       u.shard.cfg.Epoch,
+		Incarnation: u.currentIncarnation(),
+		LeaseUntil:  u.clock.extend(timing.Lease, time.Now()),
+		AckEvent:    u.ackEvent,
+		Wait:        timing.SyncWait,
+	})
+	if err != nil {
+		u.failed(ctx, err)
+		return false
+	}
+	u.failures = 0
+	u.clock.observe(reply.Clock, time.Now())
+	if u.lapsed {
+		u.fenced = false
+		return true
+	}
+	if u.silent {
+		u.silent = false
+		u.shard.send(machine.UpstreamBack{VM: u.info.VM})
+	}
+	u.deliver(reply)
+	return true
+}
+
+func (u *upstream) deliver(reply platform.SyncReply) {
+	for _, ev := range reply.Events {
+		u.ackEvent = max(u.ackEvent, ev.Sequence)
+		u.shard.send(endedEvent(ev.Status))
+	}
+	if len(reply.Usage) > 0 {
+		u.shard.send(usageEvent(u.info.VM, reply.Usage))
+	}
+	if reply.Leaving && !u.leaving {
+		u.leaving = true
+		u.shard.send(machine.UpstreamLeaving{VM: u.info.VM})
+	}
+}
+
+func endedEvent(status platform.TaskStatus) machine.Ended {
+	return machine.Ended{
+		Task:   state.TaskID(status.Spec.TaskID),
+		End:    endOf(status.State),
+		Output: status.Output,
+		Ran:    time.Duration(status.EndedAt - status.StartedAt),
+	}
+}
+
+func usageEvent(vm state.VMID, usage []platform.TaskUsage) machine.Usage {
+	ev := machine.Usage{VM: vm}
+	for _, t := range usage {
+		ev.Tasks = append(ev.Tasks, machine.TaskUsage{Task: state.TaskID(t.TaskID), Used: usageVector(t.Resources)})
+	}
+	return ev
+}
+
+// failed takes in an error of Fence or Sync.
+func (u *upstream) failed(ctx context.Context, err error) {
+	var fenced *platform.FencedError
+	switch {
+	case ctx.Err() != nil:
+		return
+	case errors.As(err, &fenced):
+		u.shard.fencedBy(fenced)
+		return
+	case errors.Is(err, platform.ErrWrongIncarnation):
+		u.fenced = false
+		return
+	}
+	u.failures++
+	if u.failures >= silentAfter && !u.silent {
+		u.silent = true
+		u.shard.log.Warn("upstream does not answer", "vm", u.info.VM, "address", u.info.Address, "error", err)
+		u.shard.send(machine.UpstreamSilent{VM: u.info.VM})
+	}
+}
+
+// checkLapse tells the machine once when the worker's lease has ended for
+// certain.
+func (u *upstream) checkLapse() {
+	if u.lapsed || !u.fenced || !u.clock.lapsed(time.Now()) {
+		return
+	}
+	u.lapsed = true
+	u.shard.log.Warn("lease lapsed", "vm", u.info.VM)
+	u.shard.send(machine.LeaseLapsed{VM: u.info.VM})
+}
+
+func (u *upstream) setIncarnation(incarnation string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.incarnation = incarnation
+}
+
+func (u *upstream) currentIncarnation() string {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.incarnation
+}
+
+// sleep waits for d or until ctx ends.
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
