--- /dev/null
+++ b/internal/protocol/v1/decode.go
@@ -0,0 +1,80 @@
+package v1
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+)
+
+// FieldBody names the message as a whole in a FieldError.
+const FieldBody = "body"
+
+const unknownFieldPrefix = "json: unknown field "
+
+// FieldError says that one field of a message is not acceptable. Nothing was
+// changed.
+type FieldError struct {
+	// Field is the JSON name of the field, FieldBody for the whole message,
+	// or the name of a header or path part.
+	Field string
+	// Problem says what is wrong, with the allowed range.
+	Problem string
+	// Remedy says what to send instead.
+	Remedy string
+}
+
+// Error renders the error with its remedy.
+func (e *FieldError) Error() string {
+	return fmt.Sprintf("%s: %s; %s", e.Field, e.Problem, e.Remedy)
+}
+
+// Decode reads exactly one JSON object into a message. Unknown fields, a wrong
+// type, and anything after the object are refused with a *FieldError.
+func Decode(data []byte, message any) error {
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(message); err != nil {
+		return decodeError(err)
+	}
+	if !isObject(data) {
+		return &FieldError{Field: FieldBody, Problem: "is not a JSON object", Remedy: "send one JSON object"}
+	}
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+		return &FieldError{Field: FieldBody, Problem: "has data after the JSON object", Remedy: "send one JSON object only"}
+	}
+	return nil
+}
+
+func isObject(data []byte) bool {
+	trimmed := bytes.TrimLeft(data, " \t\r\n")
+	return len(trimmed) > 0 && trimmed[0] == '{'
+}
+
+func decodeError(err error) *FieldError {
+	var wrongType *json.UnmarshalTypeError
+	if errors.As(err, &wrongType) {
+		return typeError(wrongType)
+	}
+	if name, ok := strings.CutPrefix(err.Error(), unknownFieldPrefix); ok {
+		return &FieldError{Field: strings.Trim(name, `"`), Problem: "is not a field of this message", Remedy: "remove it or correct its name"}
+	}
+	if errors.Is(err, io.EOF) {
+		return &FieldError{Field: FieldBody, Problem: "is empty", Remedy: "send one JSON object"}
+	}
+	return &FieldError{Field: FieldBody, Problem: "is not valid JSON: " + err.Error(), Remedy: "send one well-formed JSON object"}
+}
+
+func typeError(err *json.UnmarshalTypeError) *FieldError {
+	field := err.Field
+	if field == "" {
+		field = FieldBody
+	}
+	return &FieldError{
+		Field:   field,
+		Problem: fmt.Sprintf("is a JSON %s where %s is expected", err.Value, err.Type),
+		Remedy:  "send a value of the documented type",
+	}
+}
--- /dev/null
+++ b/internal/protocol/v1/doc.go
@@ -0,0 +1,4 @@
+// Package v1 holds version 1 of the JSON messages between callers or operators
+// and an entry, their validation, and their conversion to and from the types
+// of the coordination layer. Durations are whole milliseconds.
+package v1
--- /dev/null
+++ b/internal/protocol/v1/key.go
@@ -0,0 +1,77 @@
+package v1
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"strings"
+
+	"github.com/samphirerail/samphirerail/internal/state"
+)
+
+// Role tells what the holder of a key may do.
+type Role string
+
+// The roles of a key.
+const (
+	// RoleCaller submits, reads and cancels jobs of its team.
+	RoleCaller Role = "caller"
+	// RoleOperator reads and changes the configuration.
+	RoleOperator Role = "operator"
+)
+
+// GrantKey is the body of POST /v1/keys.
+type GrantKey struct {
+	Write
+	// ID must be new: the ID of a withdrawn key is never granted again.
+	ID string `json:"id"`
+	// Team is empty for an operator's key.
+	Team state.TeamID `json:"team,omitempty"`
+	Role Role         `json:"role"`
+	// SecretSHA256 is the SHA-256 of the secret in hexadecimal, when the
+	// operator makes the secret. The entry makes one when it is empty.
+	SecretSHA256 string `json:"secret_sha256,omitempty"`
+}
+
+// Validate checks the message. It fails with a *FieldError.
+func (g *GrantKey) Validate() error {
+	return first(g.Write.Validate(), g.checkID(), g.checkRole(), g.checkSecret())
+}
+
+func (g *GrantKey) checkID() error {
+	if strings.Contains(g.ID, ".") {
+		return &FieldError{Field: "id", Problem: `contains "."`, Remedy: `leave out ".": it divides the ID from the secret`}
+	}
+	return checkName("id", g.ID)
+}
+
+func (g *GrantKey) checkRole() error {
+	switch g.Role {
+	case RoleCaller:
+		return CheckTeam(g.Team)
+	case RoleOperator:
+		if g.Team != "" {
+			return &FieldError{Field: "team", Problem: "is set for an operator's key", Remedy: "leave it out"}
+		}
+		return nil
+	}
+	return &FieldError{Field: "role", Problem: "is not a role", Remedy: "use caller or operator"}
+}
+
+func (g *GrantKey) checkSecret() error {
+	if g.SecretSHA256 == "" {
+		return nil
+	}
+	if sum, err := hex.DecodeString(g.SecretSHA256); err == nil && len(sum) == sha256.Size {
+		return nil
+	}
+	return &FieldError{Field: "secret_sha256", Problem: "is not 64 hexadecimal digits", Remedy: "send the SHA-256 of the secret"}
+}
+
+// GrantedKey is the reply to POST /v1/keys.
+type GrantedKey struct {
+	WriteResult
+	ID string `json:"id"`
+	// Bearer is "<key id>.<secret>". It is shown this once, and only when the
+	// entry made the secret.
+	Bearer string `json:"bearer,omitempty"`
+}
--- /dev/null
+++ b/internal/protocol/v1/refusal.go
@@ -0,0 +1,122 @@
+package v1
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/samphirerail/samphirerail/internal/state"
+)
+
+// The reasons of refusals that the interface itself gives.
+const (
+	// ReasonInvalid: a field of the message is not acceptable.
+	ReasonInvalid state.Reason = "invalid"
+	// ReasonTooLarge: the body exceeds the size limit.
+	ReasonTooLarge state.Reason = "too_large"
+	// ReasonUnauthenticated: there is no key, or it is not valid.
+	ReasonUnauthenticated state.Reason = "unauthenticated"
+	// ReasonMethod: the path does not take this method.
+	ReasonMethod state.Reason = "method_not_allowed"
+	// ReasonInternal: the entry failed.
+	ReasonInternal state.Reason = "internal"
+)
+
+// Refusal is the body of every reply that is not 2xx, and a part of JobStatus.
+type Refusal struct {
+	Reason state.Reason `json:"reason"`
+	// NotRun is "true" when no task of the job ran or will run, "false" when
+	// one ran, "unknown" otherwise.
+	NotRun state.Verdict `json:"not_run"`
+	Detail string        `json:"detail"`
+	Remedy string        `json:"remedy"`
+	// RetryAfterMS is when to come back; 0 when coming back is no use.
+	RetryAfterMS int64 `json:"retry_after_ms,omitempty"`
+	// Field names the field that is not acceptable.
+	Field string `json:"field,omitempty"`
+	// ID is the job that the refusal is about.
+	ID state.JobID `json:"id,omitempty"`
+	// CurrentVersion is the version of the object that a write conflicts
+	// with.
+	CurrentVersion *int64 `json:"current_version,omitempty"`
+}
+
+// Error renders the refusal with its remedy.
+func (r *Refusal) Error() string {
+	return fmt.Sprintf("%s (not run: %s): %s; %s", r.Reason, r.NotRun, r.Detail, r.Remedy)
+}
+
+// RetryAfter returns when to come back; 0 when coming back is no use.
+func (r *Refusal) RetryAfter() time.Duration { return milliseconds(r.RetryAfterMS) }
+
+// NewRefusal converts a refusal of the state layer. A wait is rounded up to
+// whole milliseconds.
+func NewRefusal(r *state.Refusal) Refusal {
+	return Refusal{
+		Reason:       r.Reason,
+		NotRun:       r.Verdict,
+		Detail:       r.Detail,
+		Remedy:       r.Remedy,
+		RetryAfterMS: (r.RetryAfter + time.Millisecond - 1).Milliseconds(),
+	}
+}
+
+// State converts a refusal back to the type of the state layer.
+func (r *Refusal) State() *state.Refusal {
+	return &state.Refusal{
+		Reason:     r.Reason,
+		Verdict:    r.NotRun,
+		Detail:     r.Detail,
+		Remedy:     r.Remedy,
+		RetryAfter: r.RetryAfter(),
+	}
+}
+
+// ConflictError says that a write was made against a version that is no longer
+// current. Nothing was changed.
+type ConflictError struct {
+	// Object names what was written, such as "contract fitting-north".
+	Object string
+	// Current is the version that the object has now; NoVersion when the
+	// object does not exist.
+	Current int64
+}
+
+// Error renders the conflict with its remedy.
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("%s has version %d now; read it again and repeat the write with that base version", e.Object, e.Current)
+}
+
+// RefusalOf converts any error of a service to a refusal. An error that is none
+// of the typed ones says nothing about the outcome.
+func RefusalOf(err error) Refusal {
+	var refusal *state.Refusal
+	if errors.As(err, &refusal) {
+		return NewRefusal(refusal)
+	}
+	var field *FieldError
+	if errors.As(err, &field) {
+		return Refusal{Reason: ReasonInvalid, NotRun: state.NotRun, Field: field.Field, Detail: field.Field + " " + field.Problem, Remedy: field.Remedy}
+	}
+	var conflict *ConflictError
+	if errors.As(err, &conflict) {
+		return conflictRefusal(conflict)
+	}
+	return Refusal{
+		Reason: ReasonInternal,
+		NotRun: state.Unknown,
+		Detail: "the entry failed while it handled the call",
+		Remedy: "ask for the status of the job or object; repeat only what is idempotent; tell the operators the request ID",
+	}
+}
+
+func conflictRefusal(e *ConflictError) Refusal {
+	current := e.Current
+	return Refusal{
+		Reason:         state.ReasonConflict,
+		NotRun:         state.NotRun,
+		Detail:         fmt.Sprintf("%s has version %d now", e.Object, current),
+		Remedy:         "read it again and repeat the write with that base version",
+		CurrentVersion: &current,
+	}
+}
--- /dev/null
+++ b/internal/protocol/v1/submit.go
@@ -0,0 +1,156 @@
+package v1
+
+import (
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/samphirerail/samphirerail/internal/coordination"
+	"github.com/samphirerail/samphirerail/internal/state"
+)
+
+// The limits of a submission.
+const (
+	// MaxTasks is the largest number of tasks of a job.
+	MaxTasks = 10_000
+	// MaxCPUMilli is the largest demand of a task, in thousandths of a
+	// processor.
+	MaxCPUMilli = 1_000_000
+	// MaxMemoryMB is the largest demand of a task, in mebibytes.
+	MaxMemoryMB = 16 << 20
+	// MaxAccelerators is the largest demand of a task.
+	MaxAccelerators = 1_024
+	// MaxRunTime is the largest declared run time.
+	MaxRunTime = 365 * 24 * time.Hour
+	// MaxDeadline is the furthest deadline.
+	MaxDeadline = 30 * 24 * time.Hour
+	// MaxWait is the longest time that a call waits for the end of a job.
+	MaxWait = 30 * time.Second
+	// MaxIDBatch is the largest number of IDs issued by one call.
+	MaxIDBatch = 1_000
+)
+
+// SubmitRequest is the body of POST /v1/jobs.
+type SubmitRequest struct {
+	// ID is "<home domain>.<UUIDv7>", from POST /v1/ids. The entry issues one
+	// when it is empty.
+	ID state.JobID `json:"id,omitempty"`
+	// FirstAttempt promises that no earlier call carried this ID, so that a
+	// refusal by the entry itself can say that the job did not run.
+	FirstAttempt bool          `json:"first_attempt,omitempty"`
+	Queue        state.QueueID `json:"queue,omitempty"`
+	// Class may be left out when the queue has a default class.
+	Class   state.Class   `json:"class,omitempty"`
+	Service state.Service `json:"service"`
+	// Tasks is the number of equal tasks; 0 means 1.
+	Tasks        int   `json:"tasks,omitempty"`
+	CPUMilli     int64 `json:"cpu_milli,omitempty"`
+	MemoryMB     int64 `json:"memory_mb,omitempty"`
+	Accelerators int64 `json:"accelerators,omitempty"`
+	// RunTimeMS is the declared run time of a task; 0 when not declared.
+	RunTimeMS int64 `json:"run_time_ms,omitempty"`
+	// DeadlineMS is the time from now until the answer is worth nothing; 0
+	// when there is no deadline.
+	DeadlineMS  int64  `json:"deadline_ms,omitempty"`
+	Urgent      bool   `json:"urgent,omitempty"`
+	Idempotent  bool   `json:"idempotent,omitempty"`
+	Preemptible bool   `json:"preemptible,omitempty"`
+	Payload     []byte `json:"payload,omitempty"`
+	// WaitMS is how long the call waits for the end of the job.
+	WaitMS int64 `json:"wait_ms,omitempty"`
+}
+
+// Validate checks each field on its own. It fails with a *FieldError.
+func (r *SubmitRequest) Validate() error {
+	return first(
+		r.checkID(),
+		r.checkQueue(),
+		r.checkClass(),
+		checkName("service", string(r.Service)),
+		checkRange("tasks", int64(r.Tasks), 0, MaxTasks),
+		checkRange("cpu_milli", r.CPUMilli, 0, MaxCPUMilli),
+		checkRange("memory_mb", r.MemoryMB, 0, MaxMemoryMB),
+		checkRange("accelerators", r.Accelerators, 0, MaxAccelerators),
+		checkRange("run_time_ms", r.RunTimeMS, 0, MaxRunTime.Milliseconds()),
+		checkRange("deadline_ms", r.DeadlineMS, 0, MaxDeadline.Milliseconds()),
+		checkRange("wait_ms", r.WaitMS, 0, MaxWait.Milliseconds()),
+	)
+}
+
+func (r *SubmitRequest) checkID() error {
+	if r.ID == "" {
+		return nil
+	}
+	return CheckJobID(r.ID)
+}
+
+func (r *SubmitRequest) checkQueue() error {
+	if r.Queue == "" {
+		return nil
+	}
+	return CheckQueueID(r.Queue)
+}
+
+func (r *SubmitRequest) checkClass() error {
+	if r.Class == "" && r.Queue != "" {
+		return nil
+	}
+	return checkClass("class", r.Class)
+}
+
+// Submission converts a valid request for a team. A request of class request
+// waits for its end as long as a call may, even when wait_ms is 0.
+func (r *SubmitRequest) Submission(team state.TeamID) coordination.Submission {
+	s := coordination.Submission{
+		ID:          r.ID,
+		Team:        team,
+		Queue:       r.Queue,
+		Class:       r.Class,
+		Service:     r.Service,
+		Tasks:       max(r.Tasks, 1),
+		Each:        state.Vector{CPUMilli: r.CPUMilli, MemoryMB: r.MemoryMB, Accelerators: r.Accelerators, Slots: 1},
+		RunTime:     milliseconds(r.RunTimeMS),
+		DeadlineIn:  milliseconds(r.DeadlineMS),
+		Urgent:      r.Urgent,
+		Idempotent:  r.Idempotent,
+		Preemptible: r.Preemptible,
+		Payload:     r.Payload,
+		Wait:        milliseconds(r.WaitMS),
+	}
+	if s.Class == state.ClassRequest && s.Wait == 0 {
+		s.Wait = MaxWait
+	}
+	return s
+}
+
+// CheckJobID accepts "<home domain>.<UUIDv7>". It fails with a *FieldError.
+func CheckJobID(id state.JobID) error {
+	at := strings.LastIndexByte(string(id), '.')
+	if at > 0 && len(id) <= 2*MaxNameLength && namePattern.MatchString(string(id[:at])) && isUUIDv7(string(id[at+1:])) {
+		return nil
+	}
+	return &FieldError{Field: "id", Problem: `is not "<home domain>.<UUIDv7>"`, Remedy: "use an ID from POST /v1/ids"}
+}
+
+func isUUIDv7(text string) bool {
+	id, err := uuid.Parse(text)
+	return err == nil && id.Version() == 7 && id.String() == text
+}
+
+func milliseconds(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
+
+// IDRequest is the body of POST /v1/ids.
+type IDRequest struct {
+	Count int `json:"count"`
+}
+
+// Validate checks the count. It fails with a *FieldError.
+func (r *IDRequest) Validate() error {
+	return checkRange("count", int64(r.Count), 1, MaxIDBatch)
+}
+
+// IDBatch is the reply to POST /v1/ids.
+type IDBatch struct {
+	IDs []state.JobID `json:"ids"`
+}
--- a/internal/state/refusal.go
+++ b/internal/state/refusal.go
@@ -53,6 +53,9 @@
 	ReasonStorage Reason = "storage_unavailable"
 	// ReasonOutcomeUnknown: the job may or may not have run.
 	ReasonOutcomeUnknown Reason = "outcome_unknown"
+	// ReasonNotFound: the team has no job with this ID here. It says nothing
+	// about whether the job ran.
+	ReasonNotFound Reason = "not_found"
 	// ReasonTaskFailed: the job ran and failed.
 	ReasonTaskFailed Reason = "task_failed"
 )
