Add first membership, ownership, routing and retry packages

Cause: entries need to know of each other, to agree on an owner of the shard, and to bring submissions there. Change: job IDs with a home; membership by heartbeats and the VM list; a pure ownership decision with its runner; a router that forwards to the owner and says truthfully whether a job can have run; one retry budget. Conclusion: usable for integration, to be widened.

--- a/internal/coordination/api.go
+++ b/internal/coordination/api.go
@@ -110,6 +110,21 @@
 	Owned   []ShardLoad
 	// Peers are the addresses of entries that the sender knows.
 	Peers []string
+	// Facts are what the sender has heard of other entries lately.
+	Facts []Fact
+}
+
+// Fact is the newest heartbeat of an entry as another entry passes it on.
+type Fact struct {
+	From          EntryID
+	Domain        state.DomainID
+	Address       string
+	Sequence      uint64
+	ConfigVersion int64
+	Leaving       bool
+	Owned         []ShardLoad
+	// Age is the time since the entry was heard of first-hand.
+	Age time.Duration
 }
 
 // Peers carries calls between entries. The transport layer implements it; a
--- /dev/null
+++ b/internal/coordination/membership/evidence.go
@@ -0,0 +1,148 @@
+package membership
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/samphirerail/samphirerail/internal/coordination"
+	"github.com/samphirerail/samphirerail/internal/state"
+	"github.com/samphirerail/samphirerail/platform"
+)
+
+// heardAnswer takes in the answer to a call of this entry. It is proof of who
+// lives at the address now: entries known there or on the same VM are replaced.
+func (v *view) heardAnswer(address string, hb coordination.Heartbeat, now state.Time) {
+	if hb.From == v.cfg.Self {
+		delete(v.contacts, address)
+		return
+	}
+	hb.Address = address
+	delete(v.replaced, hb.From)
+	for id, m := range v.members {
+		if id != hb.From && (m.address == address || id.VM() == hb.From.VM()) {
+			delete(v.members, id)
+			v.replaced[id] = now
+		}
+	}
+	v.update(factOf(hb), now, true)
+	v.takeRest(hb, now)
+}
+
+// heardHeartbeat takes in a heartbeat that another entry sent by itself. It may
+// have been delayed, so it replaces nobody: when it contradicts what is known,
+// the address is called.
+func (v *view) heardHeartbeat(hb coordination.Heartbeat, now state.Time) {
+	if hb.From == v.cfg.Self || hb.Address == v.cfg.Address {
+		return
+	}
+	if v.contradicts(hb.From, hb.Address) {
+		v.touch(hb.Address, hb.Domain, now).doubted = true
+		return
+	}
+	v.update(factOf(hb), now, true)
+	v.takeRest(hb, now)
+}
+
+// takeRest takes in the addresses and facts that a heartbeat passes on.
+func (v *view) takeRest(hb coordination.Heartbeat, now state.Time) {
+	for _, address := range hb.Peers {
+		if _, known := v.contacts[address]; !known && address != v.cfg.Address {
+			v.touch(address, "", now)
+		}
+	}
+	for _, fact := range hb.Facts {
+		if fact.From == v.cfg.Self || fact.Address == v.cfg.Address {
+			continue
+		}
+		if _, ended := v.replaced[fact.From]; ended {
+			continue
+		}
+		if v.contradicts(fact.From, fact.Address) {
+			v.touch(fact.Address, fact.Domain, now).doubted = true
+			continue
+		}
+		v.update(fact, now, false)
+	}
+}
+
+// contradicts reports whether an entry can't live beside what is known: it was
+// replaced, or another one is known at its address or on its VM.
+func (v *view) contradicts(id coordination.EntryID, address string) bool {
+	if _, ok := v.replaced[id]; ok {
+		return true
+	}
+	for other, m := range v.members {
+		if other != id && (m.address == address || other.VM() == id.VM()) {
+			return true
+		}
+	}
+	return false
+}
+
+// update stores a fact when it is newer than what is known.
+func (v *view) update(fact coordination.Fact, now state.Time, firstHand bool) {
+	m, known := v.members[fact.From]
+	if known && fact.Sequence <= m.sequence {
+		return
+	}
+	heardAt := now - max(fact.Age, 0)
+	if !known {
+		m = &member{id: fact.From, heardAt: heardAt}
+		v.members[fact.From] = m
+	}
+	m.domain = fact.Domain
+	m.address = fact.Address
+	m.sequence = fact.Sequence
+	m.configVersion = max(m.configVersion, fact.ConfigVersion)
+	m.leaving = fact.Leaving
+	m.owned = fact.Owned
+	m.heardAt = max(m.heardAt, heardAt)
+	m.shared = &sharedFact{fact: fact, heardAt: m.heardAt}
+	v.touch(fact.Address, fact.Domain, now)
+	if firstHand {
+		m.firstHandAt = now
+	}
+	m.liveness = v.livenessOf(m, now)
+}
+
+func factOf(hb coordination.Heartbeat) coordination.Fact {
+	return coordination.Fact{
+		From:          hb.From,
+		Domain:        hb.Domain,
+		Address:       hb.Address,
+		Sequence:      hb.Sequence,
+		ConfigVersion: hb.ConfigVersion,
+		Leaving:       hb.Leaving,
+		Owned:         hb.Owned,
+	}
+}
+
+// snapshot renders the view. Self describes the own entry.
+func (v *view) snapshot(self Entry) *Snapshot {
+	entries := make([]Entry, 0, len(v.members)+1)
+	state, listed := v.isListed(self.ID)
+	self.Listed = listed
+	self.Leaving = self.Leaving || state == platform.VMLeaving
+	entries = append(entries, self)
+	for _, m := range v.members {
+		state, listed := v.isListed(m.id)
+		entries = append(entries, Entry{
+			ID:            m.id,
+			Domain:        m.domain,
+			Address:       m.address,
+			Liveness:      m.liveness,
+			Leaving:       m.leaving || state == platform.VMLeaving,
+			Listed:        listed,
+			ConfigVersion: m.configVersion,
+			Owned:         m.owned,
+		})
+	}
+	slices.SortFunc(entries, func(a, b Entry) int { return cmp.Compare(a.ID, b.ID) })
+	return &Snapshot{
+		Entries:       entries,
+		Upstreams:     v.upstreams,
+		ListedEntries: v.listedEntries,
+		ListVersion:   v.listVersion,
+		Stale:         !v.roundDone,
+	}
+}
--- /dev/null
+++ b/internal/coordination/membership/service_test.go
@@ -0,0 +1,218 @@
+package membership_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/matryer/is"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/samphirerail/samphirerail/internal/coordination"
+	"github.com/samphirerail/samphirerail/internal/coordination/membership"
+	"github.com/samphirerail/samphirerail/internal/state"
+	"github.com/samphirerail/samphirerail/platform"
+)
+
+var errLost = errors.New("lost")
+
+// network joins services in memory. Its latency is 1 ms each way.
+type network struct {
+	coordination.Peers
+	mu    sync.Mutex
+	nodes map[string]*node
+	cut   func(from, to string) bool
+	vms   platform.VMListReply
+	down  bool
+}
+
+type node struct {
+	service *membership.Service
+	version atomic.Int64
+	leaving atomic.Bool
+	cancel  context.CancelFunc
+}
+
+// port is the network as one address sees it.
+type port struct {
+	*network
+	address string
+}
+
+func (p port) Heartbeat(ctx context.Context, address string, hb coordination.Heartbeat) (coordination.Heartbeat, error) {
+	time.Sleep(time.Millisecond)
+	p.mu.Lock()
+	n := p.nodes[address]
+	cut := p.cut != nil && p.cut(p.address, address)
+	p.mu.Unlock()
+	if cut {
+		<-ctx.Done()
+		return coordination.Heartbeat{}, ctx.Err()
+	}
+	if n == nil {
+		return coordination.Heartbeat{}, coordination.ErrNotSent
+	}
+	answer, err := n.service.HandleHeartbeat(ctx, hb)
+	time.Sleep(time.Millisecond)
+	return answer, err
+}
+
+func (n *network) List(context.Context) (platform.VMListReply, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.down {
+		return platform.VMListReply{}, platform.ErrUnavailable
+	}
+	return n.vms, nil
+}
+
+func (n *network) with(f func()) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	f()
+}
+
+func newNetwork() *network { return &network{nodes: map[string]*node{}} }
+
+// list names VMs as "<domain>-<n>" with incarnation "i1".
+func (n *network) list(version int64, vms ...platform.VM) {
+	n.with(func() { n.vms = platform.VMListReply{Version: version, VMs: vms} })
+}
+
+func entryVM(domain, id, incarnation, address string) platform.VM {
+	return platform.VM{ID: id, Incarnation: incarnation, Role: platform.RoleEntry, State: platform.VMLive, Domain: domain, Address: address}
+}
+
+func (n *network) start(t *testing.T, id, domain, address string, seeds ...string) *node {
+	t.Helper()
+	started := &node{}
+	cfg := membership.Config{Self: coordination.EntryID(id), Domain: state.DomainID(domain), Address: address, Seeds: seeds}
+	status := func() membership.Status {
+		return membership.Status{ConfigVersion: started.version.Load(), Leaving: started.leaving.Load()}
+	}
+	service, err := membership.New(cfg, status, port{network: n, address: address}, n, hclog.NewNullLogger(), metrics.NewRegistry())
+	is.New(t).NoErr(err)
+	started.service = service
+	ctx, cancel := context.WithCancel(context.Background())
+	started.cancel = cancel
+	n.with(func() { n.nodes[address] = started })
+	go func() { _ = service.Run(ctx) }()
+	return started
+}
+
+func (n *network) kill(address string) {
+	n.with(func() {
+		n.nodes[address].cancel()
+		delete(n.nodes, address)
+	})
+}
+
+func (n *network) stop() {
+	n.with(func() {
+		for _, running := range n.nodes {
+			running.cancel()
+		}
+	})
+	pass(time.Second)
+}
+
+func live(n *node, id string) bool {
+	e, ok := n.service.Snapshot().Entry(coordination.EntryID(id))
+	return ok && e.Live()
+}
+
+func pass(d time.Duration) {
+	time.Sleep(d)
+	synctest.Wait()
+}
+
+func TestEntriesFindEachOtherBySeedWithThePlatformDown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		net := newNetwork()
+		net.down = true
+		defer net.stop()
+		a := net.start(t, "vm1/i1", "a", "10.0.0.1:1")
+		b := net.start(t, "vm2/i1", "a", "10.0.0.2:1", "10.0.0.1:1")
+		c := net.start(t, "vm3/i1", "a", "10.0.0.3:1", "10.0.0.1:1")
+		pass(3 * time.Second)
+		for _, n := range []*node{a, b, c} {
+			is.True(!n.service.Stale())
+			for _, id := range []string{"vm1/i1", "vm2/i1", "vm3/i1"} {
+				is.True(live(n, id))
+			}
+		}
+	})
+}
+
+func TestSilentEntryDiesAndComesBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		net := newNetwork()
+		defer net.stop()
+		net.list(1, entryVM("a", "vm1", "i1", "10.0.0.1:1"), entryVM("a", "vm2", "i1", "10.0.0.2:1"))
+		a := net.start(t, "vm1/i1", "a", "10.0.0.1:1")
+		b := net.start(t, "vm2/i1", "a", "10.0.0.2:1")
+		pass(3 * time.Second)
+		is.True(live(a, "vm2/i1"))
+		net.with(func() { net.cut = func(string, string) bool { return true } })
+		pass(3 * time.Second)
+		is.True(!live(a, "vm2/i1"))
+		is.True(!live(b, "vm1/i1"))
+		net.with(func() { net.cut = nil })
+		pass(4 * time.Second)
+		is.True(live(a, "vm2/i1"))
+		is.True(live(b, "vm1/i1"))
+	})
+}
+
+func TestStaleListDoesNotReviveAReplacedIncarnation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		net := newNetwork()
+		defer net.stop()
+		net.list(1, entryVM("a", "vm1", "i1", "10.0.0.1:1"), entryVM("a", "vm2", "i1", "10.0.0.2:1"))
+		a := net.start(t, "vm1/i1", "a", "10.0.0.1:1")
+		net.start(t, "vm2/i1", "a", "10.0.0.2:1")
+		pass(3 * time.Second)
+		net.kill("10.0.0.2:1")
+		net.start(t, "vm2/i2", "a", "10.0.0.2:1")
+		pass(3 * time.Second)
+		is.True(live(a, "vm2/i2"))
+		is.True(!live(a, "vm2/i1"))
+		pass(time.Minute)
+		is.True(!live(a, "vm2/i1"))
+	})
+}
+
+func TestNewsOfOtherDomainsTravels(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		net := newNetwork()
+		defer net.stop()
+		var vms []platform.VM
+		var nodes []*node
+		for d := range 7 {
+			for e := range 3 {
+				id, address := fmt.Sprintf("vm%d-%d", d, e), fmt.Sprintf("10.0.%d.%d:1", d, e)
+				vms = append(vms, entryVM(fmt.Sprint("d", d), id, "i1", address))
+			}
+		}
+		net.list(1, vms...)
+		for _, vm := range vms {
+			nodes = append(nodes, net.start(t, vm.ID+"/i1", vm.Domain, vm.Address))
+		}
+		pass(time.Minute)
+		for _, n := range nodes {
+			for _, vm := range vms {
+				is.True(live(n, vm.ID+"/i1"))
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/coordination/routing/refusal.go
@@ -0,0 +1,87 @@
+package routing
+
+import (
+	"errors"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/samphirerail/samphirerail/internal/coordination"
+	"github.com/samphirerail/samphirerail/internal/state"
+)
+
+// NotOwner is the refusal of an entry that is asked for a shard it does not
+// own. The work was not run.
+func NotOwner(shard coordination.ShardID, retryAfter time.Duration) *state.Refusal {
+	return &state.Refusal{
+		Reason:     state.ReasonNoOwner,
+		Verdict:    state.NotRun,
+		Detail:     "this entry does not own shard " + string(shard),
+		Remedy:     "ask the shard's owner",
+		RetryAfter: retryAfter,
+	}
+}
+
+func invalidID(id state.JobID) *state.Refusal {
+	return &state.Refusal{
+		Reason:  state.ReasonInvalid,
+		Verdict: state.NotRun,
+		Detail:  "job ID " + string(id) + " has no home domain and UUIDv7",
+		Remedy:  "ask an entry for IDs, or submit without one",
+	}
+}
+
+func deadlinePassed() *state.Refusal {
+	return &state.Refusal{
+		Reason:  state.ReasonDeadline,
+		Verdict: state.NotRun,
+		Detail:  "the deadline passes before the job can reach its owner",
+		Remedy:  "submit with a later deadline",
+	}
+}
+
+// unreachable is the refusal of work that was never sent.
+func (r *Router) unreachable(shard coordination.ShardID, cause error) *state.Refusal {
+	refusal := &state.Refusal{
+		Reason:     state.ReasonNoOwner,
+		Verdict:    state.NotRun,
+		Detail:     "no owner of shard " + string(shard) + " can be reached: " + cause.Error(),
+		Remedy:     "submit again with the same ID",
+		RetryAfter: r.cfg.RetryAfter,
+	}
+	if shard.Domain() != r.domain {
+		refusal.Reason = state.ReasonHomeUnreachable
+		refusal.Remedy = "submit again later, or with an ID of domain " + string(r.domain)
+	}
+	return refusal
+}
+
+// outcomeUnknown is the refusal of work that was sent and whose answer was
+// lost.
+func (r *Router) outcomeUnknown(id state.JobID, cause error) *state.Refusal {
+	return &state.Refusal{
+		Reason:     state.ReasonOutcomeUnknown,
+		Verdict:    state.Unknown,
+		Detail:     "the answer of the owner was lost: " + cause.Error(),
+		Remedy:     "ask for the status of job " + string(id),
+		RetryAfter: r.cfg.RetryAfter,
+	}
+}
+
+// asRefusal returns the refusal in an error, if there is one.
+func asRefusal(err error) (*state.Refusal, bool) {
+	var refusal *state.Refusal
+	ok := errors.As(err, &refusal)
+	return refusal, ok
+}
+
+// passing reports whether a refusal is about the entry asked rather than the
+// job: another owner may take it.
+func passing(refusal *state.Refusal) bool {
+	if refusal.Verdict != state.NotRun {
+		return false
+	}
+	return refusal.Reason == state.ReasonNoOwner || refusal.Reason == state.ReasonShuttingDown
+}
+
+func wrap(err error, what string) error { return eris.Wrap(err, what) }
--- a/internal/state/refusal.go
+++ b/internal/state/refusal.go
@@ -47,6 +47,8 @@
 	ReasonRetriesExhausted Reason = "retries_exhausted"
 	// ReasonConflict: the ID is in use for other content.
 	ReasonConflict Reason = "conflict"
+	// ReasonInvalid: the ID is not one that an entry issues.
+	ReasonInvalid Reason = "invalid"
 	// ReasonCancelled: the caller cancelled the job before it started.
 	ReasonCancelled Reason = "cancelled"
 	// ReasonStorage: the job could not be recorded in the log service.
