Add a first state machine of a shard and its queue

Cause: the owner of a shard needs its decisions as a pure function of state, event and time. Ruled out: a map of waiting jobs searched at each event, since its cost grows with the queue. Conclusion: usable for integration, not yet shown to be right.

--- /dev/null
+++ b/internal/state/machine/cancel.go
@@ -0,0 +1,31 @@
+package machine
+
+import "github.com/samphirerail/samphirerail/internal/state"
+
+// cancel ends a job for its team.
+func (m *Machine) cancel(ev CancelJob) {
+	j, ok := m.jobs[ev.Job]
+	if !ok || j.spec.Team != ev.Team {
+		return
+	}
+	if j.state.Ended() {
+		m.emit(j.answer())
+		return
+	}
+	m.endWhenProved(j, ending{
+		state:  state.JobCancelled,
+		reason: state.ReasonCancelled,
+		detail: "the team cancelled the job",
+		remedy: "submit again under a fresh ID if the work is wanted after all",
+	})
+}
+
+// withdraw ends a job of a team that lost its contract.
+func (m *Machine) withdraw(j *job) {
+	m.endWhenProved(j, ending{
+		state:  state.JobRefused,
+		reason: state.ReasonWithdrawn,
+		detail: "team " + string(j.spec.Team) + " has no allotment in this failure domain any more",
+		remedy: "ask the operators for a contract",
+	})
+}
--- /dev/null
+++ b/internal/state/machine/place.go
@@ -0,0 +1,154 @@
+package machine
+
+import (
+	"github.com/samphirerail/samphirerail/internal/state"
+	"github.com/samphirerail/samphirerail/internal/state/cell"
+	"github.com/samphirerail/samphirerail/internal/state/queue"
+)
+
+// schedule places waiting work until nothing more is known to fit.
+func (m *Machine) schedule() {
+	if m.resigned {
+		return
+	}
+	for _, j := range m.heldGangs {
+		m.tryHeldGang(j)
+	}
+	m.heldGangs = m.heldGangs[:0]
+	for it := m.queue.Next(); it != nil; it = m.queue.Next() {
+		m.place(m.jobs[it.Job])
+	}
+}
+
+// place starts the next task of a queued job, or all of a gang, or marks the
+// job as blocked. Either way the queue moves on.
+func (m *Machine) place(j *job) {
+	if j.spec.IssuedBeforeTakeover && m.service(j.spec.Service).unknown > 0 {
+		m.hold(j)
+		return
+	}
+	if !m.allows(m.team(j.spec.Team), j.amount.Scale(int64(j.item.Together))) {
+		m.queue.Block(&j.item, queue.Limit)
+		return
+	}
+	switch {
+	case j.gang():
+		m.placeGang(j)
+	case j.spec.Class == state.ClassStanding:
+		m.placeStanding(j)
+	default:
+		m.placeOne(j, nil)
+	}
+}
+
+// hold keeps a job that an earlier owner may run until every upstream of its
+// service is fenced.
+func (m *Machine) hold(j *job) {
+	m.queue.Remove(&j.item)
+	j.held = true
+	m.waiting = append(m.waiting, j)
+}
+
+// placeOne starts the next pending task of a job.
+func (m *Machine) placeOne(j *job, avoid []state.VMID) {
+	index := j.pending[0]
+	if vm := j.slots[index].avoid; vm != "" {
+		avoid = append(avoid, vm)
+	}
+	vm, ok := m.pick(j, avoid)
+	if !ok && len(avoid) > 0 {
+		vm, ok = m.pick(j, nil)
+	}
+	if !ok {
+		m.queue.Block(&j.item, queue.Room)
+		return
+	}
+	if !m.start(j, index, vm) {
+		m.queue.Block(&j.item, queue.Room)
+		return
+	}
+	j.pending = j.pending[1:]
+	m.placed(j)
+}
+
+// pick finds an upstream for one task. Only work that may be started again goes
+// to an upstream on probation.
+func (m *Machine) pick(j *job, avoid []state.VMID) (state.VMID, bool) {
+	req := cell.Request{Service: j.spec.Service, Each: j.amount, Avoid: avoid}
+	vm, ok := m.cell.Pick(req)
+	for ok && m.upstreams[vm].health.ejected && !j.restartable() {
+		req.Avoid = append(req.Avoid, vm)
+		vm, ok = m.cell.Pick(req)
+	}
+	return vm, ok
+}
+
+// placeStanding starts the pending tasks of a standing job, spread over racks
+// when they all fit, else one by one apart from their siblings.
+func (m *Machine) placeStanding(j *job) {
+	n := len(j.pending)
+	if n > 1 && m.allows(m.team(j.spec.Team), j.amount.Scale(int64(n))) {
+		req := cell.Request{Service: j.spec.Service, Each: j.amount, Spread: true}
+		if vms, ok := m.cell.PickMany(req, n); ok {
+			m.startAll(j, vms)
+			return
+		}
+	}
+	var siblings []state.VMID
+	for i := range j.slots {
+		if a := j.slots[i].current; a != nil {
+			siblings = append(siblings, a.up.vm)
+		}
+	}
+	m.placeOne(j, siblings)
+}
+
+// startAll starts the pending tasks of a job on one upstream each.
+func (m *Machine) startAll(j *job, vms []state.VMID) {
+	for _, vm := range vms {
+		if !m.start(j, j.pending[0], vm) {
+			break
+		}
+		j.pending = j.pending[1:]
+	}
+	m.placed(j)
+}
+
+// placed takes a job out of the queue once nothing of it is pending.
+func (m *Machine) placed(j *job) {
+	j.state = state.JobRunning
+	if len(j.pending) > 0 {
+		return
+	}
+	j.pending = nil
+	m.team(j.spec.Team).drain.observe(m.now)
+	m.dequeue(j)
+}
+
+// start commits room for a task and starts it. It reports false when the
+// upstream has no room, and then changes nothing.
+func (m *Machine) start(j *job, index int, vm state.VMID) bool {
+	u := m.upstreams[vm]
+	s := &j.slots[index]
+	a := &attempt{
+		id:     taskID(j.spec.ID, index, s.attempt+1),
+		job:    j,
+		index:  index,
+		up:     u,
+		amount: j.amount,
+	}
+	if !m.commit(a) {
+		return false
+	}
+	s.attempt++
+	s.current = a
+	s.avoid = ""
+	if u.health.ejected {
+		m.probing(a)
+	}
+	m.emit(Start{
+		Task: a.id, VM: vm, Incarnation: u.incarnation,
+		Job: j.spec, Index: index, Wait: j.spec.Class == state.ClassRequest,
+	})
+	return true
+}
--- /dev/null
+++ b/internal/state/queue/bucket.go
@@ -0,0 +1,149 @@
+package queue
+
+import (
+	"cmp"
+	"container/heap"
+	"math/bits"
+
+	"github.com/samphirerail/samphirerail/internal/state"
+)
+
+// shape groups items that need about the same room, so that one look at the
+// first of them tells whether any of them can be placed.
+type shape struct {
+	service      state.Service
+	together     int
+	cpu          int
+	memory       int
+	accelerators int
+}
+
+func shapeOf(it *Item) shape {
+	return shape{
+		service:      it.Service,
+		together:     bits.Len64(uint64(it.Together)),
+		cpu:          bits.Len64(uint64(it.Each.CPUMilli)),
+		memory:       bits.Len64(uint64(it.Each.MemoryMB)),
+		accelerators: bits.Len64(uint64(it.Each.Accelerators)),
+	}
+}
+
+// bucket is the ordered items of one shape of one team.
+type bucket struct {
+	shape shape
+	items []*Item
+	// position is the bucket's index in its team's list.
+	position int
+	blocked  Cause
+	// blockedNeed is the amount that the block was found for.
+	blockedNeed state.Vector
+}
+
+func (b *bucket) head() *Item { return b.items[0] }
+
+// refresh lifts the block when the first item needs less than the one that was
+// found blocked.
+func (b *bucket) refresh() {
+	if b.blocked != None && !b.blockedNeed.Fits(b.head().need()) {
+		b.blocked = None
+	}
+}
+
+func (b *bucket) Len() int           { return len(b.items) }
+func (b *bucket) Less(i, j int) bool { return b.items[i].before(b.items[j]) }
+
+func (b *bucket) Swap(i, j int) {
+	b.items[i], b.items[j] = b.items[j], b.items[i]
+	b.items[i].index = i
+	b.items[j].index = j
+}
+
+// Push implements heap.Interface.
+func (b *bucket) Push(x any) {
+	it := x.(*Item)
+	it.index = len(b.items)
+	b.items = append(b.items, it)
+}
+
+// Pop implements heap.Interface.
+func (b *bucket) Pop() any {
+	last := len(b.items) - 1
+	it := b.items[last]
+	b.items[last] = nil
+	b.items = b.items[:last]
+	return it
+}
+
+func (it *Item) before(other *Item) bool {
+	if c := cmp.Compare(it.Rank, other.Rank); c != 0 {
+		return c < 0
+	}
+	return it.sequence < other.sequence
+}
+
+// need is what must be free for the team to place the item's next step.
+func (it *Item) need() state.Vector { return it.Each.Scale(int64(it.Together)) }
+
+// team is the waiting items of one team.
+type team struct {
+	id       state.TeamID
+	buckets  []*bucket
+	byShape  map[shape]*bucket
+	items    int
+	position int
+	share    float64
+	entitled bool
+}
+
+func (t *team) push(it *Item) {
+	s := shapeOf(it)
+	b, ok := t.byShape[s]
+	if !ok {
+		b = &bucket{shape: s, position: len(t.buckets)}
+		t.byShape[s] = b
+		t.buckets = append(t.buckets, b)
+	}
+	it.bucket = b
+	heap.Push(b, it)
+	b.refresh()
+	t.items++
+}
+
+func (t *team) remove(it *Item) {
+	b := it.bucket
+	heap.Remove(b, it.index)
+	it.bucket = nil
+	t.items--
+	if len(b.items) > 0 {
+		b.refresh()
+		return
+	}
+	last := len(t.buckets) - 1
+	t.buckets[b.position] = t.buckets[last]
+	t.buckets[b.position].position = b.position
+	t.buckets = t.buckets[:last]
+	delete(t.byShape, b.shape)
+}
+
+// unblock lifts the blocks of a cause.
+func (t *team) unblock(cause Cause) {
+	for _, b := range t.buckets {
+		if b.blocked == cause {
+			b.blocked = None
+		}
+	}
+}
+
+// best returns the team's first item that is not known to be blocked.
+func (t *team) best(marks *marks) *Item {
+	var best *Item
+	for _, b := range t.buckets {
+		if b.blocked != None || marks.cover(b.head()) {
+			continue
+		}
+		if best == nil || b.head().before(best) {
+			best = b.head()
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/internal/state/queue/queue.go
@@ -0,0 +1,218 @@
+// Package queue orders waiting jobs between teams and within each team, and
+// remembers which of them are known to be blocked, so that an event looks only
+// at work that it may have made runnable.
+package queue
+
+import (
+	"cmp"
+
+	"github.com/samphirerail/samphirerail/internal/state"
+)
+
+// Objective is what the order between teams favours.
+type Objective string
+
+// The objectives.
+const (
+	// Waiting lets urgent work of teams within their share go first, oldest
+	// first, and orders the rest by share.
+	Waiting Objective = "waiting"
+	// Share serves the team with the lowest weighted dominant share first.
+	Share Objective = "share"
+)
+
+// Valid reports whether o is a known objective.
+func (o Objective) Valid() bool { return o == Waiting || o == Share }
+
+// Cause tells why an item can't be placed now.
+type Cause int
+
+// The causes.
+const (
+	None Cause = iota
+	// Limit: the team's limit leaves no room.
+	Limit
+	// Room: no upstream has room.
+	Room
+)
+
+// Item is a job that waits to be placed.
+type Item struct {
+	Job     state.JobID
+	Team    state.TeamID
+	Service state.Service
+	// Each is what one task commits.
+	Each state.Vector
+	// Together is the number of tasks to be placed at once, 1 or more.
+	Together int
+	Urgent   bool
+	Arrived  state.Time
+	// Rank orders the items of a team; see the function Rank.
+	Rank state.Time
+
+	sequence uint64
+	index    int
+	bucket   *bucket
+}
+
+// Queued reports whether the item is in a queue.
+func (it *Item) Queued() bool { return it.bucket != nil }
+
+// Queue is the waiting jobs of a shard. It is not safe for concurrent use.
+type Queue struct {
+	objective Objective
+	teams     map[state.TeamID]*team
+	// active are the teams that have items.
+	active   []*team
+	marks    marks
+	sequence uint64
+	items    int
+}
+
+// New returns an empty queue.
+func New(objective Objective) *Queue {
+	return &Queue{
+		objective: objective,
+		teams:     map[state.TeamID]*team{},
+		marks:     marks{byService: map[state.Service][]state.Vector{}},
+	}
+}
+
+// Len returns the number of items.
+func (q *Queue) Len() int { return q.items }
+
+// Push adds an item that is not in a queue.
+func (q *Queue) Push(it *Item) {
+	t := q.team(it.Team)
+	q.sequence++
+	it.sequence = q.sequence
+	if t.items == 0 {
+		t.position = len(q.active)
+		q.active = append(q.active, t)
+	}
+	t.push(it)
+	q.items++
+}
+
+// Remove takes an item out; one that is in no queue is left alone.
+func (q *Queue) Remove(it *Item) {
+	if it.bucket == nil {
+		return
+	}
+	t := q.team(it.Team)
+	t.remove(it)
+	q.items--
+	if t.items > 0 {
+		return
+	}
+	last := len(q.active) - 1
+	q.active[t.position] = q.active[last]
+	q.active[t.position].position = t.position
+	q.active = q.active[:last]
+}
+
+// SetShare records a team's weighted dominant share, and whether the team is
+// within the share that it can count on.
+func (q *Queue) SetShare(id state.TeamID, share float64, entitled bool) {
+	t := q.team(id)
+	t.share = share
+	t.entitled = entitled
+}
+
+// Forget drops what is known of a team that has no items.
+func (q *Queue) Forget(id state.TeamID) {
+	if t, ok := q.teams[id]; ok && t.items == 0 {
+		delete(q.teams, id)
+	}
+}
+
+// Next returns the item to place next, of those not known to be blocked, or
+// nil. The item stays in the queue.
+func (q *Queue) Next() *Item {
+	var best *Item
+	var bestTeam *team
+	for _, t := range q.active {
+		it := t.best(&q.marks)
+		if it == nil {
+			continue
+		}
+		if best == nil || q.before(it, t, best, bestTeam) {
+			best, bestTeam = it, t
+		}
+	}
+	return best
+}
+
+// Block says that an item, the first of its kind, can't be placed now. A block
+// for Room of an item with Together 1 covers all that need as much of the
+// service.
+func (q *Queue) Block(it *Item, cause Cause) {
+	if cause == Room && it.Together == 1 && q.marks.add(it.Service, it.Each) {
+		return
+	}
+	it.bucket.blocked = cause
+	it.bucket.blockedNeed = it.need()
+}
+
+// Blocked returns why an item is known to be blocked.
+func (q *Queue) Blocked(it *Item) Cause {
+	if it.bucket == nil {
+		return None
+	}
+	if it.bucket.blocked != None {
+		return it.bucket.blocked
+	}
+	if q.marks.cover(it) {
+		return Room
+	}
+	return None
+}
+
+// Freed says that an upstream of the service has this much free.
+func (q *Queue) Freed(service state.Service, free state.Vector) {
+	q.marks.freed(service, free)
+	for _, t := range q.active {
+		for _, b := range t.buckets {
+			if b.blocked == Room && b.shape.service == service && b.head().Each.Fits(free) {
+				b.blocked = None
+			}
+		}
+	}
+}
+
+// TeamFreed says that a team uses less of its limit or has a higher one.
+func (q *Queue) TeamFreed(id state.TeamID) { q.team(id).unblock(Limit) }
+
+// LimitsFreed says that every team may have more room within its limit.
+func (q *Queue) LimitsFreed() {
+	for _, t := range q.active {
+		t.unblock(Limit)
+	}
+}
+
+func (q *Queue) team(id state.TeamID) *team {
+	t, ok := q.teams[id]
+	if !ok {
+		t = &team{id: id, byShape: map[shape]*bucket{}, entitled: true}
+		q.teams[id] = t
+	}
+	return t
+}
+
+// before reports whether item a of team ta goes before item b of team tb.
+func (q *Queue) before(a *Item, ta *team, b *Item, tb *team) bool {
+	if q.objective == Waiting {
+		urgentA := a.Urgent && ta.entitled
+		urgentB := b.Urgent && tb.entitled
+		if urgentA != urgentB {
+			return urgentA
+		}
+		if urgentA && a.Arrived != b.Arrived {
+			return a.Arrived < b.Arrived
+		}
+	}
+	if c := cmp.Compare(ta.share, tb.share); c != 0 {
+		return c < 0
+	}
+	return a.before(b)
+}
