Assemble the entry process

Cause: the parts exist; a process has to run them. Ruled out: separate watchers for each outside state: the owner compares versions at its tick instead. Change: fx wiring, the owner's source of upstreams and quotas, admission by contract, operators' operations, peers' calls, graceful stop with handover.

--- /dev/null
+++ b/internal/agent/auth.go
@@ -0,0 +1,78 @@
+package agent
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"strings"
+
+	"github.com/samphirerail/samphirerail/internal/coordination/configlog"
+	v1 "github.com/samphirerail/samphirerail/internal/protocol/v1"
+	"github.com/samphirerail/samphirerail/internal/settings"
+	"github.com/samphirerail/samphirerail/internal/state"
+	"github.com/samphirerail/samphirerail/internal/state/config"
+	"github.com/samphirerail/samphirerail/internal/transport/httpapi"
+)
+
+// authenticator answers from the newest configuration.
+type authenticator struct {
+	follower  *configlog.Follower
+	bootID    string
+	bootHash  [sha256.Size]byte
+	bootstrap bool
+}
+
+func newAuthenticator(s settings.Settings, follower *configlog.Follower) *authenticator {
+	a := &authenticator{follower: follower}
+	id, secret, ok := strings.Cut(s.Platform.BootstrapKey, ".")
+	if ok {
+		a.bootID, a.bootHash, a.bootstrap = id, sha256.Sum256([]byte(secret)), true
+	}
+	return a
+}
+
+// Authenticate implements httpapi.Authenticator.
+func (a *authenticator) Authenticate(bearer string) (httpapi.Identity, error) {
+	id, secret, ok := strings.Cut(bearer, ".")
+	if !ok {
+		return httpapi.Identity{}, httpapi.ErrWrongKey
+	}
+	view := a.follower.View()
+	key, err := view.Authenticate(id, secret)
+	if err == nil {
+		return httpapi.Identity{Key: key.ID, Team: key.Team, Role: v1.Role(key.Role)}, nil
+	}
+	if a.acceptsBootstrap(view, id, secret) {
+		return httpapi.Identity{Key: id, Role: v1.RoleOperator}, nil
+	}
+	return httpapi.Identity{}, err
+}
+
+// acceptsBootstrap reports whether the bearer is the bootstrap key of the
+// settings and no operator key has been granted yet.
+func (a *authenticator) acceptsBootstrap(view *config.View, id, secret string) bool {
+	if !a.bootstrap || id != a.bootID {
+		return false
+	}
+	hash := sha256.Sum256([]byte(secret))
+	if subtle.ConstantTimeCompare(hash[:], a.bootHash[:]) != 1 {
+		return false
+	}
+	for _, key := range view.Keys() {
+		if key.Role == config.RoleOperator && !key.Withdrawn {
+			return false
+		}
+	}
+	return true
+}
+
+// Queue implements httpapi.Authenticator.
+func (a *authenticator) Queue(id state.QueueID) (httpapi.Queue, bool) {
+	queue, ok := a.follower.View().Queue(id)
+	return httpapi.Queue{Team: queue.Team, Open: queue.Open, DefaultClass: queue.DefaultClass}, ok
+}
+
+// Quota implements httpapi.Authenticator.
+func (a *authenticator) Quota(team state.TeamID) (httpapi.Quota, bool) {
+	contract, ok := a.follower.View().Contract(team)
+	return httpapi.Quota{SubmitRate: contract.SubmitRate, Burst: contract.SubmitBurst}, ok
+}
--- /dev/null
+++ b/internal/agent/contact.go
@@ -0,0 +1,70 @@
+package agent
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/samphirerail/samphirerail/internal/transport/platformclient"
+	"github.com/samphirerail/samphirerail/platform"
+)
+
+// contactLog is a platform.Log that notes when the service last answered.
+type contactLog struct {
+	platform.Log
+	start time.Time
+	last  atomic.Int64
+}
+
+func newContactLog(log platform.Log) *contactLog {
+	return &contactLog{Log: log, start: time.Now()}
+}
+
+// Append implements platform.Log.
+func (l *contactLog) Append(ctx context.Context, req platform.AppendRequest) (int64, error) {
+	offset, err := l.Log.Append(ctx, req)
+	l.note(err)
+	return offset, err
+}
+
+// Read implements platform.Log.
+func (l *contactLog) Read(ctx context.Context, req platform.ReadRequest) (platform.ReadReply, error) {
+	reply, err := l.Log.Read(ctx, req)
+	l.note(err)
+	return reply, err
+}
+
+func (l *contactLog) note(err error) {
+	if err == nil {
+		l.last.Store(int64(time.Since(l.start)))
+	}
+}
+
+// silentFor returns the time since the service last answered.
+func (l *contactLog) silentFor() time.Duration {
+	return time.Since(l.start) - time.Duration(l.last.Load())
+}
+
+// workerPool keeps one client per worker address, so that all links of this
+// process to a worker share one connection budget.
+type workerPool struct {
+	options platformclient.Options
+	mu      sync.Mutex
+	clients map[string]platform.Worker
+}
+
+func newWorkerPool(options platformclient.Options) *workerPool {
+	return &workerPool{options: options, clients: map[string]platform.Worker{}}
+}
+
+func (p *workerPool) dial(address string) platform.Worker {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	client, ok := p.clients[address]
+	if !ok {
+		client = platformclient.NewWorker(address, p.options)
+		p.clients[address] = client
+	}
+	return client
+}
--- /dev/null
+++ b/internal/agent/listeners.go
@@ -0,0 +1,72 @@
+package agent
+
+import (
+	"context"
+
+	"github.com/hashicorp/go-hclog"
+	metrics "github.com/rcrowley/go-metrics"
+	"github.com/rotisserie/eris"
+
+	"github.com/samphirerail/samphirerail/internal/coordination"
+	"github.com/samphirerail/samphirerail/internal/coordination/configlog"
+	"github.com/samphirerail/samphirerail/internal/coordination/membership"
+	"github.com/samphirerail/samphirerail/internal/settings"
+	"github.com/samphirerail/samphirerail/internal/transport/httpapi"
+	"github.com/samphirerail/samphirerail/internal/transport/rpc"
+)
+
+// listeners are the three ports of an entry.
+type listeners struct {
+	callers *httpapi.Server
+	monitor *httpapi.Server
+	peers   *rpc.Server
+	health  *httpapi.Health
+
+	callersAddress string
+	// ready is set by the entry that the listeners belong to.
+	ready func() error
+}
+
+func newListeners(s settings.Settings, id identity, jobs coordination.JobService, o *owning, follower *configlog.Follower, members *membership.Service, logger hclog.Logger, registry metrics.Registry) *listeners {
+	l := &listeners{ready: func() error { return errNoConfig }}
+	l.health = httpapi.NewHealth(func() error { return l.ready() })
+	handler := httpapi.NewHandler(httpapi.Config{
+		Jobs:       jobs,
+		Operations: &operations{id: id, follower: follower, members: members, owning: o, health: l.health, log: logger},
+		Auth:       newAuthenticator(s, follower),
+		Health:     l.health,
+		Logger:     logger,
+		Registry:   registry,
+	})
+	callers := httpapi.DefaultServerConfig(s.Listen.Callers)
+	callers.BalancerDelay = s.Shutdown.BalancerDelay.Std()
+	l.callers = httpapi.NewServer(callers, handler, l.health)
+	monitor := httpapi.NewMonitor(httpapi.MonitorConfig{Registry: registry, Health: l.health, Profiling: true})
+	l.monitor = httpapi.NewServer(httpapi.DefaultServerConfig(s.Listen.Operators), monitor, l.health)
+	peers := rpc.DefaultServerConfig(s.Listen.Internal)
+	peers.Logger = logger
+	peers.Registry = registry
+	l.peers = rpc.NewServer(peers, &peerServer{members: members, manager: o.manager, follower: follower, shard: id.shard})
+	return l
+}
+
+func (l *listeners) start() error {
+	if _, err := l.peers.Start(); err != nil {
+		return eris.Wrap(err, "agent: can't listen for entries; choose a free address for listen.internal")
+	}
+	if _, err := l.monitor.Start(nil); err != nil {
+		return eris.Wrap(err, "agent: can't listen for operators; choose a free address for listen.operators")
+	}
+	address, err := l.callers.Start(nil)
+	if err != nil {
+		return eris.Wrap(err, "agent: can't listen for callers; choose a free address for listen.callers")
+	}
+	l.callersAddress = address.String()
+	return nil
+}
+
+func (l *listeners) stopCallers(ctx context.Context) error { return l.callers.Shutdown(ctx) }
+
+func (l *listeners) stopPeers(ctx context.Context) error { return l.peers.Shutdown(ctx) }
+
+func (l *listeners) stopMonitor(ctx context.Context) error { return l.monitor.Shutdown(ctx) }
--- /dev/null
+++ b/internal/agent/parts.go
@@ -0,0 +1,151 @@
+package agent
+
+import (
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	metrics "github.com/rcrowley/go-metrics"
+
+	"github.com/samphirerail/samphirerail/internal/coordination"
+	"github.com/samphirerail/samphirerail/internal/coordination/admission"
+	"github.com/samphirerail/samphirerail/internal/coordination/configlog"
+	"github.com/samphirerail/samphirerail/internal/coordination/inventory"
+	"github.com/samphirerail/samphirerail/internal/coordination/membership"
+	"github.com/samphirerail/samphirerail/internal/coordination/owner"
+	"github.com/samphirerail/samphirerail/internal/coordination/ownership"
+	"github.com/samphirerail/samphirerail/internal/coordination/routing"
+	"github.com/samphirerail/samphirerail/internal/settings"
+	"github.com/samphirerail/samphirerail/internal/state"
+	"github.com/samphirerail/samphirerail/internal/state/machine"
+	"github.com/samphirerail/samphirerail/internal/state/queue"
+	"github.com/samphirerail/samphirerail/internal/transport/platformclient"
+	"github.com/samphirerail/samphirerail/internal/transport/rpc"
+	"github.com/samphirerail/samphirerail/platform"
+)
+
+// retryAfter is told to callers whose domain has no owner for the moment.
+const retryAfter = 2 * time.Second
+
+// clients are the connections to the platform and to other entries.
+type clients struct {
+	log   *contactLog
+	vms   *platformclient.VMList
+	peers *rpc.Client
+	dial  owner.Dialer
+}
+
+func newClients(s settings.Settings, logger hclog.Logger, registry metrics.Registry) *clients {
+	options := platformclient.Options{Timeout: s.Platform.Timeout.Std()}
+	cfg := rpc.DefaultClientConfig()
+	cfg.Logger = logger
+	cfg.Registry = registry
+	workers := newWorkerPool(platformclient.Options{
+		Timeout:        s.Upstream.Timeout.Std(),
+		MaxConnections: s.Upstream.Connections,
+	})
+	return &clients{
+		log:   newContactLog(platformclient.NewLog(s.Platform.Log, options)),
+		vms:   platformclient.NewVMList(s.Platform.VMList, options),
+		peers: rpc.NewClient(cfg),
+		dial:  workers.dial,
+	}
+}
+
+func newFollower(s settings.Settings, id identity, c *clients, logger hclog.Logger, registry metrics.Registry, status *statusBoard) (*configlog.Follower, error) {
+	return configlog.New(configlog.Options{
+		Log:              c.log,
+		Entry:            id.entry,
+		Domain:           id.domain,
+		Settle:           status.settlement,
+		Logger:           logger,
+		Metrics:          registry,
+		AppendsPerSecond: s.Limits.LogAppendRate,
+	})
+}
+
+func newMembership(s settings.Settings, id identity, c *clients, logger hclog.Logger, registry metrics.Registry, status *statusBoard) (*membership.Service, error) {
+	return membership.New(membership.Config{
+		Self:           id.entry,
+		Domain:         id.domain,
+		Address:        s.Listen.Internal,
+		Seeds:          s.Peers.Seeds,
+		Interval:       s.Peers.Heartbeat.Std(),
+		RemoteInterval: s.Peers.RemoteHeartbeat.Std(),
+		DeadAfter:      s.Peers.DeadAfter.Std(),
+	}, status.status, c.peers, c.vms, logger, registry)
+}
+
+// owning are the parts that own the domain's shard.
+type owning struct {
+	manager *owner.Manager
+	runner  *ownership.Runner
+	joiner  *inventory.Joiner
+	router  *routing.Router
+}
+
+func newOwner(s settings.Settings, id identity, c *clients, follower *configlog.Follower, members *membership.Service, logger hclog.Logger, status *statusBoard) *owning {
+	o := &owning{}
+	o.manager = owner.NewManager(owner.ManagerConfig{
+		Config: owner.Config{
+			Shard:      id.shard,
+			Machine:    machineConfig(s),
+			Timing:     timing(s),
+			Source:     inventory.NewSource(id.domain, follower.View, members.Snapshot),
+			Dial:       c.dial,
+			OnReturned: func(list []coordination.Submission) { go o.resubmit(list, logger) },
+			Logger:     logger,
+		},
+		Retry:   retryAfter,
+		Changed: members.Announce,
+	})
+	o.runner = ownership.NewRunner(id.entry, id.domain, id.shard, ownership.Limits{}, members, c.log, o.manager, logger)
+	o.manager.OnFenced(o.runner.Fenced)
+	o.joiner = &inventory.Joiner{
+		Domain: id.domain, Config: follower, Listed: members.Snapshot,
+		Owns: func() bool { return o.manager.Owns(id.shard) }, Interval: time.Second, Logger: logger,
+	}
+	o.router = routing.New(id.entry, id.domain, members.Snapshot, o.manager, c.peers, routing.Config{
+		RetryAfter: retryAfter,
+		Retries:    s.Limits.Retries,
+	})
+	status.follow(o.manager, follower)
+	return o
+}
+
+func machineConfig(s settings.Settings) machine.Config {
+	cfg := machine.DefaultConfig()
+	cfg.Objective = queue.Objective(s.Policy.Objective)
+	return cfg
+}
+
+func timing(s settings.Settings) owner.Timing {
+	t := owner.DefaultTiming()
+	t.Lease = s.Upstream.Lease.Std()
+	t.SyncWait = s.Upstream.SyncWait.Std()
+	t.Call = s.Upstream.Timeout.Std()
+	t.MaxRequest = s.Limits.MaxWait.Std()
+	return t
+}
+
+func newRouter(o *owning, follower *configlog.Follower, c *clients, members *membership.Service, id identity) coordination.JobService {
+	return &admission.Service{
+		JobService: o.router,
+		View:       follower.View,
+		Cut:        func() bool { return c.log.silentFor() > cutAfter && !reachesOtherDomain(members.Snapshot(), id.domain) },
+	}
+}
+
+// cutAfter is how long the log must be out of reach before the domain may count
+// as cut off.
+const cutAfter = 10 * time.Second
+
+func reachesOtherDomain(snapshot *membership.Snapshot, domain state.DomainID) bool {
+	for i := range snapshot.Entries {
+		if e := &snapshot.Entries[i]; e.Domain != domain && e.Live() {
+			return true
+		}
+	}
+	return false
+}
+
+var _ platform.Log = (*contactLog)(nil)
--- a/internal/coordination/api.go
+++ b/internal/coordination/api.go
@@ -43,6 +43,8 @@
 	RetriesLeft int
 	// Hops counts forwards between domains.
 	Hops int
+	// Fresh says that no owner has seen the ID before this call.
+	Fresh bool
 }
 
 // TaskPlace tells where a task of a job is.
--- a/internal/coordination/owner/jobs.go
+++ b/internal/coordination/owner/jobs.go
@@ -142,12 +142,13 @@
 	return parsed.Issued.Before(s.takeover.Add(s.cfg.Timing.ClockMargin))
 }
 
-// Get returns the status of a team's job after waiting for its end.
+// Get returns the status of a job after waiting for its end. An empty team
+// stands for an operator, who may see every job.
 func (s *Shard) Get(ctx context.Context, team state.TeamID, id state.JobID, wait time.Duration) (coordination.JobStatus, error) {
 	status := make(chan coordination.JobStatus, 1)
 	found := false
 	ok := s.do(ctx, func(context.Context) {
-		if view, known := s.machine.Job(id); known && view.Team == team {
+		if view, known := s.machine.Job(id); known && (team == "" || view.Team == team) {
 			found = true
 			s.waitFor(id, wait > 0, status)
 		}
--- a/internal/coordination/owner/manager.go
+++ b/internal/coordination/owner/manager.go
@@ -226,7 +226,8 @@
 	return shard, nil
 }
 
-// Submit implements routing.LocalOwner.
+// Submit implements routing.LocalOwner. Besides refusals it returns ErrEnded:
+// the outcome is then the next owner's to tell.
 func (m *Manager) Submit(ctx context.Context, id coordination.ShardID, s coordination.Submission) (coordination.JobStatus, error) {
 	shard, err := m.owned(id)
 	if err != nil {
@@ -236,42 +237,27 @@
 	if err == nil && status.State == state.JobRefused {
 		return coordination.JobStatus{}, status.Refusal
 	}
-	return status, m.refusal(err)
+	return status, err
 }
 
-// Get implements routing.LocalOwner.
+// Get implements routing.LocalOwner; errors as Submit.
 func (m *Manager) Get(ctx context.Context, id coordination.ShardID, team state.TeamID, job state.JobID, wait time.Duration) (coordination.JobStatus, error) {
 	shard, err := m.owned(id)
 	if err != nil {
 		return coordination.JobStatus{}, err
 	}
 	status, err := shard.Get(ctx, team, job, wait)
-	return status, m.refusal(err)
+	return status, err
 }
 
-// Cancel implements routing.LocalOwner.
+// Cancel implements routing.LocalOwner; errors as Submit.
 func (m *Manager) Cancel(ctx context.Context, id coordination.ShardID, team state.TeamID, job state.JobID) (coordination.JobStatus, error) {
 	shard, err := m.owned(id)
 	if err != nil {
 		return coordination.JobStatus{}, err
 	}
 	status, err := shard.Cancel(ctx, team, job)
-	return status, m.refusal(err)
-}
-
-// refusal turns the end of a shard into a refusal: what became of the job is
-// the next owner's to tell.
-func (m *Manager) refusal(err error) error {
-	if !errors.Is(err, ErrEnded) {
-		return err
-	}
-	return &state.Refusal{
-		Reason:     state.ReasonOutcomeUnknown,
-		Verdict:    state.Unknown,
-		Detail:     "this entry stopped owning the upstreams before the outcome was known",
-		Remedy:     "ask for the job by its ID",
-		RetryAfter: m.cfg.Retry,
-	}
+	return status, err
 }
 
 var (
--- a/internal/coordination/routing/call.go
+++ b/internal/coordination/routing/call.go
@@ -92,6 +92,7 @@
 	if s.DeadlineIn > 0 {
 		s.DeadlineIn -= time.Since(c.begun)
 	}
+	s.Fresh = s.Fresh && !c.mayHaveRun
 	s.RetriesLeft = c.attempts.Lend()
 	status, err := c.send(ctx, p, s)
 	if err != nil {
--- a/internal/coordination/routing/router.go
+++ b/internal/coordination/routing/router.go
@@ -78,6 +78,7 @@
 func (r *Router) Submit(ctx context.Context, s coordination.Submission) (coordination.JobStatus, error) {
 	if s.ID == "" {
 		s.ID = r.IssueIDs(1)[0]
+		s.Fresh = true
 	}
 	shard, err := r.home(s.ID)
 	if err != nil {
--- a/internal/protocol/v1/submit.go
+++ b/internal/protocol/v1/submit.go
@@ -117,6 +117,7 @@
 		Preemptible: r.Preemptible,
 		Payload:     r.Payload,
 		Wait:        milliseconds(r.WaitMS),
+		Fresh:       r.ID == "" || r.FirstAttempt,
 	}
 	if s.Class == state.ClassRequest && s.Wait == 0 {
 		s.Wait = MaxWait
