Test the router against lost answers, takeovers and deadlines

Cause: the router decides whether a job may be sent again and what its caller is told. Change: table of cases on virtual time, a property test over drawn sequences of answers; a caller that gave up is answered without a look-up.

--- a/internal/coordination/membership/service_test.go
+++ b/internal/coordination/membership/service_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"sync"
 	"sync/atomic"
@@ -20,8 +19,6 @@
 	"github.com/samphirerail/samphirerail/platform"
 )
 
-var errLost = errors.New("lost")
-
 // network joins services in memory. Its latency is 1 ms each way.
 type network struct {
 	coordination.Peers
@@ -85,8 +82,8 @@
 	n.with(func() { n.vms = platform.VMListReply{Version: version, VMs: vms} })
 }
 
-func entryVM(domain, id, incarnation, address string) platform.VM {
-	return platform.VM{ID: id, Incarnation: incarnation, Role: platform.RoleEntry, State: platform.VMLive, Domain: domain, Address: address}
+func entryVM(domain, id, address string) platform.VM {
+	return platform.VM{ID: id, Incarnation: "i1", Role: platform.RoleEntry, State: platform.VMLive, Domain: domain, Address: address}
 }
 
 func (n *network) start(t *testing.T, id, domain, address string, seeds ...string) *node {
@@ -156,7 +153,7 @@
 		is := is.New(t)
 		net := newNetwork()
 		defer net.stop()
-		net.list(1, entryVM("a", "vm1", "i1", "10.0.0.1:1"), entryVM("a", "vm2", "i1", "10.0.0.2:1"))
+		net.list(1, entryVM("a", "vm1", "10.0.0.1:1"), entryVM("a", "vm2", "10.0.0.2:1"))
 		a := net.start(t, "vm1/i1", "a", "10.0.0.1:1")
 		b := net.start(t, "vm2/i1", "a", "10.0.0.2:1")
 		pass(3 * time.Second)
@@ -177,7 +174,7 @@
 		is := is.New(t)
 		net := newNetwork()
 		defer net.stop()
-		net.list(1, entryVM("a", "vm1", "i1", "10.0.0.1:1"), entryVM("a", "vm2", "i1", "10.0.0.2:1"))
+		net.list(1, entryVM("a", "vm1", "10.0.0.1:1"), entryVM("a", "vm2", "10.0.0.2:1"))
 		a := net.start(t, "vm1/i1", "a", "10.0.0.1:1")
 		net.start(t, "vm2/i1", "a", "10.0.0.2:1")
 		pass(3 * time.Second)
@@ -201,7 +198,7 @@
 		for d := range 7 {
 			for e := range 3 {
 				id, address := fmt.Sprintf("vm%d-%d", d, e), fmt.Sprintf("10.0.%d.%d:1", d, e)
-				vms = append(vms, entryVM(fmt.Sprint("d", d), id, "i1", address))
+				vms = append(vms, entryVM(fmt.Sprint("d", d), id, address))
 			}
 		}
 		net.list(1, vms...)
--- a/internal/coordination/retry/retry_test.go
+++ b/internal/coordination/retry/retry_test.go
@@ -162,11 +162,11 @@
 		is := is.New(t)
 		limiter := NewLimiter(Config{Reserve: 100, Initial: 20 * time.Millisecond, Max: 100 * time.Millisecond})
 		attempts := limiter.Begin(6)
-		bounds := []time.Duration{20, 40, 80, 100, 100, 100}
-		for _, bound := range bounds {
+		for _, millis := range []int{20, 40, 80, 100, 100, 100} {
+			bound := time.Duration(millis) * time.Millisecond
 			begun := time.Now()
 			is.NoErr(attempts.Next(context.Background()))
-			is.True(time.Since(begun) <= bound*time.Millisecond+1)
+			is.True(time.Since(begun) <= bound+1)
 		}
 	})
 }
--- a/internal/coordination/routing/call.go
+++ b/internal/coordination/routing/call.go
@@ -44,6 +44,9 @@
 		if refusal, ok := asRefusal(err); ok && !passing(refusal) {
 			return coordination.JobStatus{}, c.final(refusal)
 		}
+		if c.mayHaveRun && ctx.Err() != nil {
+			return coordination.JobStatus{}, c.router.outcomeUnknown(c.submission.ID, err)
+		}
 		if c.mayHaveRun && !c.submission.Idempotent {
 			return c.router.lookUp(ctx, c, err)
 		}
--- /dev/null
+++ b/internal/coordination/routing/main_test.go
@@ -0,0 +1,25 @@
+package routing
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+
+	"go.uber.org/goleak"
+)
+
+const defaultSeed = "20261203"
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	seed := os.Getenv("SAMPHIRERAIL_RAPID_SEED")
+	if seed == "" {
+		seed = defaultSeed
+	}
+	if err := flag.Set("rapid.seed", seed); err != nil {
+		panic(err)
+	}
+	fmt.Println("rapid seed", seed)
+	goleak.VerifyTestMain(m)
+}
