--- a/cmd/samphirerail/main.go
+++ b/cmd/samphirerail/main.go
@@ -1,4 +1,13 @@
 // Command samphirerail runs the entry process of the cluster scheduler.
 package main
 
-func main() {}
+import (
+	"context"
+	"os"
+
+	"github.com/samphirerail/samphirerail/internal/command"
+)
+
+func main() {
+	os.Exit(command.Run(context.Background(), os.Args, os.Stdout, os.Stderr))
+}
--- a/internal/agent/listeners.go
+++ b/internal/agent/listeners.go
@@ -5,6 +5,7 @@
 
 	"github.com/hashicorp/go-hclog"
 	metrics "github.com/rcrowley/go-metrics"
+	"go.opentelemetry.io/otel"
 	"github.com/rotisserie/eris"
 
 	"github.com/samphirerail/samphirerail/internal/coordination"
@@ -37,6 +38,7 @@
 		Health:     l.health,
 		Logger:     logger,
 		Registry:   registry,
+		Tracer:     otel.GetTracerProvider(),
 	})
 	callers := httpapi.DefaultServerConfig(s.Listen.Callers)
 	callers.BalancerDelay = s.Shutdown.BalancerDelay.Std()
@@ -46,6 +48,7 @@
 	peers := rpc.DefaultServerConfig(s.Listen.Internal)
 	peers.Logger = logger
 	peers.Registry = registry
+	peers.Tracer = otel.GetTracerProvider()
 	l.peers = rpc.NewServer(peers, &peerServer{members: members, manager: o.manager, follower: follower, shard: id.shard})
 	return l
 }
--- a/internal/agent/parts.go
+++ b/internal/agent/parts.go
@@ -5,6 +5,7 @@
 
 	"github.com/hashicorp/go-hclog"
 	metrics "github.com/rcrowley/go-metrics"
+	"go.opentelemetry.io/otel"
 
 	"github.com/samphirerail/samphirerail/internal/coordination"
 	"github.com/samphirerail/samphirerail/internal/coordination/admission"
@@ -39,6 +40,7 @@
 	cfg := rpc.DefaultClientConfig()
 	cfg.Logger = logger
 	cfg.Registry = registry
+	cfg.Tracer = otel.GetTracerProvider()
 	workers := newWorkerPool(platformclient.Options{
 		Timeout:        s.Upstream.Timeout.Std(),
 		MaxConnections: s.Upstream.Connections,
--- /dev/null
+++ b/internal/command/app.go
@@ -0,0 +1,113 @@
+// Package command is the command line of the entry process. Its commands are
+// thin: they read flags and run an agent or a stand-in.
+package command
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/samphirerail/samphirerail/internal/agent"
+	"github.com/samphirerail/samphirerail/internal/settings"
+)
+
+// Exit codes of samphirerail.
+const (
+	ExitSuccess = 0
+	// ExitSettings: the settings have faults.
+	ExitSettings = 1
+	// ExitFailure: the process could not start or stop cleanly.
+	ExitFailure = 2
+)
+
+// Run runs the command line and returns the exit code.
+func Run(ctx context.Context, args []string, out, errOut io.Writer) int {
+	app := &cli.Command{
+		Name:                  "samphirerail",
+		Usage:                 "cluster scheduler for unlike workloads: the entry process",
+		EnableShellCompletion: true,
+		Writer:                out,
+		ErrWriter:             errOut,
+		ExitErrHandler:        func(context.Context, *cli.Command, error) {},
+		Commands:              []*cli.Command{runCommand(), checkCommand(), devCommand()},
+	}
+	err := app.Run(ctx, args)
+	if err == nil {
+		return ExitSuccess
+	}
+	fmt.Fprintln(errOut, err)
+	var faults *settings.FaultsError
+	if errors.As(err, &faults) {
+		return ExitSettings
+	}
+	return ExitFailure
+}
+
+func configFlag() cli.Flag {
+	return &cli.StringFlag{Name: "config", Aliases: []string{"c"}, Usage: "settings `FILE` (TOML)", Required: true}
+}
+
+func runCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "run",
+		Usage: "run an entry process until it is told to stop",
+		Flags: []cli.Flag{configFlag()},
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			s, err := settings.Load(cmd.String("config"))
+			if err != nil {
+				return err
+			}
+			a, err := agent.New(s, agent.Options{LogOutput: cmd.Root().ErrWriter, TraceOutput: cmd.Root().Writer})
+			if err != nil {
+				return err
+			}
+			return serve(ctx, a, s)
+		},
+	}
+}
+
+// serve runs an agent until the first signal. Later signals change nothing.
+func serve(ctx context.Context, a *agent.Agent, s settings.Settings) error {
+	signals := notifyStop()
+	startCtx, cancel := context.WithTimeout(ctx, s.Shutdown.Timeout.Std())
+	defer cancel()
+	if err := a.Start(startCtx); err != nil {
+		return err
+	}
+	select {
+	case <-signals:
+	case <-ctx.Done():
+	}
+	stopCtx, cancelStop := context.WithTimeout(context.WithoutCancel(ctx), s.Shutdown.Timeout.Std())
+	defer cancelStop()
+	return a.Stop(stopCtx)
+}
+
+// notifyStop returns a channel that receives the signals that ask for a stop.
+// The signals stay caught for the life of the process.
+func notifyStop() <-chan os.Signal {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	return signals
+}
+
+func checkCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "check",
+		Usage: "check a settings file and print every fault",
+		Flags: []cli.Flag{configFlag()},
+		Action: func(_ context.Context, cmd *cli.Command) error {
+			if _, err := settings.Load(cmd.String("config")); err != nil {
+				return err
+			}
+			fmt.Fprintf(cmd.Root().Writer, "%s: no faults\n", cmd.String("config"))
+			return nil
+		},
+	}
+}
--- /dev/null
+++ b/internal/devmode/standins.go
@@ -0,0 +1,105 @@
+// Package devmode runs the stand-ins of the platform, and a whole small system
+// in one process for development.
+package devmode
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/samphirerail/samphirerail/platform"
+	"github.com/samphirerail/samphirerail/standin"
+	"github.com/samphirerail/samphirerail/standin/logservice"
+	"github.com/samphirerail/samphirerail/standin/vmlist"
+	"github.com/samphirerail/samphirerail/standin/worker"
+)
+
+// workerConnections is how many connections a stand-in worker accepts.
+const workerConnections = 64
+
+// Server is a stand-in that is being served.
+type Server interface {
+	Address() string
+	Stop(ctx context.Context) error
+}
+
+// ServePlatform serves a stand-in log service and VM list. retain is the number
+// of records kept for each stream and rate the most appends in a second; 0
+// means no limit.
+func ServePlatform(address string, retain, rate int) (Server, error) {
+	log := logservice.New(logservice.Config{RetainRecords: retain, AppendsPerSecond: rate})
+	server, err := standin.Listen(address, standin.NewPlatform(log, vmlist.New()))
+	if err != nil {
+		return nil, eris.Wrap(err, "devmode: can't serve the platform")
+	}
+	return server, nil
+}
+
+// Upstream describes a stand-in worker.
+type Upstream struct {
+	// Listen is IP:port.
+	Listen string
+	// Platform is the address of the stand-in platform that lists the worker;
+	// empty leaves the list alone.
+	Platform     string
+	VM           string
+	Domain       string
+	Rack         string
+	Service      string
+	CPUMilli     int64
+	MemoryMB     int64
+	Accelerators int64
+	Slots        int64
+}
+
+// ServeUpstream serves a stand-in worker and puts it on the VM list.
+func ServeUpstream(ctx context.Context, u Upstream) (Server, error) {
+	w := newWorker(u)
+	server, err := standin.Listen(u.Listen, w)
+	if err != nil {
+		return nil, eris.Wrap(err, "devmode: can't serve the worker")
+	}
+	if u.Platform == "" {
+		return server, nil
+	}
+	if err := putVM(ctx, u.Platform, w.Row(server.Address())); err != nil {
+		return nil, err
+	}
+	return server, nil
+}
+
+func newWorker(u Upstream) *worker.Worker {
+	return worker.New(worker.Config{
+		VMID: u.VM, Domain: u.Domain, Rack: u.Rack, Service: u.Service,
+		Capacity: platform.Capacity{
+			Resources:   platform.Resources{CPUMilli: u.CPUMilli, MemoryMB: u.MemoryMB, Accelerators: u.Accelerators},
+			Slots:       u.Slots,
+			Connections: workerConnections,
+		},
+	})
+}
+
+// putVM puts a VM on the list of a stand-in platform.
+func putVM(ctx context.Context, address string, vm platform.VM) error {
+	body, err := json.Marshal(vm)
+	if err != nil {
+		return eris.Wrap(err, "devmode: can't encode the VM")
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+address+platform.PathVMs, bytes.NewReader(body))
+	if err != nil {
+		return eris.Wrap(err, "devmode: the platform's address is not IP:port")
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return eris.Wrap(err, "devmode: can't reach the stand-in platform; start it first")
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode >= http.StatusMultipleChoices {
+		return fmt.Errorf("devmode: the VM list answered %s; correct the flags of the worker", resp.Status)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/devmode/system.go
@@ -0,0 +1,182 @@
+package devmode
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/samphirerail/samphirerail/internal/agent"
+	"github.com/samphirerail/samphirerail/internal/settings"
+	"github.com/samphirerail/samphirerail/platform"
+	"github.com/samphirerail/samphirerail/standin"
+	"github.com/samphirerail/samphirerail/standin/logservice"
+	"github.com/samphirerail/samphirerail/standin/vmlist"
+	"github.com/samphirerail/samphirerail/standin/worker"
+)
+
+// readyTimeout bounds the start of the system.
+const readyTimeout = 30 * time.Second
+
+// readyPoll is the interval at which the entries are asked whether they are
+// ready.
+const readyPoll = 50 * time.Millisecond
+
+// loopback is the address that everything listens on; the system picks ports.
+const loopback = "127.0.0.1:0"
+
+// domains are the failure domains of the development system.
+var domains = []string{"north", "south"}
+
+// Options configure a System.
+type Options struct {
+	LogLevel string
+	// Trace is the trace exporter: none or stdout.
+	Trace     string
+	LogOutput io.Writer
+}
+
+// System is a whole small system in one process.
+type System struct {
+	// CallersAddress is IP:port of one entry.
+	CallersAddress string
+	// OperatorKey and TeamKey are bearers.
+	OperatorKey string
+	TeamKey     string
+
+	vms     *vmlist.Service
+	servers []*standin.Server
+	workers []*worker.Worker
+	agents  []*agent.Agent
+}
+
+// Start starts a stand-in platform, two failure domains with three upstreams
+// and one entry each, and a first contract.
+func Start(ctx context.Context, opts Options) (*System, error) {
+	s := &System{vms: vmlist.New()}
+	log := logservice.New(logservice.Config{})
+	address, err := s.serve(standin.NewPlatform(log, s.vms))
+	if err != nil {
+		return nil, err
+	}
+	for _, domain := range domains {
+		if err := s.startUpstreams(domain); err != nil {
+			return nil, errors.Join(err, s.Stop(ctx))
+		}
+	}
+	for _, domain := range domains {
+		if err := s.startEntry(ctx, domain, address, opts); err != nil {
+			return nil, errors.Join(err, s.Stop(ctx))
+		}
+	}
+	s.CallersAddress = s.agents[0].CallersAddress()
+	if err := s.configure(ctx); err != nil {
+		return nil, errors.Join(err, s.Stop(ctx))
+	}
+	return s, nil
+}
+
+func (s *System) serve(handler standin.Handler) (string, error) {
+	server, err := standin.Listen(loopback, handler)
+	if err != nil {
+		return "", eris.Wrap(err, "devmode: can't listen on the loopback address")
+	}
+	s.servers = append(s.servers, server)
+	return server.Address(), nil
+}
+
+func (s *System) startUpstreams(domain string) error {
+	for i, u := range []Upstream{
+		{Service: "fitting", Rack: "r1", CPUMilli: 32000, MemoryMB: 65536, Slots: 8},
+		{Service: "fitting", Rack: "r2", CPUMilli: 32000, MemoryMB: 65536, Slots: 8},
+		{Service: "design", Rack: "r1", CPUMilli: 32000, MemoryMB: 131072, Accelerators: 8, Slots: 8},
+	} {
+		u.Domain = domain
+		u.VM = fmt.Sprintf("%s-up%d", domain, i+1)
+		w := newWorker(u)
+		s.workers = append(s.workers, w)
+		address, err := s.serve(w)
+		if err != nil {
+			return err
+		}
+		if err := s.vms.Put(w.Row(address)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *System) startEntry(ctx context.Context, domain, platformAddress string, opts Options) error {
+	conf := settings.Default()
+	conf.Entry = settings.Entry{VM: domain + "-entry1", Domain: domain, Region: "dev"}
+	internal, err := freeAddress()
+	if err != nil {
+		return err
+	}
+	conf.Listen = settings.Listen{Callers: loopback, Internal: internal, Operators: loopback}
+	conf.Platform.Log = []string{platformAddress}
+	conf.Platform.VMList = []string{platformAddress}
+	conf.Platform.BootstrapKey = bootstrapKey
+	conf.Log.Level = opts.LogLevel
+	conf.Trace.Exporter = opts.Trace
+	conf.Trace.SampleRatio = 1
+	conf.Shutdown.BalancerDelay = 0
+	a, err := agent.New(conf, agent.Options{LogOutput: opts.LogOutput})
+	if err != nil {
+		return eris.Wrap(err, "devmode: can't assemble an entry")
+	}
+	if err := a.Start(ctx); err != nil {
+		return eris.Wrap(err, "devmode: can't start an entry")
+	}
+	s.agents = append(s.agents, a)
+	return s.vms.Put(platform.VM{
+		ID: conf.Entry.VM, Incarnation: "1", Role: platform.RoleEntry, State: platform.VMLive,
+		Region: "dev", Domain: domain, Rack: "r1", Address: internal,
+	})
+}
+
+// freeAddress returns a loopback address with a port that was free a moment
+// ago; entries must know their internal address before they start.
+func freeAddress() (string, error) {
+	listener, err := net.Listen("tcp", loopback)
+	if err != nil {
+		return "", eris.Wrap(err, "devmode: no free port")
+	}
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String(), nil
+}
+
+// waitReady waits until every entry is ready.
+func (s *System) waitReady(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	for _, a := range s.agents {
+		for a.Ready() != nil {
+			select {
+			case <-ctx.Done():
+				return eris.Wrap(a.Ready(), "devmode: an entry did not get ready")
+			case <-time.After(readyPoll):
+			}
+		}
+	}
+	return nil
+}
+
+// Stop stops everything.
+func (s *System) Stop(ctx context.Context) error {
+	var err error
+	for _, a := range s.agents {
+		err = errors.Join(err, a.Stop(ctx))
+	}
+	for _, w := range s.workers {
+		w.Close()
+	}
+	for _, server := range s.servers {
+		err = errors.Join(err, server.Stop(ctx))
+	}
+	return err
+}
