Test the HTTP interface and the calls between entries under faults

Ruled out: judging silence and stops by time limits on the wall clock; the tests wait for conditions instead, with a generous bound.

--- /dev/null
+++ b/internal/transport/httpapi/server_test.go
@@ -0,0 +1,214 @@
+package httpapi
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/samphirerail/samphirerail/internal/coordination"
+	v1 "github.com/samphirerail/samphirerail/internal/protocol/v1"
+	"github.com/samphirerail/samphirerail/internal/state"
+)
+
+func serve(t *testing.T, f *fixture, change func(*ServerConfig)) (*Server, string) {
+	t.Helper()
+	cfg := DefaultServerConfig("127.0.0.1:0")
+	cfg.BalancerDelay = 0
+	if change != nil {
+		change(&cfg)
+	}
+	s := NewServer(cfg, f.handler, f.health)
+	address, err := s.Start(nil)
+	is.New(t).NoErr(err)
+	t.Cleanup(func() { shutdown(t, s) })
+	return s, address.String()
+}
+
+func shutdown(t *testing.T, s *Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	is.New(t).NoErr(s.Shutdown(ctx))
+}
+
+func newClient(t *testing.T) *http.Client {
+	transport := &http.Transport{}
+	t.Cleanup(transport.CloseIdleConnections)
+	return &http.Client{Transport: transport, Timeout: patience}
+}
+
+func post(client *http.Client, address, body string) (int, string, error) {
+	request, err := http.NewRequest("POST", "http://"+address+"/v1/jobs", strings.NewReader(body))
+	if err != nil {
+		return 0, "", err
+	}
+	request.Header.Set("Authorization", "Bearer "+tideKey)
+	response, err := client.Do(request)
+	if err != nil {
+		return 0, "", err
+	}
+	defer response.Body.Close()
+	content, err := io.ReadAll(response.Body)
+	return response.StatusCode, string(content), err
+}
+
+func TestShutdownCutsNoCall(t *testing.T) {
+	is := is.New(t)
+	f := newFixture()
+	started := make(chan struct{})
+	release := make(chan struct{})
+	f.jobs.submit = func(_ context.Context, s coordination.Submission) (coordination.JobStatus, error) {
+		close(started)
+		<-release
+		return coordination.JobStatus{ID: s.ID, State: state.JobSucceeded}, nil
+	}
+	s, address := serve(t, f, nil)
+	answered := make(chan int, 1)
+	go func() {
+		code, _, err := post(newClient(t), address, quick)
+		if err != nil {
+			code = 0
+		}
+		answered <- code
+	}()
+	<-started
+	var stops sync.WaitGroup
+	for range 2 {
+		stops.Go(func() { shutdown(t, s) })
+	}
+	<-f.health.Draining()
+	is.True(errors.Is(f.health.Ready(), ErrDraining))
+	close(release)
+	is.Equal(<-answered, http.StatusOK)
+	stops.Wait()
+	_, _, err := post(newClient(t), address, quick)
+	is.True(err != nil)
+}
+
+func TestDrainingServerTakesCallsAndClosesConnections(t *testing.T) {
+	is := is.New(t)
+	f := newFixture()
+	s, address := serve(t, f, func(cfg *ServerConfig) { cfg.BalancerDelay = time.Hour })
+	conn, err := net.Dial("tcp", address)
+	is.NoErr(err)
+	defer conn.Close()
+	is.NoErr(conn.SetDeadline(time.Now().Add(patience)))
+	reader := bufio.NewReader(conn)
+	is.Equal(exchange(is, conn, reader).Close, false)
+
+	ctx, cancel := context.WithCancel(context.Background())
+	stopped := make(chan error, 1)
+	go func() { stopped <- s.Shutdown(ctx) }()
+	<-f.health.Draining()
+	response := exchange(is, conn, reader)
+	is.Equal(response.StatusCode, http.StatusOK)
+	is.True(response.Close)
+	_, err = reader.ReadByte()
+	is.True(errors.Is(err, io.EOF))
+	cancel()
+	<-stopped
+}
+
+// exchange sends a request on an open connection and reads the reply whole.
+func exchange(is *is.I, conn net.Conn, reader *bufio.Reader) *http.Response {
+	_, err := fmt.Fprintf(conn, "GET /v1/jobs/%s HTTP/1.1\r\nHost: entry\r\nAuthorization: Bearer %s\r\n\r\n", jobA, tideKey)
+	is.NoErr(err)
+	response, err := http.ReadResponse(reader, nil)
+	is.NoErr(err)
+	_, err = io.Copy(io.Discard, response.Body)
+	is.NoErr(err)
+	return response
+}
+
+func TestShutdownReportsCutCalls(t *testing.T) {
+	is := is.New(t)
+	f := newFixture()
+	started := make(chan struct{})
+	f.jobs.submit = func(ctx context.Context, _ coordination.Submission) (coordination.JobStatus, error) {
+		close(started)
+		<-ctx.Done()
+		return coordination.JobStatus{}, refusal(state.ReasonOutcomeUnknown, state.Unknown)
+	}
+	cfg := DefaultServerConfig("127.0.0.1:0")
+	s := NewServer(cfg, f.handler, f.health)
+	address, err := s.Start(nil)
+	is.NoErr(err)
+	failed := make(chan error, 1)
+	go func() {
+		_, _, err := post(newClient(t), address.String(), quick)
+		failed <- err
+	}()
+	<-started
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	is.True(errors.Is(s.Shutdown(ctx), context.Canceled))
+	is.True(<-failed != nil)
+}
+
+func TestWaitEndsWhenTheEntryDrains(t *testing.T) {
+	is := is.New(t)
+	f := newFixture()
+	waiting := make(chan struct{})
+	f.jobs.get = func(ctx context.Context, _ state.TeamID, wait time.Duration) (coordination.JobStatus, error) {
+		if wait > 0 {
+			close(waiting)
+			<-ctx.Done()
+			return coordination.JobStatus{}, refusal(state.ReasonOutcomeUnknown, state.Unknown)
+		}
+		return coordination.JobStatus{ID: jobA, State: state.JobRunning}, nil
+	}
+	go func() {
+		<-waiting
+		f.health.Drain()
+	}()
+	got := f.do(call{method: "GET", path: "/v1/jobs/" + string(jobA) + "?wait_ms=30000", key: tideKey})
+	is.Equal(got.Code, http.StatusOK)
+	is.Equal(decode[v1.JobStatus](t, got.Body).State, state.JobRunning)
+	is.Equal(got.Header().Get("Connection"), "")
+}
+
+func TestServerLimits(t *testing.T) {
+	tests := []struct {
+		name string
+		send string
+		want string
+	}{
+		{name: "large header", send: "GET / HTTP/1.1\r\nHost: e\r\nX: " + strings.Repeat("a", 32<<10) + "\r\n\r\n", want: "HTTP/1.1 431"},
+		{name: "slow header", send: "GET / HTTP/1.1\r\nHost: e\r\n", want: ""},
+		{name: "slow body", send: "POST /v1/jobs HTTP/1.1\r\nHost: e\r\nAuthorization: Bearer " + tideKey + "\r\nContent-Length: 9\r\n\r\n{", want: "HTTP/1.1 400"},
+		{name: "no HTTP", send: "\x16\x03\x01\r\n\r\n", want: "HTTP/1.1 400"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture()
+			_, address := serve(t, f, func(cfg *ServerConfig) {
+				cfg.ReadHeaderTimeout = 100 * time.Millisecond
+				cfg.ReadTimeout = 100 * time.Millisecond
+			})
+			conn, err := net.Dial("tcp", address)
+			is.NoErr(err)
+			defer conn.Close()
+			is.NoErr(conn.SetDeadline(time.Now().Add(patience)))
+			_, _ = io.WriteString(conn, tt.send)
+			reply, _ := io.ReadAll(conn)
+			is.True(strings.HasPrefix(string(reply), tt.want))
+			is.Equal(f.jobs.calls.Load(), int64(0))
+		})
+	}
+}
+
+func TestStartFailsOnABadAddress(t *testing.T) {
+	f := newFixture()
+	_, err := NewServer(DefaultServerConfig("192.0.2.1:1"), f.handler, f.health).Start(nil)
+	is.New(t).True(err != nil)
+}
--- /dev/null
+++ b/internal/transport/rpc/fuzz_test.go
@@ -0,0 +1,35 @@
+package rpc
+
+import (
+	"net"
+	"net/rpc"
+	"testing"
+	"time"
+)
+
+// FuzzFrames reads arbitrary bytes as frames: it must end with an error, never
+// with a panic.
+func FuzzFrames(f *testing.F) {
+	for _, seed := range []string{"", "\x00\x00\x00\x00", "\x00\x00\x00\x02\x01\x02", "\xff\xff\xff\xff", "\x00\x00\x00\x09\x08\xff\x81\x03\x01"} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		near, far := net.Pipe()
+		go func() {
+			_, _ = far.Write(data)
+			_ = far.Close()
+		}()
+		defer near.Close()
+		reader := newFrames(near, 1<<16, time.Second)
+		for reader.next() == nil {
+			var request rpc.Request
+			if reader.decode(&request) != nil {
+				return
+			}
+			var args SubmitArgs
+			if reader.decode(&args) != nil {
+				return
+			}
+		}
+	})
+}
--- a/internal/transport/rpc/server.go
+++ b/internal/transport/rpc/server.go
@@ -38,6 +38,9 @@
 	Logger         hclog.Logger
 	Registry       metrics.Registry
 	Tracer         trace.TracerProvider
+
+	// noGoodbye is changed by tests.
+	noGoodbye bool
 }
 
 // DefaultServerConfig returns the usual limits. Logger, Registry and Tracer are
--- a/internal/transport/rpc/serverconn.go
+++ b/internal/transport/rpc/serverconn.go
@@ -138,9 +138,9 @@
 // side and leaves the reading side open for a while: closing both with calls
 // unread would reset the connection and could destroy the promise on its way.
 func (sc *serverConn) farewell() {
-	if err := sc.goodbye(); err != nil {
-		_ = sc.conn.Close()
-		return
+	if !sc.server.cfg.noGoodbye {
+		// A failure shows when the other end closes, or after the linger.
+		_ = sc.goodbye()
 	}
 	if tcp, ok := sc.conn.(*net.TCPConn); ok {
 		_ = tcp.CloseWrite()
