--- a/internal/coordination/routing/main_test.go
+++ b/internal/coordination/routing/main_test.go
@@ -20,6 +20,9 @@
 	if err := flag.Set("rapid.seed", seed); err != nil {
 		panic(err)
 	}
+	if err := flag.Set("rapid.nofailfile", "true"); err != nil {
+		panic(err)
+	}
 	fmt.Println("rapid seed", seed)
 	goleak.VerifyTestMain(m)
 }
