Drive the whole path as separate processes

Cause: each part was tested alone; nothing showed that a request goes from a caller through an entry that owns nothing to a worker and back. Found on the way and mended: a request whose ID the entry had issued itself was treated as one that an earlier owner might have run (Fresh was not set), and a job refused at once was answered as not found. Change: end-to-end tests that start every process, a checker that judges from the workers' own records and from what callers were told.

--- a/internal/coordination/owner/jobs.go
+++ b/internal/coordination/owner/jobs.go
@@ -44,6 +44,9 @@
 	actions := s.machine.Step(s.now(), machine.Submit{Job: job})
 	own, rest := splitConflict(actions, job.ID)
 	s.perform(ctx, rest)
+	if own == nil {
+		own = answerIn(rest, job.ID)
+	}
 	if own != nil {
 		status <- statusOfAnswer(*own)
 		return
@@ -51,6 +54,17 @@
 	s.waitFor(job.ID, sub.Wait > 0, status)
 }
 
+// answerIn returns the answer to a job that was refused at once, and nil when
+// there is none.
+func answerIn(actions []machine.Action, id state.JobID) *machine.Answer {
+	for _, action := range actions {
+		if a, ok := action.(machine.Answer); ok && a.Job == id {
+			return &a
+		}
+	}
+	return nil
+}
+
 // splitConflict takes out the refusal that concerns this submission and not the
 // job that already has its ID.
 func splitConflict(actions []machine.Action, id state.JobID) (*machine.Answer, []machine.Action) {
--- a/internal/coordination/owner/status.go
+++ b/internal/coordination/owner/status.go
@@ -19,15 +19,24 @@
 		Outputs: v.Outputs, Refusal: v.Refusal, Waiting: v.Waiting,
 	}
 	for _, t := range v.Tasks {
-		place := coordination.TaskPlace{Task: t.Task, VM: t.VM, State: platform.TaskUnknown}
-		if t.State == machine.TaskRunning {
-			place.State = platform.TaskRunning
-		}
-		status.Tasks = append(status.Tasks, place)
+		status.Tasks = append(status.Tasks, coordination.TaskPlace{Task: t.Task, VM: t.VM, State: taskState(t.State)})
 	}
 	return status
 }
 
+// taskState tells the caller what is proved of a task.
+func taskState(s machine.TaskState) platform.TaskState {
+	switch s {
+	case machine.TaskRunning, machine.TaskStopping:
+		return platform.TaskRunning
+	case machine.TaskDone:
+		return platform.TaskSucceeded
+	case machine.TaskWaiting, machine.TaskStarting, machine.TaskResolving:
+		return platform.TaskUnknown
+	}
+	return platform.TaskUnknown
+}
+
 func unknownJob(id state.JobID) *state.Refusal {
 	return &state.Refusal{
 		Reason:  state.ReasonNotFound,
--- /dev/null
+++ b/internal/e2e/cluster_test.go
@@ -0,0 +1,324 @@
+package e2e
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	v1 "github.com/samphirerail/samphirerail/internal/protocol/v1"
+	"github.com/samphirerail/samphirerail/internal/state"
+	"github.com/samphirerail/samphirerail/platform"
+	"github.com/samphirerail/samphirerail/standin/worker"
+)
+
+const bootstrapKey = "boot.secret"
+
+// team is the customer team of these tests.
+const team = state.TeamID("fitting-north")
+
+// entryProcess is an entry with its addresses.
+type entryProcess struct {
+	*process
+	vm, domain, callers, internal, operators string
+	config                                   string
+}
+
+// cluster is a whole system of separate processes.
+type cluster struct {
+	t         *testing.T
+	platform  string
+	upstreams map[string]string
+	entries   []*entryProcess
+	http      *http.Client
+	teamKey   string
+}
+
+// shape says how large a cluster is.
+type shape struct {
+	domains   []string
+	entries   int
+	upstreams int
+	settings  string
+}
+
+var twoDomains = shape{domains: []string{"north", "south"}, entries: 2, upstreams: 2}
+
+// startCluster starts a platform, upstreams and entries, and grants a key.
+func startCluster(t *testing.T, s shape) *cluster {
+	t.Helper()
+	c := &cluster{t: t, upstreams: map[string]string{}, http: &http.Client{Timeout: patience}}
+	c.platform = start(t, "platform", "samphirerail", "dev", "platform").listening()
+	for _, domain := range s.domains {
+		for i := range s.upstreams {
+			c.startUpstream(fmt.Sprintf("%s-up%d", domain, i+1), domain)
+		}
+	}
+	for _, domain := range s.domains {
+		for i := range s.entries {
+			c.entries = append(c.entries, c.startEntry(fmt.Sprintf("%s-e%d", domain, i+1), domain, s.settings))
+		}
+	}
+	c.configure(s)
+	return c
+}
+
+func (c *cluster) startUpstream(vm, domain string) *process {
+	p := start(c.t, vm, "samphirerail", "dev", "upstream", "--platform", c.platform, "--vm", vm, "--domain", domain, "--service", "fitting")
+	c.upstreams[vm] = p.listening()
+	return p
+}
+
+func freeAddress(t *testing.T) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+func (c *cluster) startEntry(vm, domain, extra string) *entryProcess {
+	e := &entryProcess{vm: vm, domain: domain, callers: freeAddress(c.t), internal: freeAddress(c.t), operators: freeAddress(c.t)}
+	e.config = filepath.Join(c.t.TempDir(), vm+".toml")
+	text := fmt.Sprintf(`
+[entry]
+vm = %q
+domain = %q
+region = "test"
+[listen]
+callers = %q
+internal = %q
+operators = %q
+[platform]
+log = [%q]
+vm_list = [%q]
+bootstrap_key = %q
+[shutdown]
+balancer_delay = "200ms"
+%s`, vm, domain, e.callers, e.internal, e.operators, c.platform, c.platform, bootstrapKey, extra)
+	if err := os.WriteFile(e.config, []byte(text), 0o600); err != nil {
+		c.t.Fatal(err)
+	}
+	c.list(platform.VM{
+		ID: vm, Incarnation: "1", Role: platform.RoleEntry, State: platform.VMLive, Region: "test", Domain: domain, Address: e.internal,
+	})
+	e.process = start(c.t, vm, "samphirerail", "run", "--config", e.config)
+	return e
+}
+
+// list puts a VM on the platform's list.
+func (c *cluster) list(vm platform.VM) {
+	c.t.Helper()
+	c.must(http.MethodPut, c.platform, platform.PathVMs, "", vm, nil)
+}
+
+// faults sets the switches of a stand-in.
+func (c *cluster) faults(address string, switches any) {
+	c.t.Helper()
+	c.must(http.MethodPut, address, "/faults", "", switches, nil)
+}
+
+// configure waits for all entries and upstreams and sets up one team.
+func (c *cluster) configure(s shape) {
+	c.t.Helper()
+	for _, e := range c.entries {
+		c.waitReady(e)
+	}
+	base := v1.AnyVersion
+	domains := v1.PutDomains{Write: v1.Write{BaseVersion: &base}}
+	for _, d := range s.domains {
+		domains.Domains = append(domains.Domains, v1.Domain{ID: state.DomainID(d), Region: "test", Weight: 1})
+	}
+	address := c.entries[0].callers
+	c.must(http.MethodPut, address, "/v1/domains", bootstrapKey, domains, nil)
+	c.putContract(address, contract(16*int64(len(s.domains))))
+	var granted v1.GrantedKey
+	c.must(http.MethodPost, address, "/v1/keys", bootstrapKey, v1.GrantKey{ID: "team-key", Team: team, Role: v1.RoleCaller}, &granted)
+	c.teamKey = granted.Bearer
+	for _, e := range c.entries {
+		c.waitUpstreams(e, s.upstreams)
+		c.waitKey(e, c.teamKey, true)
+	}
+}
+
+// contract returns a contract for a number of slots over all domains.
+func contract(slots int64) v1.Contract {
+	return v1.Contract{
+		Services:   []state.Service{"fitting"},
+		Classes:    []state.Class{state.ClassRequest, state.ClassBatch, state.ClassGang, state.ClassStanding},
+		SubmitRate: 10000, SubmitBurst: 10000, MaxQueued: 10000, Weight: 1,
+		Limit: v1.Limit{CPUMilli: slots * 4000, MemoryMB: slots * 8192, Accelerators: 0, Slots: slots},
+	}
+}
+
+func (c *cluster) putContract(address string, message v1.Contract) v1.WriteResult {
+	c.t.Helper()
+	base := v1.AnyVersion
+	var result v1.WriteResult
+	c.must(http.MethodPut, address, "/v1/contracts/"+string(team), bootstrapKey, v1.PutContract{Write: v1.Write{BaseVersion: &base}, Contract: message}, &result)
+	return result
+}
+
+func (c *cluster) waitReady(e *entryProcess) {
+	c.t.Helper()
+	eventually(c.t, e.vm+" is ready", func() error {
+		status, _, err := c.call(http.MethodGet, e.operators, "/readyz", "", nil)
+		if err == nil && status != http.StatusOK {
+			err = fmt.Errorf("status %d", status)
+		}
+		return err
+	})
+}
+
+// waitUpstreams waits until the domain's owner, as the entry sees it, has
+// fenced n upstreams.
+func (c *cluster) waitUpstreams(e *entryProcess, n int) {
+	c.t.Helper()
+	eventually(c.t, fmt.Sprintf("%s sees %d fenced upstreams", e.vm, n), func() error {
+		for _, shard := range c.status(e).Shards {
+			if string(shard.Shard) == e.domain+"/0" && shard.Fenced == n {
+				return nil
+			}
+		}
+		return fmt.Errorf("not yet")
+	})
+}
+
+// waitKey waits until an entry accepts a key, or accepts it no more.
+func (c *cluster) waitKey(e *entryProcess, key string, accepted bool) {
+	c.t.Helper()
+	eventually(c.t, e.vm+" knows the key", func() error {
+		status, _, err := c.call(http.MethodGet, e.callers, "/v1/jobs/"+e.domain+".01980000-0000-7000-8000-000000000000", key, nil)
+		if err == nil && (status != http.StatusUnauthorized) != accepted {
+			err = fmt.Errorf("status %d", status)
+		}
+		return err
+	})
+}
+
+func (c *cluster) status(e *entryProcess) v1.Status {
+	c.t.Helper()
+	var status v1.Status
+	c.must(http.MethodGet, e.callers, "/v1/status", bootstrapKey, nil, &status)
+	return status
+}
+
+// owner returns the entry process that owns a domain's shard.
+func (c *cluster) owner(domain string) *entryProcess {
+	c.t.Helper()
+	var found *entryProcess
+	eventually(c.t, "owner of "+domain, func() error {
+		for _, e := range c.entries {
+			if e.domain != domain || e.ended() {
+				continue
+			}
+			for _, shard := range c.status(e).Shards {
+				for _, candidate := range c.entries {
+					if string(shard.Shard) == domain+"/0" && string(shard.Owner.VM()) == candidate.vm && !candidate.ended() {
+						found = candidate
+						return nil
+					}
+				}
+			}
+		}
+		return fmt.Errorf("none")
+	})
+	return found
+}
+
+func (p *process) ended() bool {
+	select {
+	case <-p.done:
+		return true
+	default:
+		return false
+	}
+}
+
+// other returns another living entry of the same domain.
+func (c *cluster) other(e *entryProcess) *entryProcess {
+	for _, o := range c.entries {
+		if o != e && o.domain == e.domain && !o.ended() {
+			return o
+		}
+	}
+	c.t.Fatalf("no other entry in %s", e.domain)
+	return nil
+}
+
+// history returns what a worker has run.
+func (c *cluster) history(vm string) worker.History {
+	c.t.Helper()
+	var h worker.History
+	c.must(http.MethodGet, c.upstreams[vm], worker.HistoryPath, "", nil, &h)
+	return h
+}
+
+func (c *cluster) must(method, address, path, key string, message, reply any) {
+	c.t.Helper()
+	status, data, err := c.call(method, address, path, key, message)
+	if err != nil {
+		c.t.Fatalf("%s %s%s: %v", method, address, path, err)
+	}
+	if status >= http.StatusMultipleChoices {
+		c.t.Fatalf("%s %s%s: status %d: %s", method, address, path, status, data)
+	}
+	if reply != nil {
+		if err := json.Unmarshal(data, reply); err != nil {
+			c.t.Fatalf("%s %s%s: %v", method, address, path, err)
+		}
+	}
+}
+
+// call makes one HTTP call and returns the whole body.
+func (c *cluster) call(method, address, path, key string, message any) (int, []byte, error) {
+	var body io.Reader
+	if message != nil {
+		data, err := json.Marshal(message)
+		if err != nil {
+			return 0, nil, err
+		}
+		body = bytes.NewReader(data)
+	}
+	req, err := http.NewRequest(method, "http://"+address+path, body)
+	if err != nil {
+		return 0, nil, err
+	}
+	if key != "" {
+		req.Header.Set("Authorization", "Bearer "+key)
+	}
+	if message != nil {
+		req.Header.Set("Content-Type", "application/json")
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, data, err
+}
+
+// settle lets work in flight come to its end: it waits until no worker runs
+// anything but standing work.
+func (c *cluster) settle() {
+	c.t.Helper()
+	eventually(c.t, "workers are idle", func() error {
+		for vm := range c.upstreams {
+			for _, r := range c.history(vm).Runs {
+				if r.EndUnixNano == 0 && r.Class != string(state.ClassStanding) {
+					return fmt.Errorf("%s runs on %s", r.TaskID, vm)
+				}
+			}
+		}
+		return nil
+	})
+	time.Sleep(50 * time.Millisecond)
+}
--- a/internal/transport/httpapi/jobs.go
+++ b/internal/transport/httpapi/jobs.go
@@ -36,6 +36,7 @@
 	}
 	if request.ID == "" {
 		request.ID = a.Jobs.IssueIDs(1)[0]
+		request.FirstAttempt = true
 	}
 	status, err := a.Jobs.Submit(c.Request.Context(), request.Submission(team))
 	if err != nil {
