Add the platform stand-ins and the HTTP clients of the ports

Cause: every layer above needs a log service, a VM list and workers to talk to over the wire, and clients that keep "nothing was done" apart from "nothing is known".

Ruled out: faults as middleware outside the stand-ins, since silent connections and answers lost after the effect need the connection and the effect; enforcing capacity in the worker, since then a test could not see the scheduler exceed it.

Change: module standin with logservice, vmlist, worker and the fault gate; internal/transport/platformclient; platform gains ErrNotSent, EncodeError, ErrorBody.Err, and what is retained with ErrForgotten.

--- /dev/null
+++ b/internal/transport/platformclient/caller.go
@@ -0,0 +1,195 @@
+package platformclient
+
+import (
+	"bytes"
+	"cmp"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/codes"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+
+	"github.com/samphirerail/samphirerail/platform"
+)
+
+// errReplyTooLarge says that a reply exceeded Options.MaxReplyBytes.
+var errReplyTooLarge = errors.New("the reply exceeds the size limit; raise MaxReplyBytes")
+
+// caller makes calls to addresses that serve the same port.
+type caller struct {
+	options    Options
+	addresses  []string
+	preferred  atomic.Int64
+	transport  *http.Transport
+	tracer     trace.Tracer
+	propagator propagation.TextMapPropagator
+}
+
+func newCaller(addresses []string, options Options) *caller {
+	options = options.withDefaults()
+	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: keepAliveInterval}
+	if options.LocalAddress.IsValid() {
+		dialer.LocalAddr = &net.TCPAddr{IP: options.LocalAddress.AsSlice()}
+	}
+	return &caller{
+		options:   options,
+		addresses: addresses,
+		transport: &http.Transport{
+			DialContext:         dialer.DialContext,
+			MaxConnsPerHost:     options.MaxConnections,
+			MaxIdleConnsPerHost: cmp.Or(options.MaxConnections, maxIdleConnections),
+			IdleConnTimeout:     idleTimeout,
+			DisableCompression:  true,
+		},
+		tracer:     options.TracerProvider.Tracer(tracerName),
+		propagator: propagation.TraceContext{},
+	}
+}
+
+// close drops the idle connections.
+func (c *caller) close() { c.transport.CloseIdleConnections() }
+
+// call is one request to a port.
+type call struct {
+	// name is that of the span.
+	name   string
+	method string
+	path   string
+	body   any
+	// timeout bounds the call; 0 leaves it to the context.
+	timeout time.Duration
+}
+
+// do makes a call and decodes its reply. It tries the next address only while
+// the call has not left the process. A failed call returns the error body that
+// the other side sent, if any.
+func (c *caller) do(ctx context.Context, cl call, reply any) (*platform.ErrorBody, error) {
+	ctx, span := c.tracer.Start(ctx, cl.name, trace.WithSpanKind(trace.SpanKindClient))
+	defer span.End()
+	body, err := c.tryAddresses(ctx, cl, reply, span)
+	if err != nil {
+		span.RecordError(err)
+		span.SetStatus(codes.Error, err.Error())
+	}
+	return body, err
+}
+
+func (c *caller) tryAddresses(ctx context.Context, cl call, reply any, span trace.Span) (*platform.ErrorBody, error) {
+	data, err := encode(cl.body)
+	if err != nil {
+		return nil, eris.Wrapf(platform.ErrNotSent, "%s: %v", cl.name, err)
+	}
+	parent := ctx
+	if cl.timeout > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, cl.timeout)
+		defer cancel()
+	}
+	first := int(c.preferred.Load())
+	err = eris.Wrapf(platform.ErrNotSent, "%s: no address is configured", cl.name)
+	for i := range c.addresses {
+		index := (first + i) % len(c.addresses)
+		span.SetAttributes(attribute.String("server.address", c.addresses[index]))
+		var body *platform.ErrorBody
+		body, err = c.exchange(ctx, cl, c.addresses[index], data, reply)
+		if !errors.Is(err, platform.ErrNotSent) || ctx.Err() != nil {
+			c.choose(parent, index, body, err)
+			return body, err
+		}
+	}
+	return nil, err
+}
+
+// choose notes the address to begin with next time: after a call without a
+// whole reply, the following one. Then the idle connections are dropped too,
+// since they may be as silent as the one that was used.
+func (c *caller) choose(parent context.Context, index int, body *platform.ErrorBody, err error) {
+	answered := err == nil || body != nil
+	givenUp := errors.Is(parent.Err(), context.Canceled)
+	if !answered && !givenUp {
+		c.transport.CloseIdleConnections()
+		index++
+	}
+	if body != nil && errors.Is(err, platform.ErrUnavailable) {
+		index++
+	}
+	c.preferred.Store(int64(index % len(c.addresses)))
+}
+
+// exchange sends one request and reads its whole reply.
+func (c *caller) exchange(ctx context.Context, cl call, address string, data []byte, reply any) (*platform.ErrorBody, error) {
+	var connected atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	})
+	req, err := http.NewRequestWithContext(ctx, cl.method, "http://"+address+cl.path, bytes.NewReader(data))
+	if err != nil {
+		return nil, eris.Wrapf(platform.ErrNotSent, "%s to %s: %v", cl.name, address, err)
+	}
+	req.Header.Set("Content-Type", "application/json")
+	c.propagator.Inject(ctx, propagation.HeaderCarrier(req.Header))
+	res, err := c.transport.RoundTrip(req)
+	if err != nil {
+		return nil, eris.Wrapf(lostOrNotSent(connected.Load()), "%s to %s: %v", cl.name, address, err)
+	}
+	defer func() { _ = res.Body.Close() }()
+	received, err := readAll(res.Body, c.options.MaxReplyBytes)
+	if err != nil {
+		return nil, eris.Wrapf(platform.ErrUnavailable, "%s to %s: %v", cl.name, address, err)
+	}
+	return decode(cl, address, res.StatusCode, received, reply)
+}
+
+// lostOrNotSent returns the error for a call without a reply.
+func lostOrNotSent(connected bool) error {
+	if connected {
+		return platform.ErrUnavailable
+	}
+	return platform.ErrNotSent
+}
+
+func encode(body any) ([]byte, error) {
+	if body == nil {
+		return nil, nil
+	}
+	return json.Marshal(body)
+}
+
+// readAll reads a body to its end; one that is cut short or too large is an
+// error.
+func readAll(body io.Reader, limit int64) ([]byte, error) {
+	data, err := io.ReadAll(io.LimitReader(body, limit+1))
+	if err != nil {
+		return nil, err
+	}
+	if int64(len(data)) > limit {
+		return nil, errReplyTooLarge
+	}
+	return data, nil
+}
+
+// decode turns a whole reply into its value or its error.
+func decode(cl call, address string, status int, data []byte, reply any) (*platform.ErrorBody, error) {
+	if status == http.StatusOK {
+		if err := json.Unmarshal(data, reply); err != nil {
+			return nil, eris.Wrapf(platform.ErrUnavailable, "%s to %s: reply: %v", cl.name, address, err)
+		}
+		return nil, nil
+	}
+	var body platform.ErrorBody
+	if err := json.Unmarshal(data, &body); err != nil {
+		return nil, eris.Wrapf(platform.ErrUnavailable, "%s to %s: status %d", cl.name, address, status)
+	}
+	return &body, eris.Wrap(body.Err(), fmt.Sprintf("%s to %s", cl.name, address))
+}
--- /dev/null
+++ b/internal/transport/platformclient/helpers_test.go
@@ -0,0 +1,113 @@
+package platformclient
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/goleak"
+
+	"github.com/samphirerail/samphirerail/platform"
+	"github.com/samphirerail/samphirerail/standin"
+	"github.com/samphirerail/samphirerail/standin/worker"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// serve serves a stand-in on loopback for the time of a test.
+func serve(t *testing.T, handler standin.Handler) *standin.Server {
+	t.Helper()
+	server, err := standin.Listen("127.0.0.1:0", handler)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(server.Kill)
+	return server
+}
+
+// rig is a worker stand-in with a client that has fenced it.
+type rig struct {
+	t      *testing.T
+	is     *is.I
+	ctx    context.Context
+	worker *worker.Worker
+	server *standin.Server
+	client *Worker
+	epoch  platform.Epoch
+	fence  platform.FenceReply
+}
+
+func newRig(t *testing.T, config worker.Config, options Options) *rig {
+	t.Helper()
+	r := &rig{t: t, is: is.New(t), ctx: t.Context(), epoch: platform.Epoch{Number: 1, Owner: "a/1"}}
+	config.VMID = "vm-1"
+	if config.Capacity == (platform.Capacity{}) {
+		config.Capacity = platform.Capacity{
+			Resources: platform.Resources{CPUMilli: 32000, MemoryMB: 64000}, Slots: 8, Connections: 64,
+		}
+	}
+	r.worker = worker.New(config)
+	t.Cleanup(r.worker.Close)
+	r.server = serve(t, r.worker)
+	r.client = NewWorker(r.server.Address(), options)
+	t.Cleanup(r.client.Close)
+	r.refence()
+	return r
+}
+
+// refence fences the worker with the epoch of the rig.
+func (r *rig) refence() {
+	r.t.Helper()
+	reply, err := r.client.Fence(r.ctx, platform.FenceRequest{Epoch: r.epoch})
+	r.is.NoErr(err)
+	r.fence = reply
+}
+
+// lease returns the end of a lease that holds from now on.
+func (r *rig) lease(d time.Duration) platform.WorkerClock {
+	r.t.Helper()
+	reply, err := r.client.Inspect(r.ctx, platform.InspectRequest{TaskID: "clock"})
+	r.is.NoErr(err)
+	return reply.Clock + platform.WorkerClock(d)
+}
+
+func (r *rig) start(id, payload string, lease time.Duration, wait bool) (platform.StartReply, error) {
+	r.t.Helper()
+	return r.client.Start(r.ctx, platform.StartRequest{
+		Epoch: r.epoch, Incarnation: r.fence.Incarnation, LeaseUntil: r.lease(lease), Wait: wait,
+		Spec: platform.TaskSpec{TaskID: id, JobID: "job-" + id, Team: "braid", Class: "request", Payload: []byte(payload)},
+	})
+}
+
+func (r *rig) sync(until platform.WorkerClock, ack int64, wait time.Duration) (platform.SyncReply, error) {
+	return r.client.Sync(r.ctx, platform.SyncRequest{
+		Epoch: r.epoch, Incarnation: r.fence.Incarnation, LeaseUntil: until, AckEvent: ack, Wait: wait,
+	})
+}
+
+func (r *rig) control(verb platform.ControlVerb, ids ...string) (platform.ControlReply, error) {
+	return r.client.Control(r.ctx, platform.ControlRequest{
+		Epoch: r.epoch, Incarnation: r.fence.Incarnation, Verb: verb, TaskIDs: ids,
+	})
+}
+
+// state returns what the worker says of a task.
+func (r *rig) state(id string) platform.TaskState {
+	r.t.Helper()
+	reply, err := r.client.Inspect(r.ctx, platform.InspectRequest{TaskID: id})
+	r.is.NoErr(err)
+	return reply.Status.State
+}
+
+// eventually polls until ok, for half a minute at most.
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(30 * time.Second)
+	for !ok() {
+		if time.Now().After(deadline) {
+			t.Fatalf("not reached: %s", what)
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
--- /dev/null
+++ b/standin/faults/recorder.go
@@ -0,0 +1,23 @@
+package faults
+
+import (
+	"bytes"
+	"net/http"
+)
+
+// recorder holds an answer back until the gate has decided what to do with it.
+type recorder struct {
+	header http.Header
+	status int
+	body   bytes.Buffer
+}
+
+func newRecorder() *recorder {
+	return &recorder{header: http.Header{}, status: http.StatusOK}
+}
+
+func (r *recorder) Header() http.Header { return r.header }
+
+func (r *recorder) WriteHeader(status int) { r.status = status }
+
+func (r *recorder) Write(data []byte) (int, error) { return r.body.Write(data) }
--- /dev/null
+++ b/standin/internal/wire/wire.go
@@ -0,0 +1,66 @@
+// Package wire carries the platform's calls over HTTP: JSON requests, JSON
+// replies, and errors as platform.ErrorBody.
+package wire
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/samphirerail/samphirerail/platform"
+)
+
+// MaxBodyBytes is the largest request body that a stand-in reads.
+const MaxBodyBytes = 64 << 20
+
+// Handle serves one call of a port. It answers what call returns, or the error
+// as platform.ErrorBody.
+func Handle[Request, Reply any](call func(context.Context, Request) (Reply, error)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		var req Request
+		if err := Decode(r, &req); err != nil {
+			WriteError(w, err)
+			return
+		}
+		reply, err := call(r.Context(), req)
+		if err != nil {
+			WriteError(w, err)
+			return
+		}
+		WriteJSON(w, http.StatusOK, reply)
+	}
+}
+
+// Decode reads the JSON body of a request. It fails with platform.ErrInvalid.
+func Decode(r *http.Request, into any) error {
+	body, err := io.ReadAll(io.LimitReader(r.Body, MaxBodyBytes))
+	if err != nil {
+		return fmt.Errorf("%w: body: %w", platform.ErrInvalid, err)
+	}
+	if err := json.Unmarshal(body, into); err != nil {
+		return fmt.Errorf("%w: body: %w", platform.ErrInvalid, err)
+	}
+	return nil
+}
+
+// WriteError answers with an error.
+func WriteError(w http.ResponseWriter, err error) {
+	status, body := platform.EncodeError(err)
+	WriteJSON(w, status, body)
+}
+
+// WriteJSON answers with a value.
+func WriteJSON(w http.ResponseWriter, status int, value any) {
+	data, err := json.Marshal(value)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
+	w.WriteHeader(status)
+	_, _ = w.Write(data)
+}
--- /dev/null
+++ b/standin/platform.go
@@ -0,0 +1,58 @@
+package standin
+
+import (
+	"net/http"
+
+	"github.com/samphirerail/samphirerail/platform"
+	"github.com/samphirerail/samphirerail/standin/faults"
+	"github.com/samphirerail/samphirerail/standin/logservice"
+	"github.com/samphirerail/samphirerail/standin/vmlist"
+)
+
+// Faults are the switches of a Platform.
+type Faults struct {
+	Log logservice.Faults `json:"log,omitzero"`
+	VMs vmlist.Faults     `json:"vms,omitzero"`
+}
+
+// Platform is the log service and the VM list on one listener.
+type Platform struct {
+	Log *logservice.Service
+	VMs *vmlist.Service
+
+	gate *faults.Gate
+	mux  *http.ServeMux
+}
+
+// NewPlatform returns a platform stand-in. Its faults are set at
+// faults.AdminPath with one object for both services.
+func NewPlatform(log *logservice.Service, vms *vmlist.Service) *Platform {
+	p := &Platform{Log: log, VMs: vms, mux: http.NewServeMux()}
+	p.gate = log.Gate()
+	vms.Gate().ShareConnections(p.gate)
+	p.mux.Handle("/v1/log/", log)
+	p.mux.Handle(logservice.StatsPath, log)
+	p.mux.Handle(platform.PathVMs, vms)
+	p.mux.Handle(platform.PathVMs+"/", vms)
+	faults.Register(p.mux, p.Faults, p.SetFaults)
+	return p
+}
+
+// ServeHTTP serves both services and their switches.
+func (p *Platform) ServeHTTP(w http.ResponseWriter, r *http.Request) { p.mux.ServeHTTP(w, r) }
+
+// Gate returns the gate that counts the connections.
+func (p *Platform) Gate() *faults.Gate { return p.gate }
+
+// Faults returns the switches of both services.
+func (p *Platform) Faults() Faults {
+	return Faults{Log: p.Log.Faults(), VMs: p.VMs.Faults()}
+}
+
+// SetFaults replaces the switches of both services.
+func (p *Platform) SetFaults(f Faults) error {
+	if err := p.Log.SetFaults(f.Log); err != nil {
+		return err
+	}
+	return p.VMs.SetFaults(f.VMs)
+}
--- /dev/null
+++ b/standin/worker/advance.go
@@ -0,0 +1,105 @@
+package worker
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/samphirerail/samphirerail/platform"
+)
+
+// clock reads the worker's monotonic clock.
+func (w *Worker) clock() platform.WorkerClock {
+	return platform.WorkerClock(time.Since(w.startedAt))
+}
+
+// wall converts a reading of the worker's clock to Unix nanoseconds.
+func (w *Worker) wall(c platform.WorkerClock) int64 {
+	return w.startedAt.Add(time.Duration(c)).UnixNano()
+}
+
+// advance brings the worker up to its clock: tasks that are due end, and all
+// others stop when the lease has lapsed. Every call begins with it, so that a
+// late timer changes nothing.
+func (w *Worker) advance() {
+	now := w.clock()
+	limit := min(now, w.leaseUntil)
+	for _, t := range w.due(limit) {
+		w.finish(t, t.plan.state, t.plan.output, t.plan.endAt)
+	}
+	if now >= w.leaseUntil {
+		w.stopAll()
+	}
+	w.forgetOldRecords(now)
+	w.rearm(now)
+}
+
+// due returns the running tasks that end by a time, in the order of their ends.
+func (w *Worker) due(limit platform.WorkerClock) []*task {
+	var due []*task
+	for _, t := range w.running {
+		if t.plan.ends && t.plan.endAt <= limit {
+			due = append(due, t)
+		}
+	}
+	slices.SortFunc(due, func(a, b *task) int {
+		return cmp.Or(cmp.Compare(a.plan.endAt, b.plan.endAt), cmp.Compare(a.id(), b.id()))
+	})
+	return due
+}
+
+// stopAll ends every task at the end of the lease.
+func (w *Worker) stopAll() {
+	for _, id := range slices.Sorted(maps.Keys(w.running)) {
+		w.finish(w.running[id], platform.TaskStopped, nil, w.leaseUntil)
+	}
+}
+
+// finish ends a running task and tells the owner.
+func (w *Worker) finish(t *task, state platform.TaskState, output []byte, at platform.WorkerClock) {
+	delete(w.running, t.id())
+	t.status.State = state
+	t.status.Output = output
+	t.status.EndedAt = at
+	w.ended = append(w.ended, t.id())
+	w.journal.end(t.run, string(state), w.wall(at))
+	if !t.waited || t.epoch != w.epoch {
+		w.lastSequence++
+		w.events = append(w.events, platform.TaskEvent{Sequence: w.lastSequence, Status: t.report()})
+		w.wake()
+	}
+	close(t.done)
+}
+
+// forgetOldRecords drops the tasks that ended before the record time.
+func (w *Worker) forgetOldRecords(now platform.WorkerClock) {
+	oldest := now - platform.WorkerClock(w.config.RecordTime)
+	n := 0
+	for n < len(w.ended) && w.tasks[w.ended[n]].status.EndedAt < oldest {
+		delete(w.tasks, w.ended[n])
+		n++
+	}
+	w.ended = slices.Delete(w.ended, 0, n)
+}
+
+// rearm sets the timer to the next end of a task or of the lease.
+func (w *Worker) rearm(now platform.WorkerClock) {
+	if len(w.running) == 0 {
+		w.timer.Stop()
+		return
+	}
+	next := w.leaseUntil
+	for _, t := range w.running {
+		if t.plan.ends {
+			next = min(next, t.plan.endAt)
+		}
+	}
+	w.timer.Reset(time.Duration(next - now))
+}
+
+func (w *Worker) onTimer() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.advance()
+}
--- /dev/null
+++ b/standin/worker/calls.go
@@ -0,0 +1,223 @@
+package worker
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/samphirerail/samphirerail/platform"
+)
+
+// MaxControlTasks is the most tasks of one Control call.
+const MaxControlTasks = 1000
+
+// Fence raises the epoch as platform.Worker documents.
+func (w *Worker) Fence(_ context.Context, req platform.FenceRequest) (platform.FenceReply, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.advance()
+	if err := w.admitEpoch(req.Epoch); err != nil {
+		return platform.FenceReply{}, err
+	}
+	reply := platform.FenceReply{
+		VMID:        w.config.VMID,
+		Incarnation: w.incarnation,
+		Clock:       w.clock(),
+		Capacity:    w.config.Capacity,
+		LeaseUntil:  w.leaseUntil,
+	}
+	for _, id := range slices.Sorted(maps.Keys(w.tasks)) {
+		reply.Tasks = append(reply.Tasks, w.tasks[id].report())
+	}
+	return reply, nil
+}
+
+// Start starts a task as platform.Worker documents.
+func (w *Worker) Start(ctx context.Context, req platform.StartRequest) (platform.StartReply, error) {
+	if req.Spec.TaskID == "" {
+		return platform.StartReply{}, fmt.Errorf("%w: spec.task_id must be set", platform.ErrInvalid)
+	}
+	w.mu.Lock()
+	t, err := w.begin(req, traceParent(ctx))
+	lost := w.lost
+	w.mu.Unlock()
+	if err != nil {
+		return platform.StartReply{}, err
+	}
+	if req.Wait {
+		select {
+		case <-t.done:
+		case <-lost:
+			return platform.StartReply{}, platform.ErrUnavailable
+		case <-ctx.Done():
+			return platform.StartReply{}, platform.ErrUnavailable
+		}
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return platform.StartReply{Status: t.report(), Clock: w.clock()}, nil
+}
+
+// begin returns the task of a start, which it creates unless it is known.
+func (w *Worker) begin(req platform.StartRequest, traceParent string) (*task, error) {
+	w.advance()
+	if err := w.admit(req.Incarnation, req.Epoch); err != nil {
+		return nil, err
+	}
+	if t, known := w.tasks[req.Spec.TaskID]; known {
+		w.renew(req.LeaseUntil)
+		return t, nil
+	}
+	if w.faults.Leaving {
+		return nil, platform.ErrLeaving
+	}
+	w.renew(req.LeaseUntil)
+	now := w.clock()
+	if now >= w.leaseUntil {
+		return w.refuse(req.Spec, now), nil
+	}
+	t := &task{
+		status: platform.TaskStatus{Spec: req.Spec, State: platform.TaskRunning, StartedAt: now},
+		epoch:  req.Epoch,
+		waited: req.Wait,
+		plan:   makePlan(req.Spec, w.faults, now),
+		done:   make(chan struct{}),
+	}
+	w.tasks[t.id()] = t
+	w.running[t.id()] = t
+	t.run = w.journal.begin(w.newRun(t, traceParent))
+	w.checkCapacity(t)
+	w.advance()
+	return t, nil
+}
+
+// refuse records that a task never runs here.
+func (w *Worker) refuse(spec platform.TaskSpec, now platform.WorkerClock) *task {
+	t := &task{
+		status: platform.TaskStatus{Spec: spec, State: platform.TaskRefused, StartedAt: now, EndedAt: now},
+		done:   make(chan struct{}),
+	}
+	close(t.done)
+	w.tasks[spec.TaskID] = t
+	w.ended = append(w.ended, spec.TaskID)
+	return t
+}
+
+// Sync renews the lease and waits for news as platform.Worker documents.
+func (w *Worker) Sync(ctx context.Context, req platform.SyncRequest) (platform.SyncReply, error) {
+	deadline := time.NewTimer(req.Wait)
+	defer deadline.Stop()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.advance()
+	if err := w.admit(req.Incarnation, req.Epoch); err != nil {
+		return platform.SyncReply{}, err
+	}
+	w.renew(req.LeaseUntil)
+	w.acknowledge(req.AckEvent)
+	seen := w.leavingChanges
+	for len(w.events) == 0 && seen == w.leavingChanges {
+		if !w.await(ctx, deadline) {
+			break
+		}
+		if err := w.current(req.Incarnation, req.Epoch); err != nil {
+			return platform.SyncReply{}, err
+		}
+	}
+	w.advance()
+	return platform.SyncReply{
+		Incarnation: w.incarnation,
+		Clock:       w.clock(),
+		Events:      slices.Clone(w.events),
+		Usage:       w.usage(),
+		Leaving:     w.faults.Leaving,
+		Running:     len(w.running),
+	}, nil
+}
+
+// await gives up the lock until there is news; it returns false when the time
+// is over.
+func (w *Worker) await(ctx context.Context, deadline *time.Timer) bool {
+	news := w.news
+	w.mu.Unlock()
+	defer w.mu.Lock()
+	select {
+	case <-news:
+		return true
+	case <-deadline.C:
+		return false
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// Control applies a verb to tasks as platform.Worker documents.
+func (w *Worker) Control(_ context.Context, req platform.ControlRequest) (platform.ControlReply, error) {
+	if len(req.TaskIDs) > MaxControlTasks {
+		return platform.ControlReply{}, fmt.Errorf("%w: task_ids holds %d, at most %d", platform.ErrInvalid, len(req.TaskIDs), MaxControlTasks)
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.advance()
+	if !validVerb(req.Verb) {
+		return platform.ControlReply{}, fmt.Errorf("%w: verb %q is not known", platform.ErrInvalid, req.Verb)
+	}
+	if err := w.admit(req.Incarnation, req.Epoch); err != nil {
+		return platform.ControlReply{}, err
+	}
+	reply := platform.ControlReply{}
+	for _, id := range req.TaskIDs {
+		reply.Tasks = append(reply.Tasks, w.apply(req.Verb, id))
+	}
+	reply.Clock = w.clock()
+	w.rearm(reply.Clock)
+	return reply, nil
+}
+
+func validVerb(verb platform.ControlVerb) bool {
+	switch verb {
+	case platform.VerbStop, platform.VerbCancel, platform.VerbCheckpoint, platform.VerbThrottle:
+		return true
+	}
+	return false
+}
+
+// apply applies a verb to one task and returns its state after that.
+func (w *Worker) apply(verb platform.ControlVerb, id string) platform.TaskStatus {
+	t, known := w.tasks[id]
+	if !known && verb == platform.VerbCancel {
+		t = w.refuse(platform.TaskSpec{TaskID: id}, w.clock())
+		return t.report()
+	}
+	if !known {
+		return unknownTask(id)
+	}
+	if t.status.State != platform.TaskRunning {
+		return t.report()
+	}
+	now := w.clock()
+	if verb == platform.VerbThrottle {
+		t.plan.endAt = now + 2*(t.plan.endAt-now)
+	} else {
+		w.finish(t, platform.TaskStopped, nil, now)
+	}
+	return t.report()
+}
+
+// Inspect returns the record of a task, with its payload.
+func (w *Worker) Inspect(_ context.Context, req platform.InspectRequest) (platform.StartReply, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.advance()
+	t, known := w.tasks[req.TaskID]
+	if !known {
+		return platform.StartReply{Status: unknownTask(req.TaskID), Clock: w.clock()}, nil
+	}
+	return platform.StartReply{Status: t.status, Clock: w.clock()}, nil
+}
+
+func unknownTask(id string) platform.TaskStatus {
+	return platform.TaskStatus{Spec: platform.TaskSpec{TaskID: id}, State: platform.TaskUnknown}
+}
--- /dev/null
+++ b/standin/worker/faults.go
@@ -0,0 +1,52 @@
+package worker
+
+import (
+	"fmt"
+
+	"github.com/samphirerail/samphirerail/platform"
+	"github.com/samphirerail/samphirerail/standin/faults"
+)
+
+// Faults are the switches of a worker.
+type Faults struct {
+	faults.Switches
+	// BlackHole makes every start fail at once.
+	BlackHole bool `json:"black_hole,omitempty"`
+	// RunFactor, when not 0, makes a task run that many times the longer of
+	// its declared and its real run time.
+	RunFactor float64 `json:"run_factor,omitempty"`
+	// Leaving makes the worker take no new work.
+	Leaving bool `json:"leaving,omitempty"`
+	// Restart, when set, loses all tasks and begins a new incarnation. It
+	// reads back as false.
+	Restart bool `json:"restart,omitempty"`
+}
+
+// Faults returns the switches as they are now.
+func (w *Worker) Faults() Faults {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	current := w.faults
+	current.Switches = w.gate.Switches()
+	return current
+}
+
+// SetFaults replaces the switches. It fails with platform.ErrInvalid.
+func (w *Worker) SetFaults(f Faults) error {
+	if f.RunFactor < 0 {
+		return fmt.Errorf("%w: run_factor must not be negative", platform.ErrInvalid)
+	}
+	w.gate.Set(f.Switches)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if f.Restart {
+		w.restart()
+		f.Restart = false
+	}
+	if f.Leaving != w.faults.Leaving {
+		w.leavingChanges++
+		w.wake()
+	}
+	w.faults = f
+	return nil
+}
