Test the ports over the wire and the worker on virtual time

Cause: the ports' documented behaviour had no table for the log and the VM list, and nothing showed that the worker's mechanisms matter. Ruled out: one table for all ports; wall-clock tests of the lease, whose verdict would depend on load. Conclusion: the contract is stated by tests on the wire.

--- /dev/null
+++ b/internal/transport/platformclient/vmlist_test.go
@@ -0,0 +1,139 @@
+package platformclient
+
+import (
+	"context"
+	"errors"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/samphirerail/samphirerail/platform"
+	"github.com/samphirerail/samphirerail/standin"
+	"github.com/samphirerail/samphirerail/standin/admin"
+	"github.com/samphirerail/samphirerail/standin/faults"
+	"github.com/samphirerail/samphirerail/standin/logservice"
+	"github.com/samphirerail/samphirerail/standin/vmlist"
+)
+
+func loopback() []netip.Prefix { return []netip.Prefix{netip.MustParsePrefix("127.0.0.0/8")} }
+
+// listRig is a whole platform stand-in with a client of its VM list.
+type listRig struct {
+	is       *is.I
+	ctx      context.Context
+	platform *standin.Platform
+	server   *standin.Server
+	admin    *admin.Client
+	client   *VMList
+}
+
+func newListRig(t *testing.T) *listRig {
+	t.Helper()
+	p := standin.NewPlatform(logservice.New(logservice.Config{}), vmlist.New())
+	server := serve(t, p)
+	client := NewVMList([]string{server.Address()}, Options{})
+	t.Cleanup(client.Close)
+	return &listRig{
+		is: is.New(t), ctx: t.Context(), platform: p, server: server,
+		admin: admin.New(server.Address()), client: client,
+	}
+}
+
+// set replaces the switches of the VM list as another process does.
+func (r *listRig) set(f vmlist.Faults) {
+	r.is.Helper()
+	r.is.NoErr(r.admin.SetFaults(r.ctx, standin.Faults{VMs: f}))
+}
+
+func (r *listRig) put(id string, state platform.VMState) {
+	r.is.Helper()
+	r.is.NoErr(r.admin.PutVM(r.ctx, platform.VM{
+		ID: id, Incarnation: "i", Role: platform.RoleUpstream, State: state, Address: "127.0.0.1:1",
+	}))
+}
+
+func TestVMListContract(t *testing.T) {
+	tests := []struct {
+		name  string
+		check func(r *listRig)
+	}{
+		{name: "an empty list has version 0", check: func(r *listRig) {
+			list, err := r.client.List(r.ctx)
+			r.is.NoErr(err)
+			r.is.Equal(list.Version, int64(0))
+			r.is.Equal(len(list.VMs), 0)
+		}},
+		{name: "rows are listed, replaced and dropped, and the version rises", check: func(r *listRig) {
+			r.put("b/1", platform.VMLive)
+			r.put("a", platform.VMLive)
+			r.put("a", platform.VMLeaving)
+			list, err := r.client.List(r.ctx)
+			r.is.NoErr(err)
+			r.is.Equal(list.Version, int64(3))
+			r.is.Equal(len(list.VMs), 2)
+			r.is.Equal(list.VMs[0].State, platform.VMLeaving)
+			r.is.NoErr(r.admin.RemoveVM(r.ctx, "b/1"))
+			list, err = r.client.List(r.ctx)
+			r.is.NoErr(err)
+			r.is.Equal(list.Version, int64(4))
+			r.is.Equal(len(list.VMs), 1)
+		}},
+		{name: "a row without its fields is invalid and changes nothing", check: func(r *listRig) {
+			r.is.True(r.admin.PutVM(r.ctx, platform.VM{ID: "a"}) != nil)
+			list, err := r.client.List(r.ctx)
+			r.is.NoErr(err)
+			r.is.Equal(list.Version, int64(0))
+		}},
+		{name: "a lagging list is as old as its lag", check: func(r *listRig) {
+			r.set(vmlist.Faults{LagMilliseconds: time.Minute.Milliseconds()})
+			r.put("a", platform.VMLive)
+			list, err := r.client.List(r.ctx)
+			r.is.NoErr(err)
+			r.is.Equal(len(list.VMs), 0)
+			r.set(vmlist.Faults{})
+			list, err = r.client.List(r.ctx)
+			r.is.NoErr(err)
+			r.is.Equal(len(list.VMs), 1)
+		}},
+		{name: "a list that is down is unavailable, and its rows still change", check: func(r *listRig) {
+			for _, down := range []faults.DownMode{faults.Refuse, faults.Drop} {
+				r.set(vmlist.Faults{Switches: faults.Switches{Down: down}})
+				_, err := r.client.List(r.ctx)
+				r.is.True(errors.Is(err, platform.ErrUnavailable))
+			}
+			r.put("a", platform.VMLive)
+			r.set(vmlist.Faults{})
+			list, err := r.client.List(r.ctx)
+			r.is.NoErr(err)
+			r.is.Equal(len(list.VMs), 1)
+		}},
+		{name: "a list that is gone was sent nothing", check: func(r *listRig) {
+			r.server.Kill()
+			_, err := r.client.List(r.ctx)
+			r.is.True(errors.Is(err, platform.ErrNotSent))
+		}},
+		{name: "a list cut short is an error, never a part", check: func(r *listRig) {
+			r.put("a", platform.VMLive)
+			r.set(vmlist.Faults{Switches: faults.Switches{TruncateNext: 1}})
+			list, err := r.client.List(r.ctx)
+			r.is.True(errors.Is(err, platform.ErrUnavailable))
+			r.is.Equal(len(list.VMs), 0)
+		}},
+		{name: "switches are read back, and unknown or wrong ones refused", check: func(r *listRig) {
+			want := standin.Faults{VMs: vmlist.Faults{
+				Switches: faults.Switches{Cut: []netip.Prefix{netip.MustParsePrefix("10.0.0.0/8")}}, LagMilliseconds: 250,
+			}}
+			r.is.NoErr(r.admin.SetFaults(r.ctx, want))
+			r.is.True(r.admin.SetFaults(r.ctx, map[string]int{"lagg": 1}) != nil)
+			r.is.True(r.admin.SetFaults(r.ctx, standin.Faults{VMs: vmlist.Faults{LagMilliseconds: -1}}) != nil)
+			var got standin.Faults
+			r.is.NoErr(r.admin.Faults(r.ctx, &got))
+			r.is.Equal(got, want)
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) { tt.check(newListRig(t)) })
+	}
+}
--- a/standin/worker/advance.go
+++ b/standin/worker/advance.go
@@ -24,11 +24,14 @@
 // late timer changes nothing.
 func (w *Worker) advance() {
 	now := w.clock()
-	limit := min(now, w.leaseUntil)
+	limit := now
+	if w.lapsed(now) {
+		limit = w.leaseUntil
+	}
 	for _, t := range w.due(limit) {
 		w.finish(t, t.plan.state, t.plan.output, t.plan.endAt)
 	}
-	if now >= w.leaseUntil {
+	if w.lapsed(now) {
 		w.stopAll()
 	}
 	w.forgetOldRecords(now)
@@ -90,6 +93,9 @@
 		return
 	}
 	next := w.leaseUntil
+	if w.faults.Ignore.LeaseEnds {
+		next = now + platform.WorkerClock(time.Hour)
+	}
 	for _, t := range w.running {
 		if t.plan.ends {
 			next = min(next, t.plan.endAt)
--- a/standin/worker/calls.go
+++ b/standin/worker/calls.go
@@ -75,7 +75,7 @@
 	}
 	w.renew(req.LeaseUntil)
 	now := w.clock()
-	if now >= w.leaseUntil {
+	if w.lapsed(now) {
 		return w.refuse(req.Spec, now), nil
 	}
 	t := &task{
@@ -187,7 +187,7 @@
 // apply applies a verb to one task and returns its state after that.
 func (w *Worker) apply(verb platform.ControlVerb, id string) platform.TaskStatus {
 	t, known := w.tasks[id]
-	if !known && verb == platform.VerbCancel {
+	if !known && verb == platform.VerbCancel && !w.faults.Ignore.EarlyCancels {
 		t = w.refuse(platform.TaskSpec{TaskID: id}, w.clock())
 		return t.report()
 	}
--- a/standin/worker/faults.go
+++ b/standin/worker/faults.go
@@ -7,6 +7,17 @@
 	"github.com/samphirerail/samphirerail/standin/faults"
 )
 
+// Ignore makes the worker break its protocol, to show what the rest of the
+// system rests on.
+type Ignore struct {
+	// Epochs makes the worker serve owners of any epoch.
+	Epochs bool `json:"epochs,omitempty"`
+	// EarlyCancels makes a cancel of a task that is not known leave no record.
+	EarlyCancels bool `json:"early_cancels,omitempty"`
+	// LeaseEnds makes tasks run on after the end of the lease.
+	LeaseEnds bool `json:"lease_ends,omitempty"`
+}
+
 // Faults are the switches of a worker.
 type Faults struct {
 	faults.Switches
@@ -17,6 +28,8 @@
 	RunFactor float64 `json:"run_factor,omitempty"`
 	// Leaving makes the worker take no new work.
 	Leaving bool `json:"leaving,omitempty"`
+	// Ignore breaks the protocol.
+	Ignore Ignore `json:"ignore,omitzero"`
 	// Restart, when set, loses all tasks and begins a new incarnation. It
 	// reads back as false.
 	Restart bool `json:"restart,omitempty"`
@@ -39,6 +52,7 @@
 	w.gate.Set(f.Switches)
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.advance()
 	if f.Restart {
 		w.restart()
 		f.Restart = false
@@ -48,5 +62,6 @@
 		w.wake()
 	}
 	w.faults = f
+	w.advance()
 	return nil
 }
--- a/standin/worker/lease.go
+++ b/standin/worker/lease.go
@@ -25,7 +25,7 @@
 	if err := w.fenced(epoch); err != nil {
 		return err
 	}
-	if epoch != w.epoch {
+	if epoch.Compare(w.epoch) > 0 {
 		w.epoch = epoch
 		w.wake()
 	}
@@ -42,7 +42,7 @@
 }
 
 func (w *Worker) fenced(epoch platform.Epoch) error {
-	if epoch.Compare(w.epoch) >= 0 {
+	if epoch.Compare(w.epoch) >= 0 || w.faults.Ignore.Epochs {
 		return nil
 	}
 	return &platform.FencedError{Current: w.epoch, SinceContact: time.Duration(w.clock() - w.contactAt)}
@@ -59,6 +59,11 @@
 	w.events = slices.DeleteFunc(w.events, func(e platform.TaskEvent) bool { return e.Sequence <= sequence })
 }
 
+// lapsed reports whether no lease holds at a time.
+func (w *Worker) lapsed(now platform.WorkerClock) bool {
+	return now >= w.leaseUntil && !w.faults.Ignore.LeaseEnds
+}
+
 // usage returns the use of the tasks that have run for the usage lag.
 func (w *Worker) usage() []platform.TaskUsage {
 	var usage []platform.TaskUsage
