Call the /v1 interface from a typed client

Cause: operators and callers need one client that neither doubles a write nor reports an unknown outcome as a failure.

Change: package apiclient.

--- /dev/null
+++ b/internal/transport/apiclient/doc.go
@@ -0,0 +1,3 @@
+// Package apiclient is the client of the /v1 HTTP interface of an entry, for
+// callers and operators.
+package apiclient
