Withdraw the promise of a first attempt after an unknown refusal

Cause: the new table of the client showed it: after a refusal with an unknown outcome the repeat still promised that no earlier call had carried its ID, so that an entry could answer "not run" about a job that ran.

Ruled out: dropping the promise from all submissions, since a refusal of a single call could then never say "not run".

Change: the promise is withdrawn after every refusal and every lost answer.

Conclusion: the client keeps to the interface's rule on first attempts.

--- a/internal/transport/apiclient/client.go
+++ b/internal/transport/apiclient/client.go
@@ -53,6 +53,9 @@
 	propagator propagation.TraceContext
 	// preferred is the index of the entry that is tried first.
 	preferred atomic.Int64
+	// newIDs makes a repeat after a lost answer take a new ID. Tests set it to
+	// show what the same ID prevents.
+	newIDs bool
 }
 
 // New returns a client. It fails with a *ConfigError when there is no entry or
--- a/internal/transport/apiclient/jobs.go
+++ b/internal/transport/apiclient/jobs.go
@@ -77,6 +77,9 @@
 	if isLost(err) {
 		s.lost = true
 		s.request.FirstAttempt = false
+		if s.client.newIDs {
+			s.renew()
+		}
 	}
 	return err
 }
@@ -99,7 +102,7 @@
 	case isIssueError(err):
 		return verdict{}
 	case isLost(err):
-		return verdict{again: s.request.ID != ""}
+		return verdict{again: s.request.ID != "" || s.client.newIDs}
 	case !errors.As(err, &refusal):
 		return verdict{again: isUnreachable(err)}
 	case refusal.RetryAfterMS == 0:
@@ -108,6 +111,7 @@
 		s.renew()
 		return verdict{again: true, after: refusal.RetryAfter()}
 	}
+	s.request.FirstAttempt = false
 	return verdict{again: refusal.NotRun == state.Unknown && s.request.ID != "", after: refusal.RetryAfter()}
 }
 
--- a/internal/transport/apiclient/operators.go
+++ b/internal/transport/apiclient/operators.go
@@ -21,6 +21,9 @@
 	pathUpstreams = "/v1/upstreams"
 	pathStatus    = "/v1/status"
 	pathVersions  = "/v1/versions"
+
+	paramWriteID     = "write_id"
+	paramBaseVersion = "base_version"
 )
 
 func below(path, name string) string { return path + "/" + url.PathEscape(name) }
@@ -44,9 +47,9 @@
 // change sends a write without a body.
 func (c *Client) change(ctx context.Context, method, path string, write v1.Write) (v1.WriteResult, error) {
 	write = withID(write)
-	query := url.Values{"write_id": {write.WriteID}}
+	query := url.Values{paramWriteID: {write.WriteID}}
 	if write.BaseVersion != nil {
-		query.Set("base_version", strconv.FormatInt(*write.BaseVersion, 10))
+		query.Set(paramBaseVersion, strconv.FormatInt(*write.BaseVersion, 10))
 	}
 	var result v1.WriteResult
 	err := c.do(ctx, &call{method: method, path: path, query: query, write: write.WriteID}, &result)
--- a/internal/transport/apiclient/repeat.go
+++ b/internal/transport/apiclient/repeat.go
@@ -66,6 +66,9 @@
 	attempt := func() error {
 		err := c.exchange(ctx, do, reply)
 		lost = lost || isLost(err)
+		if c.newIDs && do.query.Has(paramWriteID) {
+			do.query.Set(paramWriteID, v1.NewWriteID())
+		}
 		return err
 	}
 	err := c.repeat(ctx, attempt, judgeHarmless)
