--- a/internal/command/ctl/contractfile.go
+++ b/internal/command/ctl/contractfile.go
@@ -4,8 +4,10 @@
 	"errors"
 	"fmt"
 	"io/fs"
+	"maps"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 
 	"github.com/BurntSushi/toml"
@@ -165,13 +167,15 @@
 	}
 	for i := range contractFields {
 		r.readField(keys, &contractFields[i])
+		delete(keys, contractFields[i].key)
 	}
-	for _, key := range r.meta.Undecoded() {
-		r.fault(key.String(), "is not a key of a contract", "remove it or correct its name")
+	for _, key := range slices.Sorted(maps.Keys(keys)) {
+		r.fault(key, "is not a key of a contract", "remove it or correct its name")
 	}
 }
 
 func (r *contractReader) flattenLimit(keys map[string]toml.Primitive, limit toml.Primitive) {
+	delete(keys, limitKey)
 	var parts map[string]toml.Primitive
 	if err := r.meta.PrimitiveDecode(limit, &parts); err != nil {
 		r.fault(limitKey, "is not a table", "write the limit as [limit] with its keys below")
