--- a/internal/transport/apiclient/client.go
+++ b/internal/transport/apiclient/client.go
@@ -56,6 +56,9 @@
 	// newIDs makes a repeat after a lost answer take a new ID. Tests set it to
 	// show what the same ID prevents.
 	newIDs bool
+	// keepPromise makes a repeat promise that it is the first attempt. Tests
+	// set it to show what the withdrawn promise prevents.
+	keepPromise bool
 }
 
 // New returns a client. It fails with a *ConfigError when there is no entry or
--- a/internal/transport/apiclient/jobs.go
+++ b/internal/transport/apiclient/jobs.go
@@ -76,7 +76,7 @@
 	err := s.client.exchange(ctx, do, status)
 	if isLost(err) {
 		s.lost = true
-		s.request.FirstAttempt = false
+		s.withdrawPromise()
 		if s.client.newIDs {
 			s.renew()
 		}
@@ -111,13 +111,18 @@
 		s.renew()
 		return verdict{again: true, after: refusal.RetryAfter()}
 	}
-	s.request.FirstAttempt = false
+	s.withdrawPromise()
 	return verdict{again: refusal.NotRun == state.Unknown && s.request.ID != "", after: refusal.RetryAfter()}
 }
 
+// withdrawPromise notes that an earlier call may have carried the ID.
+func (s *submission) withdrawPromise() {
+	s.request.FirstAttempt = s.request.FirstAttempt && s.client.keepPromise
+}
+
 // renew prepares a new attempt after one that is known not to have run.
 func (s *submission) renew() {
-	s.request.FirstAttempt = false
+	s.withdrawPromise()
 	if s.issue {
 		s.request.ID = ""
 		s.lost = false
