--- a/internal/protocol/v1/decode.go
+++ b/internal/protocol/v1/decode.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"strconv"
 	"strings"
 )
 
@@ -59,7 +60,7 @@
 		return typeError(wrongType)
 	}
 	if name, ok := strings.CutPrefix(err.Error(), unknownFieldPrefix); ok {
-		return &FieldError{Field: strings.Trim(name, `"`), Problem: "is not a field of this message", Remedy: "remove it or correct its name"}
+		return &FieldError{Field: unknownField(name), Problem: "is or has a field that this message does not know", Remedy: "remove it or correct its name"}
 	}
 	if errors.Is(err, io.EOF) {
 		return &FieldError{Field: FieldBody, Problem: "is empty", Remedy: "send one JSON object"}
@@ -67,6 +68,16 @@
 	return &FieldError{Field: FieldBody, Problem: "is not valid JSON: " + err.Error(), Remedy: "send one well-formed JSON object"}
 }
 
+// unknownField returns the name of a field from its quoted form. A name that
+// no field can have stands for the body.
+func unknownField(quoted string) string {
+	name, err := strconv.Unquote(quoted)
+	if err != nil || name == "" || len(name) > MaxNameLength {
+		return FieldBody
+	}
+	return name
+}
+
 func typeError(err *json.UnmarshalTypeError) *FieldError {
 	field := err.Field
 	if field == "" {
--- a/internal/protocol/v1/refusal.go
+++ b/internal/protocol/v1/refusal.go
@@ -1,6 +1,7 @@
 package v1
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"time"
@@ -18,6 +19,8 @@
 	ReasonUnauthenticated state.Reason = "unauthenticated"
 	// ReasonMethod: the path does not take this method.
 	ReasonMethod state.Reason = "method_not_allowed"
+	// ReasonNotReady: the entry does not know the configuration yet.
+	ReasonNotReady state.Reason = "not_ready"
 	// ReasonInternal: the entry failed.
 	ReasonInternal state.Reason = "internal"
 )
@@ -102,6 +105,14 @@
 	if errors.As(err, &conflict) {
 		return conflictRefusal(conflict)
 	}
+	if errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled) {
+		return Refusal{
+			Reason: state.ReasonOutcomeUnknown,
+			NotRun: state.Unknown,
+			Detail: "the call ended before there was an answer",
+			Remedy: "ask for the status of the job or object; repeat a write with the same write ID",
+		}
+	}
 	return Refusal{
 		Reason: ReasonInternal,
 		NotRun: state.Unknown,
--- a/internal/transport/httpapi/auth.go
+++ b/internal/transport/httpapi/auth.go
@@ -42,8 +42,9 @@
 // methods do not block.
 type Authenticator interface {
 	// Authenticate returns who a bearer "<key id>.<secret>" stands for. An
-	// error that is a *state.Refusal is answered as it is; any other error is
-	// answered as 401.
+	// error that is a *state.Refusal is answered as it is (such as
+	// v1.ReasonNotReady before the configuration is known); any other error
+	// is answered as 401.
 	Authenticate(bearer string) (Identity, error)
 	// Queue returns a queue, and false when there is none.
 	Queue(id state.QueueID) (Queue, bool)
--- a/internal/transport/httpapi/handler.go
+++ b/internal/transport/httpapi/handler.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"time"
 
 	"github.com/gin-gonic/gin"
 	"github.com/hashicorp/go-hclog"
@@ -19,6 +20,9 @@
 	MaxBodyBytes = 1 << 20
 	// MaxHeaderBytes is the largest header of a call.
 	MaxHeaderBytes = 16 << 10
+	// MaxCallTime is the longest time that a call takes; it ends before
+	// DefaultServerConfig's WriteTimeout, so that there is an answer.
+	MaxCallTime = 45 * time.Second
 )
 
 // Config is what NewHandler needs.
@@ -45,7 +49,7 @@
 	engine := gin.New()
 	engine.HandleMethodNotAllowed = true
 	engine.RedirectTrailingSlash = false
-	engine.Use(newObserver(cfg).middleware, a.closeWhileDraining, a.recover)
+	engine.Use(newObserver(cfg).middleware, a.closeWhileDraining, bound, a.recover)
 	engine.NoRoute(notFound)
 	engine.NoMethod(wrongMethod)
 	a.callerRoutes(engine.Group("/v1"))
--- a/internal/transport/httpapi/middleware.go
+++ b/internal/transport/httpapi/middleware.go
@@ -1,6 +1,7 @@
 package httpapi
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"runtime/debug"
@@ -140,6 +141,14 @@
 	c.Next()
 }
 
+// bound ends a call that takes too long.
+func bound(c *gin.Context) {
+	ctx, cancel := context.WithTimeout(c.Request.Context(), MaxCallTime)
+	defer cancel()
+	c.Request = c.Request.WithContext(ctx)
+	c.Next()
+}
+
 // recover answers a call whose handler panicked. What the handler did before
 // is not known.
 func (a *api) recover(c *gin.Context) {
