--- a/internal/coordination/membership/config.go
+++ b/internal/coordination/membership/config.go
@@ -46,7 +46,8 @@
 	// own domain is suspected and dead.
 	SuspectAfter time.Duration
 	DeadAfter    time.Duration
-	// RemoteDeadAfter is DeadAfter for entries of other domains.
+	// RemoteDeadAfter is DeadAfter for entries of other domains. With many of
+	// them it is longer: a RemoteInterval for each.
 	RemoteDeadAfter time.Duration
 	// ForgetAfter is how long a silent entry that the VM list does not name
 	// is still contacted.
--- a/internal/coordination/membership/contacts.go
+++ b/internal/coordination/membership/contacts.go
@@ -59,14 +59,16 @@
 	return v.begin(oldest(near, v.cfg.DomainFanout), now)
 }
 
-// domainCallDue reports whether an entry of the own domain is due for a call.
+// domainCallDue reports whether an entry of the own domain is due for a call,
+// within half a tick.
 // A heartbeat received from it spares the call, so that a pair of entries needs
 // one exchange an interval.
 func (v *view) domainCallDue(m *member, c *contact, now state.Time) bool {
 	if c.doneAt < v.roundStart || !c.everDone {
 		return true
 	}
-	return now-m.firstHandAt >= v.cfg.Interval && now-c.startedAt >= v.cfg.Interval
+	least := v.cfg.Interval - v.cfg.Interval/(2*ticksPerInterval)
+	return now-m.firstHandAt >= least && now-c.startedAt >= least
 }
 
 // chooseUnknown picks all unknown addresses of the own domain and seeds, and a
--- a/internal/coordination/membership/service.go
+++ b/internal/coordination/membership/service.go
@@ -173,7 +173,9 @@
 	}
 	loop.calls.SetLimit(maxCalls)
 	defer func() { _ = loop.calls.Wait() }()
-	ticker := time.NewTicker(s.cfg.Interval / ticksPerInterval)
+	period := s.cfg.Interval / ticksPerInterval
+	// The first period is random, so that entries do not call in step.
+	ticker := time.NewTicker(1 + rand.N(period))
 	defer ticker.Stop()
 	loop.tick(ctx)
 	for {
@@ -181,6 +183,7 @@
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
+			ticker.Reset(period)
 			loop.tick(ctx)
 		case e := <-s.events:
 			loop.apply(ctx, e)
--- a/internal/coordination/membership/traffic_test.go
+++ b/internal/coordination/membership/traffic_test.go
@@ -78,6 +78,7 @@
 			}
 		}
 		net.with(func() { net.meter = nil })
+		t.Log("messages sent and received by an entry in a minute:", 2*m.messages/int64(len(nodes)))
 		spread = spreadOfLeaving(nodes)
 		bytesPerSecond = 2 * (m.bytes.n.Load() + headerBytes*m.messages) / 60 / int64(len(nodes))
 	})
--- a/internal/coordination/membership/view.go
+++ b/internal/coordination/membership/view.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/samphirerail/samphirerail/internal/coordination"
 	"github.com/samphirerail/samphirerail/internal/state"
@@ -64,6 +65,8 @@
 	roundDone    bool
 	lastTick     state.Time
 	lastRemoteAt state.Time
+	// remoteDeadAfter is Config.RemoteDeadAfter, or longer with many entries.
+	remoteDeadAfter time.Duration
 	// trustHeartbeats takes a heartbeat that contradicts what is known as it
 	// stands. Tests set it to show what goes wrong then.
 	trustHeartbeats bool
@@ -80,6 +83,8 @@
 		roundStart:   now,
 		lastTick:     now,
 		lastRemoteAt: now - cfg.RemoteInterval,
+
+		remoteDeadAfter: cfg.RemoteDeadAfter,
 	}
 	for _, address := range cfg.Seeds {
 		v.touch(address, "", now).seed = true
@@ -147,6 +152,7 @@
 		v.resume(now)
 	}
 	v.lastTick = now
+	v.remoteDeadAfter = max(v.cfg.RemoteDeadAfter, time.Duration(v.countRemote())*v.cfg.RemoteInterval)
 	for _, m := range v.members {
 		m.liveness = v.livenessOf(m, now)
 	}
@@ -167,10 +173,20 @@
 	}
 }
 
+func (v *view) countRemote() int {
+	n := 0
+	for _, m := range v.members {
+		if m.domain != v.cfg.Domain {
+			n++
+		}
+	}
+	return n
+}
+
 func (v *view) livenessOf(m *member, now state.Time) Liveness {
 	silence := now - m.heardAt
 	if m.domain != v.cfg.Domain {
-		if silence >= v.cfg.RemoteDeadAfter {
+		if silence >= v.remoteDeadAfter {
 			return Dead
 		}
 		return Alive
