Keep a leaving owner until its successor acts

Cause: a leaving owner released the shard when a claim was seen, so callers had no owner while the successor fenced. Ruled out: keeping it until the bound whatever happens; a worker's refusal already proves that the successor has begun. Change: release when the successor tells that it takes work, when a worker refuses, or at the bound. Conclusion: the old owner answers until the new one can.

--- a/internal/coordination/ownership/decide.go
+++ b/internal/coordination/ownership/decide.go
@@ -62,6 +62,8 @@
 	// Holds is the epoch under which the entry tells that it owns the shard;
 	// its Number is 0 when it does not.
 	Holds platform.Epoch
+	// Ready says that it takes work under that epoch.
+	Ready bool
 }
 
 // Contact is what workers told of the newest epoch that they have seen.
@@ -242,12 +244,16 @@
 }
 
 func decideOwner(in Input, newest platform.Epoch, limits Limits) Decision {
-	if newest.Compare(in.Own.Epoch) > 0 {
-		return Decision{Action: Release, Cause: CauseSuperseded, Epoch: newest}
-	}
+	superseded := newest.Compare(in.Own.Epoch) > 0
 	if !in.Own.Leaving {
+		if superseded {
+			return Decision{Action: Release, Cause: CauseSuperseded, Epoch: newest}
+		}
 		return Decision{Action: Keep, Cause: CauseNewest, Epoch: in.Own.Epoch}
 	}
+	if superseded && succeeded(in, newest) {
+		return Decision{Action: Release, Cause: CauseSuperseded, Epoch: newest}
+	}
 	until := in.Own.LeavingSince + limits.HandoverBound
 	if in.Now >= until {
 		return Decision{Action: Release, Cause: CauseHandedOver, Epoch: in.Own.Epoch}
@@ -255,6 +261,16 @@
 	return Decision{Action: Keep, Cause: CauseLeaving, Epoch: in.Own.Epoch, Again: until}
 }
 
+// succeeded reports whether the newest claimant has begun to act: it takes
+// work, or has fenced a worker against this entry.
+func succeeded(in Input, newest platform.Epoch) bool {
+	if in.Contact.Answered && in.Contact.Epoch.Compare(in.Own.Epoch) > 0 {
+		return true
+	}
+	holder, known := findCandidate(in.Entries, coordination.EntryID(newest.Owner))
+	return known && holder.Ready && holder.Holds.Compare(newest) >= 0
+}
+
 // decideContact looks at the workers' word on a holder that does not show
 // itself, which is no proof of its end. It asks them when their word is old, waits while the
 // holder reaches them, and else claims. Workers that do not answer prove
--- a/internal/coordination/ownership/decide_test.go
+++ b/internal/coordination/ownership/decide_test.go
@@ -39,6 +39,7 @@
 	firstDead := []Candidate{{ID: first}, {ID: second, Alive: true}, {ID: third, Alive: true}}
 	firstLeaves := []Candidate{{ID: first, Alive: true, Leaving: true, Holds: epoch(4, first)}, alive[1], alive[2]}
 	thirdHolds := []Candidate{alive[0], alive[1], {ID: third, Alive: true, Holds: epoch(4, third)}}
+	secondReady := []Candidate{alive[0], {ID: second, Alive: true, Holds: epoch(5, second), Ready: true}, alive[2]}
 	claims := []platform.Epoch{epoch(4, first)}
 	now := 100 * time.Second
 	owning := Own{Epoch: epoch(4, first), Owning: true}
@@ -69,7 +70,9 @@
 		{name: "owner superseded", in: Input{Self: first, Entries: alive, Own: owning, Claims: []platform.Epoch{epoch(4, "z")}}, action: Release, cause: CauseSuperseded, epoch: epoch(4, "z")},
 		{name: "owner leaves, no successor yet", in: Input{Self: first, Entries: alive, Own: leaving}, action: Keep, cause: CauseLeaving, epoch: epoch(4, first)},
 		{name: "owner leaves, no successor in time", in: Input{Self: first, Entries: alive, Own: owning.Leave(now - DefaultHandoverBound)}, action: Release, cause: CauseHandedOver, epoch: epoch(4, first)},
-		{name: "owner leaves, successor claimed", in: Input{Self: first, Entries: alive, Own: leaving, Claims: []platform.Epoch{epoch(5, second)}}, action: Release, cause: CauseSuperseded, epoch: epoch(5, second)},
+		{name: "owner leaves, successor only claimed", in: Input{Self: first, Entries: alive, Own: leaving, Claims: []platform.Epoch{epoch(5, second)}}, action: Keep, cause: CauseLeaving, epoch: epoch(4, first)},
+		{name: "owner leaves, successor takes work", in: Input{Self: first, Entries: secondReady, Own: leaving, Claims: []platform.Epoch{epoch(5, second)}}, action: Release, cause: CauseSuperseded, epoch: epoch(5, second)},
+		{name: "owner leaves, successor has fenced a worker", in: Input{Self: first, Entries: alive, Own: leaving, Contact: Contact{Epoch: epoch(5, second), At: now, Answered: true}}, action: Release, cause: CauseSuperseded, epoch: epoch(5, second)},
 		{name: "leaving entry never claims", in: Input{Self: first, Entries: alive, Own: Own{}.Leave(now)}, action: Wait, cause: CauseLeaving},
 		{name: "delay after a loss", in: Input{Self: first, Entries: alive, Own: Own{}.Lose(now, Limits{}, 0)}, action: Wait, cause: CauseBackoff},
 		{name: "own epoch is the newest, not acting", in: Input{Self: third, Entries: alive, Own: Own{Epoch: epoch(4, third)}}, action: Claim, cause: CauseVacant, epoch: epoch(5, third)},
--- a/internal/coordination/ownership/property_test.go
+++ b/internal/coordination/ownership/property_test.go
@@ -126,6 +126,7 @@
 	told := Candidate{ID: peer.id, Alive: true, Leaving: peer.own.Leaving}
 	if peer.own.Owning {
 		told.Holds = peer.own.Epoch
+		told.Ready = true
 		e.learn(peer.own.Epoch, now)
 	}
 	e.told[from] = told
--- a/internal/coordination/ownership/runner.go
+++ b/internal/coordination/ownership/runner.go
@@ -241,18 +241,20 @@
 		if e.Domain != r.domain {
 			continue
 		}
-		in.Entries = append(in.Entries, Candidate{ID: e.ID, Alive: e.Live(), Leaving: e.Leaving, Holds: holds(e, r.id)})
+		in.Entries = append(in.Entries, candidate(e, r.id))
 	}
 	return in
 }
 
-func holds(e *membership.Entry, shard coordination.ShardID) platform.Epoch {
+func candidate(e *membership.Entry, shard coordination.ShardID) Candidate {
+	c := Candidate{ID: e.ID, Alive: e.Live(), Leaving: e.Leaving}
 	for _, load := range e.Owned {
 		if load.Shard == shard {
-			return load.Epoch
+			c.Holds = load.Epoch
+			c.Ready = load.Ready
 		}
 	}
-	return platform.Epoch{}
+	return c
 }
 
 func (r *Runner) probe(ctx context.Context, k *knowledge) {
