--- a/internal/state/machine/adopt.go
+++ b/internal/state/machine/adopt.go
@@ -24,6 +24,9 @@
 	m.recount(u)
 	m.refreshReadiness(u)
 	m.resolveUnknown(u)
+	if m.service(u.service).unknown == 0 {
+		m.allKnown(u.service)
+	}
 	for _, a := range orphans {
 		m.stop(a, StopCancel)
 	}
@@ -77,6 +80,7 @@
 func (m *Machine) adopt(u *upstream, tasks []AdoptedTask) []*attempt {
 	var orphans []*attempt
 	for _, at := range tasks {
+		at = m.withEarlyEnd(at)
 		a, known := m.tasks[at.Task]
 		switch {
 		case known && a.up != u:
@@ -105,7 +109,8 @@
 		return nil
 	}
 	s := &j.slots[index]
-	fits := s.current == nil && !s.done && number > s.attempt && j.ending == nil
+	ours := number >= m.cfg.FirstAttempt && number <= s.attempt
+	fits := s.current == nil && !s.done && !ours && j.ending == nil
 	s.attempt = max(s.attempt, number)
 	if j.state.Ended() {
 		m.track(a)
@@ -183,12 +188,16 @@
 		return
 	}
 	s := &j.slots[index]
+	if number <= s.attempt && number >= m.cfg.FirstAttempt {
+		// This owner started the task and knows its end.
+		return
+	}
 	s.attempt = max(s.attempt, number)
 	j.ran = ranCertainly
-	standing := j.spec.Class == state.ClassStanding
+	restarts := j.spec.Class == state.ClassStanding && j.spec.Idempotent
 	switch {
 	case s.done || j.ending != nil:
-	case at.End == EndSucceeded && !(standing && j.spec.Idempotent):
+	case at.End == EndSucceeded && !restarts:
 		m.adoptSucceeded(j, index, at.Output)
 	case j.spec.Idempotent:
 	case at.End == EndFailed:
@@ -224,7 +233,7 @@
 		return
 	}
 	m.conclude(j, s, refusal)
-	m.stopActive(j, StopCancel)
+	m.cancelActive(j)
 }
 
 // settle decides about the tasks of an adopted job that no worker reported,
@@ -238,7 +247,7 @@
 	case len(missing) == 0 || j.delayed > 0:
 	case j.restartable() && j.gang():
 		j.regroup = true
-		m.stopActive(j, StopCancel)
+		m.cancelActive(j)
 		if j.active == 0 {
 			m.regrouped(j)
 		}
--- a/internal/state/machine/config.go
+++ b/internal/state/machine/config.go
@@ -19,11 +19,10 @@
 	// with each one.
 	RetryBase time.Duration
 	RetryMax  time.Duration
-	// Retention is how long an ended job is remembered.
+	// Retention is how long an ended job is remembered. A job whose ID is
+	// older has to be submitted with IssuedBeforeTakeover set.
 	Retention time.Duration
 	// RetentionNotIdempotent is the same for jobs that must not run again.
-	// A job ID older than this has to be submitted with
-	// IssuedBeforeTakeover set.
 	RetentionNotIdempotent time.Duration
 	// FaultPause is how long an upstream that refused a start for a fault of
 	// its own takes no new work.
--- a/internal/state/machine/eject.go
+++ b/internal/state/machine/eject.go
@@ -122,4 +122,3 @@
 }
 
 func compareVM(a, b *upstream) int { return strings.Compare(string(a.vm), string(b.vm)) }
-
--- a/internal/state/machine/finish.go
+++ b/internal/state/machine/finish.go
@@ -30,7 +30,7 @@
 func (m *Machine) finish(j *job, s state.JobState, refusal *state.Refusal) {
 	m.conclude(j, s, refusal)
 	m.emit(j.answer())
-	m.stopActive(j, StopCancel)
+	m.cancelActive(j)
 }
 
 // conclude ends a job without an answer.
@@ -65,17 +65,18 @@
 	m.dequeue(j)
 	j.pending = nil
 	j.ending = &e
-	m.stopActive(j, StopCancel)
+	m.cancelActive(j)
 	m.afterProof(j)
 }
 
-func (m *Machine) stopActive(j *job, verb StopVerb) {
+// cancelActive asks for the end of everything that the job runs.
+func (m *Machine) cancelActive(j *job) {
 	if j.active == 0 {
 		return
 	}
 	for i := range j.slots {
 		if a := j.slots[i].current; a != nil {
-			m.stop(a, verb)
+			m.stop(a, StopCancel)
 		}
 	}
 }
--- a/internal/state/machine/machine.go
+++ b/internal/state/machine/machine.go
@@ -42,6 +42,7 @@
 	waiting []*job
 	// heldGangs are gangs whose held upstreams have more room now.
 	heldGangs []*job
+	early     earlyEnds
 	// urgent are urgent jobs to look at once more after placement.
 	urgent   []*job
 	resigned bool
--- a/internal/state/machine/place.go
+++ b/internal/state/machine/place.go
@@ -136,6 +136,7 @@
 		index:  index,
 		up:     u,
 		amount: j.amount,
+		phase:  phaseStarting,
 	}
 	if !m.commit(a) {
 		return false
--- a/internal/state/machine/preempt.go
+++ b/internal/state/machine/preempt.go
@@ -97,4 +97,3 @@
 		m.stop(a, StopCancel)
 	}
 }
-
--- a/internal/state/machine/quota.go
+++ b/internal/state/machine/quota.go
@@ -72,7 +72,7 @@
 			m.dequeue(j)
 			j.pending = nil
 		}
-		if j.active == 0 && !(j.adopted && !j.hasPayload) {
+		if j.active == 0 && (!j.adopted || j.hasPayload) {
 			m.finishResigned(j)
 		}
 	}
--- a/internal/state/machine/tasks.go
+++ b/internal/state/machine/tasks.go
@@ -50,9 +50,12 @@
 }
 
 func (m *Machine) taskEnded(ev Ended) {
-	if a, ok := m.tasks[ev.Task]; ok {
-		m.endAttempt(a, ev)
+	a, ok := m.tasks[ev.Task]
+	if !ok {
+		m.keepEarlyEnd(ev)
+		return
 	}
+	m.endAttempt(a, ev)
 }
 
 // endAttempt takes in the proof that an attempt runs no more.
@@ -69,6 +72,7 @@
 	s := &j.slots[a.index]
 	if s.current != a {
 		// An attempt that was never part of the job's progress.
+		m.afterProof(j)
 		return
 	}
 	s.current = nil
@@ -157,7 +161,7 @@
 	j.retries++
 	if j.gang() {
 		j.regroup = true
-		m.stopActive(j, StopCancel)
+		m.cancelActive(j)
 		return
 	}
 	m.delay(j, a.index, m.backoff(a.id, j.retries))
@@ -233,6 +237,6 @@
 	}
 	wait = min(wait, m.cfg.RetryMax)
 	const steps = 1024
-	jitter := time.Duration(xxhash.Sum64String(string(id)) % steps)
-	return wait/2 + wait/2*jitter/steps
+	jitter := float64(xxhash.Sum64String(string(id))%steps) / steps
+	return wait/2 + time.Duration(jitter*float64(wait/2))
 }
--- a/internal/state/machine/upstream.go
+++ b/internal/state/machine/upstream.go
@@ -194,6 +194,7 @@
 	m.release(a)
 	s := &j.slots[a.index]
 	if s.current != a {
+		m.afterProof(j)
 		return
 	}
 	s.current = nil
