--- a/internal/state/machine/finish.go
+++ b/internal/state/machine/finish.go
@@ -30,7 +30,7 @@
 func (m *Machine) finish(j *job, s state.JobState, refusal *state.Refusal) {
 	m.conclude(j, s, refusal)
 	m.emit(j.answer())
-	m.stopActive(j)
+	m.cancelActive(j)
 }
 
 // conclude ends a job without an answer.
@@ -65,11 +65,12 @@
 	m.dequeue(j)
 	j.pending = nil
 	j.ending = &e
-	m.stopActive(j)
+	m.cancelActive(j)
 	m.afterProof(j)
 }
 
-func (m *Machine) stopActive(j *job) {
+// cancelActive asks for the end of everything that the job runs.
+func (m *Machine) cancelActive(j *job) {
 	if j.active == 0 {
 		return
 	}
--- a/internal/state/machine/place.go
+++ b/internal/state/machine/place.go
@@ -131,12 +131,12 @@
 	u := m.upstreams[vm]
 	s := &j.slots[index]
 	a := &attempt{
-		phase:  phaseStarting,
 		id:     taskID(j.spec.ID, index, s.attempt+1),
 		job:    j,
 		index:  index,
 		up:     u,
 		amount: j.amount,
+		phase:  phaseStarting,
 	}
 	if !m.commit(a) {
 		return false
