--- /dev/null
+++ b/internal/transport/platformclient/reply_test.go
@@ -0,0 +1,67 @@
+package platformclient
+
+import (
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/samphirerail/samphirerail/platform"
+	"github.com/samphirerail/samphirerail/standin/faults"
+	"github.com/samphirerail/samphirerail/standin/logservice"
+)
+
+func TestMalformedRepliesAreUnknownOutcomes(t *testing.T) {
+	tests := []struct {
+		name   string
+		status int
+		body   string
+	}{
+		{name: "no JSON", status: http.StatusOK, body: "welcome"},
+		{name: "JSON cut short", status: http.StatusOK, body: `{"running": 1`},
+		{name: "two values", status: http.StatusOK, body: `{} {}`},
+		{name: "a field of the wrong type", status: http.StatusOK, body: `{"running": "one"}`},
+		{name: "empty", status: http.StatusOK, body: ""},
+		{name: "an error page", status: http.StatusBadGateway, body: "<html>"},
+		{name: "a code that is not known", status: http.StatusConflict, body: `{"code":"asleep"}`},
+		{name: "fenced without the epoch", status: http.StatusConflict, body: `{"code":"fenced"}`},
+		{name: "a redirect", status: http.StatusFound, body: `{}`},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				w.WriteHeader(tt.status)
+				_, _ = w.Write([]byte(tt.body))
+			}))
+			defer server.Close()
+			client := NewWorker(strings.TrimPrefix(server.URL, "http://"), Options{})
+			defer client.Close()
+			_, err := client.Sync(t.Context(), platform.SyncRequest{})
+			is.True(errors.Is(err, platform.ErrUnavailable))
+			is.True(!errors.Is(err, platform.ErrNotSent))
+		})
+	}
+}
+
+func TestCutConcernsTheCallersWithin(t *testing.T) {
+	is := is.New(t)
+	service := logservice.New(logservice.Config{})
+	address := serve(t, service).Address()
+	is.NoErr(service.SetFaults(logservice.Faults{Switches: faults.Switches{
+		Cut: []netip.Prefix{netip.MustParsePrefix("127.0.2.0/24")},
+	}}))
+	for _, tt := range []struct {
+		local string
+		cut   bool
+	}{{"127.0.1.1", false}, {"127.0.2.1", true}} {
+		client := NewLog([]string{address}, Options{LocalAddress: netip.MustParseAddr(tt.local), Timeout: dialTimeout})
+		_, err := client.Read(t.Context(), platform.ReadRequest{Stream: "config"})
+		client.Close()
+		is.Equal(errors.Is(err, platform.ErrUnavailable), tt.cut)
+	}
+}
--- a/internal/transport/platformclient/worker.go
+++ b/internal/transport/platformclient/worker.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/samphirerail/samphirerail/platform"
@@ -50,40 +51,34 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	answered := make(chan startAnswer, 1)
-	go func() {
-		reply, err := w.start(ctx, req, 0)
-		answered <- startAnswer{reply, err}
-	}()
-	ticker := time.NewTicker(w.caller.options.Timeout)
-	defer ticker.Stop()
-	for {
-		select {
-		case answer := <-answered:
-			return answer.reply, answer.err
-		case <-ticker.C:
-		}
-		reply, err := w.Inspect(ctx, platform.InspectRequest{TaskID: req.Spec.TaskID})
-		if err == nil && reply.Status.State != platform.TaskRunning {
-			cancel()
-			return settle(<-answered, reply)
-		}
+	var found atomic.Pointer[platform.StartReply]
+	watch := time.AfterFunc(w.caller.options.Timeout, func() {
+		found.Store(w.awaitEnd(ctx, req.Spec.TaskID))
+		cancel()
+	})
+	defer watch.Stop()
+	reply, err := w.start(ctx, req, 0)
+	inspected := found.Load()
+	if err != nil && inspected != nil && inspected.Status.State.Ended() {
+		return *inspected, nil
 	}
+	return reply, err
 }
 
-// startAnswer is the outcome of a start that waited.
-type startAnswer struct {
-	reply platform.StartReply
-	err   error
-}
-
-// settle chooses between the answer of a start that was given up and what the
-// worker says of its task.
-func settle(answer startAnswer, inspected platform.StartReply) (platform.StartReply, error) {
-	if answer.err != nil && inspected.Status.State.Ended() {
-		return inspected, nil
+// awaitEnd inspects a task until it runs no more. It returns nil when ctx ends
+// first.
+func (w *Worker) awaitEnd(ctx context.Context, taskID string) *platform.StartReply {
+	for {
+		reply, err := w.Inspect(ctx, platform.InspectRequest{TaskID: taskID})
+		if err == nil && reply.Status.State != platform.TaskRunning {
+			return &reply
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(w.caller.options.Timeout):
+		}
 	}
-	return answer.reply, answer.err
 }
 
 func (w *Worker) start(ctx context.Context, req platform.StartRequest, timeout time.Duration) (platform.StartReply, error) {
--- a/standin/worker/worker_test.go
+++ b/standin/worker/worker_test.go
@@ -82,7 +82,7 @@
 			w.start(older, "t1", 10*time.Second, `{"run_ms":10001}`)
 			time.Sleep(10*time.Second - 1)
 			w.is.Equal(w.inspect("t1").State, platform.TaskRunning)
-			time.Sleep(1)
+			time.Sleep(time.Nanosecond)
 			w.is.Equal(w.inspect("t1").State, platform.TaskStopped)
 			w.is.Equal(w.inspect("t1").EndedAt, platform.WorkerClock(10*time.Second))
 		}},
@@ -134,7 +134,7 @@
 			time.Sleep(time.Minute)
 			w.is.Equal(w.inspect("t1").State, platform.TaskSucceeded)
 			w.is.Equal(w.inspect("t2").State, platform.TaskRefused)
-			time.Sleep(1)
+			time.Sleep(time.Nanosecond)
 			w.is.Equal(w.inspect("t1").State, platform.TaskUnknown)
 			w.is.Equal(w.inspect("t2").State, platform.TaskUnknown)
 		}},
