Divide a team's submit rate over the entries; wait for the configuration

Cause: each entry allowed the whole rate of the contract, and answered 401 before it had read the configuration. A submission without an ID is new to every owner; the conversion's test stated the message without that mark. Change: the authenticator divides the rate by the registered entries and refuses as not ready; the test states the mark. Measured: go test ./internal/protocol/... passes.

--- a/internal/agent/auth.go
+++ b/internal/agent/auth.go
@@ -36,6 +36,9 @@
 	if !ok {
 		return httpapi.Identity{}, httpapi.ErrWrongKey
 	}
+	if !a.follower.IsReady() {
+		return httpapi.Identity{}, notReady()
+	}
 	view := a.follower.View()
 	key, err := view.Authenticate(id, secret)
 	if err == nil {
@@ -47,6 +50,17 @@
 	return httpapi.Identity{}, err
 }
 
+// notReady refuses a call that comes before the configuration is known.
+func notReady() *state.Refusal {
+	return &state.Refusal{
+		Reason:     v1.ReasonNotReady,
+		Verdict:    state.NotRun,
+		Detail:     errNoConfig.Error(),
+		Remedy:     "use another entry, or come back",
+		RetryAfter: retryAfter,
+	}
+}
+
 // acceptsBootstrap reports whether the bearer is the bootstrap key of the
 // settings and no operator key has been granted yet.
 func (a *authenticator) acceptsBootstrap(view *config.View, id, secret string) bool {
@@ -71,8 +85,14 @@
 	return httpapi.Queue{Team: queue.Team, Open: queue.Open, DefaultClass: queue.DefaultClass}, ok
 }
 
-// Quota implements httpapi.Authenticator.
+// Quota implements httpapi.Authenticator: each registered entry takes an equal
+// part of what the contract lets the team submit.
 func (a *authenticator) Quota(team state.TeamID) (httpapi.Quota, bool) {
-	contract, ok := a.follower.View().Contract(team)
-	return httpapi.Quota{SubmitRate: contract.SubmitRate, Burst: contract.SubmitBurst}, ok
+	view := a.follower.View()
+	contract, ok := view.Contract(team)
+	entries := max(len(view.Entries()), 1)
+	return httpapi.Quota{
+		SubmitRate: contract.SubmitRate / float64(entries),
+		Burst:      (contract.SubmitBurst + entries - 1) / entries,
+	}, ok
 }
--- a/internal/protocol/v1/v1_test.go
+++ b/internal/protocol/v1/v1_test.go
@@ -42,12 +42,12 @@
 		{
 			name:    "a request waits for its end",
 			request: v1.SubmitRequest{Class: state.ClassRequest, Service: "design"},
-			want:    coordination.Submission{Team: "braid", Class: state.ClassRequest, Service: "design", Tasks: 1, Each: state.Vector{Slots: 1}, Wait: v1.MaxWait},
+			want:    coordination.Submission{Team: "braid", Class: state.ClassRequest, Service: "design", Tasks: 1, Each: state.Vector{Slots: 1}, Wait: v1.MaxWait, Fresh: true},
 		},
 		{
 			name:    "a batch does not wait",
 			request: v1.SubmitRequest{Class: state.ClassBatch, Service: "design"},
-			want:    coordination.Submission{Team: "braid", Class: state.ClassBatch, Service: "design", Tasks: 1, Each: state.Vector{Slots: 1}},
+			want:    coordination.Submission{Team: "braid", Class: state.ClassBatch, Service: "design", Tasks: 1, Each: state.Vector{Slots: 1}, Fresh: true},
 		},
 	}
 	for _, tt := range tests {
