Move unused allotments to domains that are short of them

Cause: a team's limit was split over the domains once, by weight; a team whose work was all in one domain got only that part. Ruled out: a central balancer (nothing is set aside for control), and receivers that take (they do not know what is unused elsewhere). Change: owners name short teams in their heartbeats; an owner whose domain leaves such a team's allotment unused gives half of that away by a log record, on which the fold's rule (donor first) already stood.

--- a/internal/agent/entry.go
+++ b/internal/agent/entry.go
@@ -91,6 +91,7 @@
 		return
 	}
 	e.spawn(ctx, e.owning.joiner.Run)
+	e.spawn(ctx, e.owning.limits.Run)
 	_ = e.owning.runner.Run(ctx)
 }
 
--- a/internal/agent/parts.go
+++ b/internal/agent/parts.go
@@ -11,6 +11,7 @@
 	"github.com/samphirerail/samphirerail/internal/coordination/admission"
 	"github.com/samphirerail/samphirerail/internal/coordination/configlog"
 	"github.com/samphirerail/samphirerail/internal/coordination/inventory"
+	"github.com/samphirerail/samphirerail/internal/coordination/limits"
 	"github.com/samphirerail/samphirerail/internal/coordination/membership"
 	"github.com/samphirerail/samphirerail/internal/coordination/owner"
 	"github.com/samphirerail/samphirerail/internal/coordination/ownership"
@@ -82,9 +83,16 @@
 	manager *owner.Manager
 	runner  *ownership.Runner
 	joiner  *inventory.Joiner
+	limits  *limits.Rebalancer
 	router  *routing.Router
 }
 
+// maxShort is the most teams named as short in a heartbeat.
+const maxShort = 8
+
+// rebalanceInterval is how often unused allotments are offered to other domains.
+const rebalanceInterval = 2 * time.Second
+
 func newOwner(s settings.Settings, id identity, c *clients, follower *configlog.Follower, members *membership.Service, logger hclog.Logger, status *statusBoard) *owning {
 	o := &owning{}
 	o.manager = owner.NewManager(owner.ManagerConfig{
@@ -106,14 +114,43 @@
 		Domain: id.domain, Config: follower, Listed: members.Snapshot,
 		Owns: func() bool { return o.manager.Owns(id.shard) }, Interval: time.Second, Logger: logger,
 	}
+	o.limits = &limits.Rebalancer{
+		Domain: id.domain, Config: follower, Members: members.Snapshot,
+		Usage: o.usage, Interval: rebalanceInterval, Logger: logger,
+	}
 	o.router = routing.New(id.entry, id.domain, members.Snapshot, o.manager, c.peers, routing.Config{
 		RetryAfter: retryAfter,
 		Retries:    s.Limits.Retries,
 	})
-	status.follow(o.manager, follower)
+	status.follow(o, follower)
 	return o
 }
 
+// usage returns what each team has and needs in the owned shard.
+func (o *owning) usage() ([]limits.Usage, bool) {
+	summary, owns := o.manager.Summary()
+	if !owns || !summary.Ready {
+		return nil, false
+	}
+	list := make([]limits.Usage, 0, len(summary.Teams))
+	for _, t := range summary.Teams {
+		list = append(list, limits.Usage{Team: t.Team, Allotment: t.Limit, Used: t.Usage.Add(summary.Unknown), Queued: t.Queued})
+	}
+	return list, true
+}
+
+// short returns the teams of the owned shard that wait for their allotment.
+func (o *owning) short() []state.TeamID {
+	usage, _ := o.usage()
+	var teams []state.TeamID
+	for _, u := range usage {
+		if u.Short() && len(teams) < maxShort {
+			teams = append(teams, u.Team)
+		}
+	}
+	return teams
+}
+
 func machineConfig(s settings.Settings) machine.Config {
 	cfg := machine.DefaultConfig()
 	cfg.Objective = queue.Objective(s.Policy.Objective)
--- a/internal/agent/status.go
+++ b/internal/agent/status.go
@@ -6,7 +6,6 @@
 	"github.com/samphirerail/samphirerail/internal/coordination"
 	"github.com/samphirerail/samphirerail/internal/coordination/configlog"
 	"github.com/samphirerail/samphirerail/internal/coordination/membership"
-	"github.com/samphirerail/samphirerail/internal/coordination/owner"
 	"github.com/samphirerail/samphirerail/internal/state/config"
 )
 
@@ -14,14 +13,14 @@
 // that they can be made in any order.
 type statusBoard struct {
 	leaving  atomic.Bool
-	manager  atomic.Pointer[owner.Manager]
+	owning   atomic.Pointer[owning]
 	follower atomic.Pointer[configlog.Follower]
 }
 
 func newStatusBoard() *statusBoard { return &statusBoard{} }
 
-func (b *statusBoard) follow(m *owner.Manager, f *configlog.Follower) {
-	b.manager.Store(m)
+func (b *statusBoard) follow(o *owning, f *configlog.Follower) {
+	b.owning.Store(o)
 	b.follower.Store(f)
 }
 
@@ -31,8 +30,9 @@
 	if f := b.follower.Load(); f != nil {
 		s.ConfigVersion = f.Version()
 	}
-	if m := b.manager.Load(); m != nil {
-		if load, ok := m.Load(); ok {
+	if o := b.owning.Load(); o != nil {
+		if load, ok := o.manager.Load(); ok {
+			load.Short = o.short()
 			s.Owned = []coordination.ShardLoad{load}
 		}
 	}
@@ -42,11 +42,11 @@
 // settlement implements the callback of configlog: the owner is settled once
 // it acts on the view and no team uses more than its limit.
 func (b *statusBoard) settlement(view *config.View) configlog.Settlement {
-	m := b.manager.Load()
-	if m == nil {
+	o := b.owning.Load()
+	if o == nil {
 		return configlog.Following
 	}
-	summary, owns := m.Summary()
+	summary, owns := o.manager.Summary()
 	if !owns {
 		return configlog.Following
 	}
--- a/internal/coordination/api.go
+++ b/internal/coordination/api.go
@@ -95,6 +95,9 @@
 	Running   int
 	Upstreams int
 	Fenced    int
+	// Short are teams, a few at most, whose work waits for a larger
+	// allotment in the domain.
+	Short []state.TeamID
 }
 
 // Heartbeat is what an entry tells each peer at an interval. It stays small:
