Stop at once when nothing is left to wait for

Cause: an entry took 3 s to stop (8 s when it was the last of its domain): the operators' listener waited for a balancer that it does not have, and the last entry waited for a successor that does not exist. Found from the goroutines of a stopping process; ruled out: the registration's last write and held Syncs. Change: no balancer delay on the operators' listener; the last entry of a domain resigns instead of handing over.

--- a/internal/agent/entry.go
+++ b/internal/agent/entry.go
@@ -168,6 +168,10 @@
 	if _, owns := e.owning.manager.Load(); !owns {
 		return
 	}
+	if !e.hasSuccessor() {
+		e.owning.manager.Resign()
+		return
+	}
 	select {
 	case <-e.owning.runner.Released():
 	case <-ctx.Done():
@@ -175,6 +179,16 @@
 	}
 }
 
+// hasSuccessor reports whether another entry of the domain can take the shard.
+func (e *entry) hasSuccessor() bool {
+	for _, peer := range e.members.Snapshot().InDomain(e.id.domain) {
+		if peer.ID != e.id.entry && peer.Live() && !peer.Leaving {
+			return true
+		}
+	}
+	return false
+}
+
 func (e *entry) leave(ctx context.Context) {
 	ctx, cancel := within(ctx, e.settings.Platform.Timeout.Std())
 	defer cancel()
--- a/internal/agent/listeners.go
+++ b/internal/agent/listeners.go
@@ -24,12 +24,13 @@
 	health  *httpapi.Health
 
 	callersAddress string
+	log            hclog.Logger
 	// ready is set by the entry that the listeners belong to.
 	ready func() error
 }
 
 func newListeners(s settings.Settings, id identity, jobs coordination.JobService, o *owning, follower *configlog.Follower, members *membership.Service, logger hclog.Logger, registry metrics.Registry) *listeners {
-	l := &listeners{ready: func() error { return errNoConfig }}
+	l := &listeners{log: logger, ready: func() error { return errNoConfig }}
 	l.health = httpapi.NewHealth(func() error { return l.ready() })
 	handler := httpapi.NewHandler(httpapi.Config{
 		Jobs:       jobs,
@@ -44,7 +45,9 @@
 	callers.BalancerDelay = s.Shutdown.BalancerDelay.Std()
 	l.callers = httpapi.NewServer(callers, handler, l.health)
 	monitor := httpapi.NewMonitor(httpapi.MonitorConfig{Registry: registry, Health: l.health, Profiling: true})
-	l.monitor = httpapi.NewServer(httpapi.DefaultServerConfig(s.Listen.Operators), monitor, l.health)
+	operators := httpapi.DefaultServerConfig(s.Listen.Operators)
+	operators.BalancerDelay = 0
+	l.monitor = httpapi.NewServer(operators, monitor, l.health)
 	peers := rpc.DefaultServerConfig(s.Listen.Internal)
 	peers.Logger = logger
 	peers.Registry = registry
@@ -57,10 +60,10 @@
 	if _, err := l.peers.Start(); err != nil {
 		return eris.Wrap(err, "agent: can't listen for entries; choose a free address for listen.internal")
 	}
-	if _, err := l.monitor.Start(nil); err != nil {
+	if _, err := l.monitor.Start(l.failed); err != nil {
 		return eris.Wrap(err, "agent: can't listen for operators; choose a free address for listen.operators")
 	}
-	address, err := l.callers.Start(nil)
+	address, err := l.callers.Start(l.failed)
 	if err != nil {
 		return eris.Wrap(err, "agent: can't listen for callers; choose a free address for listen.callers")
 	}
@@ -68,6 +71,9 @@
 	return nil
 }
 
+// failed takes in that a listener ended by itself.
+func (l *listeners) failed(err error) { l.log.Error("a listener failed", "error", err) }
+
 func (l *listeners) stopCallers(ctx context.Context) error { return l.callers.Shutdown(ctx) }
 
 func (l *listeners) stopPeers(ctx context.Context) error { return l.peers.Shutdown(ctx) }
--- a/internal/coordination/owner/manager.go
+++ b/internal/coordination/owner/manager.go
@@ -104,6 +104,18 @@
 	m.changed()
 }
 
+// Resign stops placing when there is no other entry to hand the shard to.
+func (m *Manager) Resign() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.current == nil {
+		return
+	}
+	m.log.Info("resigned the shard", "shard", m.cfg.Shard, "epoch", m.current.Epoch().Number)
+	m.retire(m.current)
+	m.current = nil
+}
+
 func (m *Manager) changed() {
 	if m.cfg.Changed != nil {
 		go m.cfg.Changed()
