--- /dev/null
+++ b/internal/layers_test.go
@@ -0,0 +1,83 @@
+package internal_test
+
+import (
+	"go/parser"
+	"go/token"
+	"io/fs"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+)
+
+const module = "github.com/samphirerail/samphirerail/"
+
+// layers are the layers from the top down. A layer imports only itself and
+// those below it.
+var layers = []string{"transport", "protocol", "coordination", "state"}
+
+// impure are packages that the state layer must not use: it does no I/O, reads
+// no clock and starts no goroutine.
+var impure = []string{"net", "net/http", "os", "sync", "sync/atomic", "context", "net/rpc"}
+
+func TestLayersImportDownward(t *testing.T) {
+	for i, layer := range layers {
+		for _, file := range sources(t, layer) {
+			for _, path := range imports(t, file) {
+				if forbidden(path, i) {
+					t.Errorf("%s imports %s", file, path)
+				}
+			}
+		}
+	}
+}
+
+func TestStateIsPure(t *testing.T) {
+	for _, file := range sources(t, "state") {
+		for _, path := range imports(t, file) {
+			if slices.Contains(impure, path) || strings.HasPrefix(path, module+"platform") {
+				t.Errorf("%s imports %s", file, path)
+			}
+		}
+	}
+}
+
+// forbidden reports whether a file of a layer must not import a path.
+func forbidden(path string, layer int) bool {
+	rest, ok := strings.CutPrefix(path, module+"internal/")
+	if !ok {
+		return false
+	}
+	top, _, _ := strings.Cut(rest, "/")
+	target := slices.Index(layers, top)
+	return target < layer
+}
+
+// sources returns the files of a layer that are not tests.
+func sources(t *testing.T, layer string) []string {
+	t.Helper()
+	var files []string
+	err := filepath.WalkDir(layer, func(path string, d fs.DirEntry, err error) error {
+		if err == nil && strings.HasSuffix(path, ".go") && !strings.HasSuffix(path, "_test.go") {
+			files = append(files, path)
+		}
+		return err
+	})
+	if err != nil || len(files) == 0 {
+		t.Fatalf("layer %s: %d files, error %v", layer, len(files), err)
+	}
+	return files
+}
+
+func imports(t *testing.T, file string) []string {
+	t.Helper()
+	parsed, err := parser.ParseFile(token.NewFileSet(), file, nil, parser.ImportsOnly)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var paths []string
+	for _, spec := range parsed.Imports {
+		paths = append(paths, strings.Trim(spec.Path.Value, `"`))
+	}
+	return paths
+}
