--- a/internal/coordination/configlog/write.go
+++ b/internal/coordination/configlog/write.go
@@ -88,24 +88,49 @@
 }
 
 // Register makes this entry one of those that must confirm changes in its
-// domain. Until it returns nil the entry must own no upstreams. Errors are
-// those of Write and of config.Result.Err.
+// domain, in place of an earlier incarnation on the same VM. Until it returns
+// nil the entry must own no upstreams. It waits until the follower is ready.
+// Errors are those of Write, of config.Result.Err and of ctx.
 func (f *Follower) Register(ctx context.Context) error {
-	return f.writeOwn(ctx, config.RegisterEntry{Entry: f.opts.Entry, Domain: f.opts.Domain})
+	select {
+	case <-f.ready:
+	case <-f.stopped:
+		return ErrStopped
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	for {
+		view := f.View()
+		if _, ok := view.Entry(f.opts.Entry); ok {
+			return nil
+		}
+		base := config.NoVersion
+		if earlier, ok := view.EntryOn(f.opts.Entry.VM()); ok {
+			base = earlier.Registered
+		}
+		body := config.RegisterEntry{Entry: f.opts.Entry, Domain: f.opts.Domain}
+		result, _, err := f.Write(ctx, config.Record{Base: base, Body: body})
+		if err != nil {
+			return eris.Wrap(err, "register the entry")
+		}
+		if _, ok := f.View().Entry(f.opts.Entry); ok {
+			return nil
+		}
+		if result.Outcome != config.Conflict {
+			return eris.Wrap(result.Err(), "register the entry")
+		}
+	}
 }
 
 // Leave ends the registration of this entry. The caller must have ended all
 // that it owns before. Errors are those of Write and of config.Result.Err.
 func (f *Follower) Leave(ctx context.Context) error {
-	return f.writeOwn(ctx, config.UnregisterEntry{Entry: f.opts.Entry})
-}
-
-func (f *Follower) writeOwn(ctx context.Context, body config.Body) error {
+	body := config.UnregisterEntry{Entry: f.opts.Entry}
 	result, _, err := f.Write(ctx, config.Record{Base: config.AnyVersion, Body: body})
 	if err != nil {
-		return eris.Wrapf(err, "write %s", body.Kind())
+		return eris.Wrap(err, "unregister the entry")
 	}
-	return eris.Wrapf(result.Err(), "write %s", body.Kind())
+	return eris.Wrap(result.Err(), "unregister the entry")
 }
 
 // encodeOne checks that a record fits into an append and returns its size.
--- a/internal/state/config/apply_entries.go
+++ b/internal/state/config/apply_entries.go
@@ -6,25 +6,41 @@
 	"github.com/samphirerail/samphirerail/internal/state"
 )
 
-func (f *Fold) registerEntry(offset int64, body RegisterEntry) Result {
+func (f *Fold) registerEntry(offset, base int64, body RegisterEntry) Result {
 	if result := validateEntry(body); result.Outcome != Accepted {
 		return result
 	}
 	if _, ok := f.ended.get(string(body.Entry)); ok {
 		return invalid("entry", "the entry was unregistered; restart it to get a new incarnation")
 	}
-	if old, ok := f.entries.rows[body.Entry]; ok && old.Domain != body.Domain {
-		return invalid("domain", "the entry is registered in another failure domain; restart it to get a new incarnation")
+	if _, ok := f.entries.rows[body.Entry]; ok {
+		return invalid("entry", "the entry is registered already; nothing is to be done")
 	}
-	for _, id := range sortedKeys(f.entries.rows) {
-		if id != body.Entry && id.VM() == body.Entry.VM() {
-			f.endEntry(offset, id)
-		}
+	earlier, had := entryOn(f.entries.rows, body.Entry.VM())
+	current := NoVersion
+	if had {
+		current = earlier.Registered
+	}
+	if base != current {
+		return Result{Outcome: Conflict, Current: current}
 	}
-	f.entries.put(body.Entry, Entry{ID: body.Entry, Domain: body.Domain, Confirmed: offset})
+	if had {
+		f.endEntry(offset, earlier.ID)
+	}
+	f.entries.put(body.Entry, Entry{ID: body.Entry, Domain: body.Domain, Registered: offset, Confirmed: offset})
 	return accepted()
 }
 
+// entryOn returns the entry registered on a VM.
+func entryOn(entries map[state.EntryID]Entry, vm state.VMID) (Entry, bool) {
+	for id, entry := range entries {
+		if id.VM() == vm {
+			return entry, true
+		}
+	}
+	return Entry{}, false
+}
+
 func (f *Fold) unregisterEntry(offset int64, id state.EntryID) Result {
 	if _, ok := f.entries.rows[id]; !ok {
 		return invalid("entry", "the entry is not registered; list the entries")
--- a/internal/state/config/fold.go
+++ b/internal/state/config/fold.go
@@ -167,7 +167,7 @@
 	case PutDomains:
 		return f.putDomains(offset, record.Base, body.Domains)
 	case RegisterEntry:
-		return f.registerEntry(offset, body)
+		return f.registerEntry(offset, record.Base, body)
 	case UnregisterEntry:
 		return f.unregisterEntry(offset, body.Entry)
 	case Confirm:
--- a/internal/state/config/record.go
+++ b/internal/state/config/record.go
@@ -34,7 +34,7 @@
 	ID string
 	// Base is the version of the object that the writer has seen: NoVersion
 	// when the object must not exist, AnyVersion to skip the check. Records of
-	// registrations, confirmations, claims, upstreams and snapshots have none.
+	// confirmations, claims, upstreams and snapshots have none.
 	Base int64
 	// At is when the record was written, in Unix milliseconds; informational.
 	At int64
@@ -85,8 +85,10 @@
 	Domains []Domain `json:"domains"`
 }
 
-// RegisterEntry makes an entry one of those that must confirm. It replaces
-// every earlier entry on the same VM. An ID that was unregistered is refused.
+// RegisterEntry makes an entry one of those that must confirm. It replaces the
+// entry registered on the same VM, whose Registered is the base, so that a
+// delayed record of an earlier incarnation can't replace a later one. An ID
+// that was unregistered is refused.
 type RegisterEntry struct {
 	Entry  state.EntryID  `json:"entry"`
 	Domain state.DomainID `json:"domain"`
--- a/internal/state/config/snapshot.go
+++ b/internal/state/config/snapshot.go
@@ -41,11 +41,8 @@
 	Ended          []item[int64]             `json:"ended"`
 }
 
-// EncodeSnapshot renders the whole state. Equal states give equal bytes.
-func (v *View) EncodeSnapshot() ([]byte, error) {
-	var out bytes.Buffer
-	packer := gzip.NewWriter(&out)
-	err := json.NewEncoder(packer).Encode(image{
+func (v *View) image() image {
+	return image{
 		Format:         FormatVersion,
 		Version:        v.version,
 		Contracts:      v.Contracts(),
@@ -60,7 +57,14 @@
 		Settled:        v.settled,
 		Writes:         v.writes,
 		Ended:          v.ended,
-	})
+	}
+}
+
+// EncodeSnapshot renders the whole state. Equal states give equal bytes.
+func (v *View) EncodeSnapshot() ([]byte, error) {
+	var out bytes.Buffer
+	packer := gzip.NewWriter(&out)
+	err := json.NewEncoder(packer).Encode(v.image())
 	if err != nil {
 		return nil, fmt.Errorf("config: encode snapshot: %w", err)
 	}
--- a/internal/state/config/types.go
+++ b/internal/state/config/types.go
@@ -99,6 +99,8 @@
 type Entry struct {
 	ID     state.EntryID  `json:"id"`
 	Domain state.DomainID `json:"domain"`
+	// Registered is the offset of the registration.
+	Registered int64 `json:"registered"`
 	// Confirmed is the newest version that the entry is known to have folded.
 	Confirmed int64 `json:"confirmed"`
 }
--- a/internal/state/config/view.go
+++ b/internal/state/config/view.go
@@ -204,6 +204,10 @@
 	return e, ok
 }
 
+// EntryOn returns the entry registered on a VM. Its Registered is the base of
+// the registration of a later incarnation.
+func (v *View) EntryOn(vm state.VMID) (Entry, bool) { return entryOn(v.entries, vm) }
+
 // Claim returns the newest claim on a shard.
 func (v *View) Claim(shard state.ShardID) (Claim, bool) {
 	c, ok := v.claims[shard]
