Bound the cuts that wait, and look at them only when something changed

Ruled out: dropping the oldest cut (breaks the limit on running work). Change: four cuts a domain at most, the last one grows; waiting cuts are looked at only after a confirmation, a registration, a join or a drop.

--- a/internal/state/config/apply_entries.go
+++ b/internal/state/config/apply_entries.go
@@ -51,6 +51,7 @@
 
 func (f *Fold) endEntry(offset int64, id state.EntryID) {
 	f.entries.remove(id)
+	f.recheck = true
 	if _, ok := f.ended.get(string(id)); !ok {
 		f.ended.add(string(id), offset)
 	}
@@ -67,10 +68,12 @@
 	if body.Version > entry.Confirmed {
 		entry.Confirmed = body.Version
 		f.entries.put(body.Entry, entry)
+		f.recheck = true
 	}
 	settled, ok := f.settled.rows[entry.Domain]
 	if body.Settled && (!ok || body.Version > settled) {
 		f.settled.put(entry.Domain, body.Version)
+		f.recheck = true
 	}
 	return accepted()
 }
@@ -90,7 +93,7 @@
 		}
 	}
 	f.shards.put(body.Domain, f.shards.rows[body.Domain].add(offset, body.Upstreams))
-	f.pending = true
+	f.recheck = true
 	return accepted()
 }
 
@@ -109,6 +112,7 @@
 	} else {
 		f.shards.put(body.Domain, left)
 	}
+	f.recheck = true
 	return accepted()
 }
 
--- a/internal/state/config/apply_objects.go
+++ b/internal/state/config/apply_objects.go
@@ -54,7 +54,9 @@
 	l.cut(offset)
 	l.raise(f.contracts.rows[team].Limit)
 	f.putLedger(team, l)
-	f.pending = f.pending || len(l.Holds) > 0
+	if len(l.Holds) > 0 {
+		f.releaseHolds(offset, team, f.floors())
+	}
 }
 
 func (f *Fold) moveAllotment(offset, base int64, move MoveAllotment) Result {
--- a/internal/state/config/fold.go
+++ b/internal/state/config/fold.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 
 	"github.com/samphirerail/samphirerail/internal/state"
 )
@@ -43,8 +44,8 @@
 	// ended are entries that were unregistered, with the offset.
 	ended  recent[int64]
 	counts Counts
-	// pending says that a join or a hold may be waiting.
-	pending bool
+	// recheck says that what waits for confirmations must be looked at.
+	recheck bool
 	view    *View
 
 	// skipConfirm and skipSettle switch the rules off, for tests.
@@ -102,7 +103,8 @@
 	f.view = nil
 	result := f.applyOnce(offset, record)
 	f.count(result)
-	if f.pending {
+	if f.recheck {
+		f.recheck = false
 		f.release(offset)
 	}
 	return result
@@ -193,41 +195,42 @@
 
 // release brings into force what every entry concerned has confirmed.
 func (f *Fold) release(offset int64) {
-	f.pending = false
+	floors := f.floors()
 	for _, domain := range sortedKeys(f.shards.rows) {
 		s := f.shards.rows[domain]
 		if len(s.Joins) == 0 {
 			continue
 		}
-		if upTo := f.confirmed(domain); s.Joins[0].Offset <= upTo {
-			s = s.admit(upTo)
-			f.shards.put(domain, s)
+		if upTo := floors.of(domain); s.Joins[0].Offset <= upTo {
+			f.shards.put(domain, s.admit(upTo))
 		}
-		f.pending = f.pending || len(s.Joins) > 0
 	}
 	for _, team := range sortedKeys(f.ledgers.rows) {
-		f.releaseHolds(offset, team)
+		f.releaseHolds(offset, team, floors)
 	}
 }
 
-func (f *Fold) releaseHolds(offset int64, team state.TeamID) {
+func (f *Fold) releaseHolds(offset int64, team state.TeamID, floors floors) {
 	old := f.ledgers.rows[team]
-	if len(old.Holds) == 0 {
+	changes := func(h hold) bool {
+		return f.released(h) || h.Folded == notFolded && h.Offset <= floors.of(h.Domain)
+	}
+	if !slices.ContainsFunc(old.Holds, changes) {
 		return
 	}
-	l := old.clone()
-	l.Holds = l.Holds[:0]
+	kept := make([]hold, 0, len(old.Holds))
 	for _, h := range old.Holds {
-		if h.Folded == notFolded && h.Offset <= f.confirmed(h.Domain) {
+		if h.Folded == notFolded && h.Offset <= floors.of(h.Domain) {
 			h.Folded = offset
 		}
 		if !f.released(h) {
-			l.Holds = append(l.Holds, h)
+			kept = append(kept, h)
 		}
 	}
+	l := old.clone()
+	l.Holds = kept
 	l.raise(f.contracts.rows[team].Limit)
 	f.putLedger(team, l)
-	f.pending = f.pending || len(l.Holds) > 0
 }
 
 // released reports whether the domain is known to do without a held amount:
@@ -247,19 +250,28 @@
 	return ok && settled >= h.Folded
 }
 
-// confirmed returns the newest version that all entries registered in a domain
-// have confirmed; without entries, any version counts as confirmed.
-func (f *Fold) confirmed(domain state.DomainID) int64 {
-	lowest := int64(math.MaxInt64)
+// floors holds, by domain, the newest version that all entries registered
+// there have confirmed.
+type floors map[state.DomainID]int64
+
+// of returns the floor of a domain; without entries, any version counts as
+// confirmed.
+func (f floors) of(domain state.DomainID) int64 {
+	if version, ok := f[domain]; ok {
+		return version
+	}
+	return math.MaxInt64
+}
+
+func (f *Fold) floors() floors {
+	out := floors{}
 	if f.skipConfirm {
-		return lowest
+		return out
 	}
 	for _, entry := range f.entries.rows {
-		if entry.Domain == domain {
-			lowest = min(lowest, entry.Confirmed)
-		}
+		out[entry.Domain] = min(out.of(entry.Domain), entry.Confirmed)
 	}
-	return lowest
+	return out
 }
 
 func (f *Fold) putLedger(team state.TeamID, l *ledger) {
--- a/internal/state/config/ledger.go
+++ b/internal/state/config/ledger.go
@@ -11,6 +11,9 @@
 // notFolded marks a hold whose cut is not yet folded by every entry.
 const notFolded int64 = -1
 
+// maxHoldsPerDomain is the most holds that a ledger keeps for one domain.
+const maxHoldsPerDomain = 4
+
 // hold is an amount that a domain has given up and may still be using.
 type hold struct {
 	Domain state.DomainID `json:"domain"`
@@ -63,12 +66,31 @@
 		now := l.InForce[domain]
 		lowered := now.Min(l.Target[domain])
 		if lost := now.Sub(lowered); !lost.IsZero() {
-			l.Holds = append(l.Holds, hold{Domain: domain, Amount: lost, Offset: offset, Folded: notFolded})
+			l.hold(offset, domain, lost)
 		}
 		l.set(domain, lowered)
 	}
 }
 
+// hold holds an amount back. A domain with many holds gets no more of them: its
+// last one grows and waits anew.
+func (l *ledger) hold(offset int64, domain state.DomainID, amount state.Vector) {
+	count, last := 0, 0
+	for i, h := range l.Holds {
+		if h.Domain == domain {
+			count++
+			last = i
+		}
+	}
+	fresh := hold{Domain: domain, Amount: amount, Offset: offset, Folded: notFolded}
+	if count < maxHoldsPerDomain {
+		l.Holds = append(l.Holds, fresh)
+		return
+	}
+	fresh.Amount = fresh.Amount.Add(l.Holds[last].Amount)
+	l.Holds[last] = fresh
+}
+
 // raise lifts domains towards their targets as far as the limit has room for
 // it beside all that is in force or held back.
 func (l *ledger) raise(limit state.Vector) {
--- a/internal/state/config/snapshot.go
+++ b/internal/state/config/snapshot.go
@@ -142,7 +142,6 @@
 	}
 	f.writes = newRecent(img.Writes)
 	f.ended = newRecent(img.Ended)
-	f.pending = true
 	return f
 }
 
