Show that each rule on single records prevents what it is for

Change: unexported switches; each rule's table row holds with the rule on and is broken with it off.

--- a/internal/state/config/apply_entries.go
+++ b/internal/state/config/apply_entries.go
@@ -10,7 +10,7 @@
 	if result := validateEntry(body); result.Outcome != Accepted {
 		return result
 	}
-	if _, ok := f.ended.get(string(body.Entry)); ok {
+	if _, ok := f.ended.get(string(body.Entry)); ok && !f.skipEnded {
 		return invalid("entry", "the entry was unregistered; restart it to get a new incarnation")
 	}
 	if _, ok := f.entries.rows[body.Entry]; ok {
@@ -21,7 +21,7 @@
 	if had {
 		current = earlier.Registered
 	}
-	if base != current {
+	if base != current && !f.skipBase {
 		return Result{Outcome: Conflict, Current: current}
 	}
 	if had {
--- a/internal/state/config/apply_objects.go
+++ b/internal/state/config/apply_objects.go
@@ -17,7 +17,7 @@
 	if result := validateContract(c); result.Outcome != Accepted {
 		return result
 	}
-	if result := checkBase(base, f.contractVersion(c.Team)); result.Outcome != Accepted {
+	if result := f.checkBase(base, f.contractVersion(c.Team)); result.Outcome != Accepted {
 		return result
 	}
 	old, had := f.contracts.rows[c.Team]
@@ -34,7 +34,7 @@
 
 func (f *Fold) withdrawContract(offset, base int64, team state.TeamID) Result {
 	current := f.contractVersion(team)
-	if result := checkBase(base, current); result.Outcome != Accepted {
+	if result := f.checkBase(base, current); result.Outcome != Accepted {
 		return result
 	}
 	if current == NoVersion {
@@ -64,7 +64,7 @@
 	if !ok || f.contractVersion(move.Team) == NoVersion {
 		return invalid("team", "no contract of this name is in force; list the contracts")
 	}
-	if result := checkBase(base, l.Version); result.Outcome != Accepted {
+	if result := f.checkBase(base, l.Version); result.Outcome != Accepted {
 		return result
 	}
 	if move.Amount.Negative() || move.Amount.IsZero() {
@@ -95,7 +95,7 @@
 	if ok {
 		current = old.Version
 	}
-	if result := checkBase(base, current); result.Outcome != Accepted {
+	if result := f.checkBase(base, current); result.Outcome != Accepted {
 		return result
 	}
 	k.Version = offset
@@ -109,7 +109,7 @@
 	if !ok || k.Withdrawn {
 		return invalid("key", "no key of this ID is in force; list the keys")
 	}
-	if result := checkBase(base, k.Version); result.Outcome != Accepted {
+	if result := f.checkBase(base, k.Version); result.Outcome != Accepted {
 		return result
 	}
 	f.keys.put(id, Key{ID: id, Team: k.Team, Role: k.Role, Withdrawn: true, Version: offset})
@@ -127,7 +127,7 @@
 	if result := validateQueue(q); result.Outcome != Accepted {
 		return result
 	}
-	if result := checkBase(base, f.queueVersion(q.ID)); result.Outcome != Accepted {
+	if result := f.checkBase(base, f.queueVersion(q.ID)); result.Outcome != Accepted {
 		return result
 	}
 	q.Version = offset
@@ -137,7 +137,7 @@
 
 func (f *Fold) closeQueue(base int64, id state.QueueID) Result {
 	current := f.queueVersion(id)
-	if result := checkBase(base, current); result.Outcome != Accepted {
+	if result := f.checkBase(base, current); result.Outcome != Accepted {
 		return result
 	}
 	if current == NoVersion {
@@ -155,7 +155,7 @@
 	if result := validateDomains(domains); result.Outcome != Accepted {
 		return result
 	}
-	if result := checkBase(base, f.domainsVersion); result.Outcome != Accepted {
+	if result := f.checkBase(base, f.domainsVersion); result.Outcome != Accepted {
 		return result
 	}
 	redivide := !sameWeights(f.domains, domains)
--- a/internal/state/config/fold.go
+++ b/internal/state/config/fold.go
@@ -48,9 +48,8 @@
 	recheck bool
 	view    *View
 
-	// skipConfirm and skipSettle switch the rules off, for tests.
-	skipConfirm bool
-	skipSettle  bool
+	// These switch rules off, for tests.
+	skipConfirm, skipSettle, skipRepeats, skipBase, skipEnded bool
 }
 
 // NewFold returns a fold that has folded nothing.
@@ -120,7 +119,7 @@
 	if record.ID == "" {
 		return invalid("id", "give the write an ID of its own")
 	}
-	if _, ok := f.writes.get(record.ID); ok {
+	if _, ok := f.writes.get(record.ID); ok && !f.skipRepeats {
 		return Result{Outcome: Duplicate}
 	}
 	result := f.change(offset, record)
@@ -193,6 +192,15 @@
 	}
 }
 
+// checkBase returns an accepted result when base allows a change of an object
+// at version current.
+func (f *Fold) checkBase(base, current int64) Result {
+	if base != AnyVersion && base != current && !f.skipBase {
+		return Result{Outcome: Conflict, Current: current}
+	}
+	return accepted()
+}
+
 // release brings into force what every entry concerned has confirmed.
 func (f *Fold) release(offset int64) {
 	floors := f.floors()
--- a/internal/state/config/fold_test.go
+++ b/internal/state/config/fold_test.go
@@ -96,6 +96,63 @@
 	}
 }
 
+// TestRecordRules shows for each rule on single records what it prevents, and
+// that it is not prevented with the rule switched off.
+func TestRecordRules(t *testing.T) {
+	put := func(base, limit int64) Record {
+		return Record{ID: fmt.Sprint("put", limit), Base: base, Body: PutContract{Contract: modelContract(limit)}}
+	}
+	register := func(id state.EntryID) Record {
+		return Record{ID: string(id), Base: NoVersion, Body: RegisterEntry{Entry: id, Domain: "d"}}
+	}
+	tests := []struct {
+		name      string
+		switchOff func(*Fold)
+		records   []Record
+		holds     func(*View) bool
+	}{
+		{
+			name:      "a repeated write does not bring a withdrawn contract back",
+			switchOff: func(f *Fold) { f.skipRepeats = true },
+			records:   []Record{put(NoVersion, 1), {ID: "w", Body: WithdrawContract{Team: "a"}}, put(NoVersion, 1)},
+			holds:     func(v *View) bool { return len(v.Contracts()) == 0 },
+		},
+		{
+			name:      "of two operators on one version the second does not overwrite the first",
+			switchOff: func(f *Fold) { f.skipBase = true },
+			records:   []Record{put(NoVersion, 1), put(0, 2), put(0, 3)},
+			holds:     func(v *View) bool { return v.Contracts()[0].Limit.Slots == 2 },
+		},
+		{
+			name:      "a delayed registration does not replace a later incarnation",
+			switchOff: func(f *Fold) { f.skipBase = true },
+			records:   []Record{register("v/2"), register("v/1")},
+			holds:     func(v *View) bool { return v.Entries()[0].ID == "v/2" },
+		},
+		{
+			name:      "an ended entry is not registered again",
+			switchOff: func(f *Fold) { f.skipEnded = true },
+			records:   []Record{register("v/1"), {ID: "u", Body: UnregisterEntry{Entry: "v/1"}}, {ID: "late", Base: NoVersion, Body: register("v/1").Body}},
+			holds:     func(v *View) bool { return len(v.Entries()) == 0 },
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			for _, off := range []bool{false, true} {
+				f := NewFold()
+				if off {
+					tt.switchOff(f)
+				}
+				for i, record := range tt.records {
+					f.Apply(int64(i), record)
+				}
+				is.Equal(tt.holds(f.View()), !off)
+			}
+		})
+	}
+}
+
 func TestAuthenticate(t *testing.T) {
 	f, _ := foldAll(
 		Record{Base: NoVersion, Body: GrantKey{Key: testKey("k")}},
--- a/internal/state/config/result.go
+++ b/internal/state/config/result.go
@@ -73,12 +73,3 @@
 func invalid(field, remedy string) Result {
 	return Result{Outcome: Invalid, Field: field, Remedy: remedy}
 }
-
-// checkBase returns an accepted result when base allows a change of an object
-// at version current.
-func checkBase(base, current int64) Result {
-	if base != AnyVersion && base != current {
-		return Result{Outcome: Conflict, Current: current}
-	}
-	return accepted()
-}
