--- a/internal/agent/parts.go
+++ b/internal/agent/parts.go
@@ -93,7 +93,7 @@
 // rebalanceInterval is how often unused allotments are offered to other domains.
 const rebalanceInterval = 2 * time.Second
 
-func newOwner(s settings.Settings, id identity, c *clients, follower *configlog.Follower, members *membership.Service, logger hclog.Logger, status *statusBoard) *owning {
+func newOwner(s settings.Settings, id identity, c *clients, follower *configlog.Follower, members *membership.Service, logger hclog.Logger, registry metrics.Registry, status *statusBoard) *owning {
 	o := &owning{}
 	o.manager = owner.NewManager(owner.ManagerConfig{
 		Config: owner.Config{
@@ -104,6 +104,7 @@
 			Dial:       c.dial,
 			OnReturned: func(list []coordination.Submission) { go o.resubmit(list, logger) },
 			Logger:     logger,
+			Registry:   registry,
 		},
 		Retry:   retryAfter,
 		Changed: members.Announce,
--- a/internal/coordination/owner/config.go
+++ b/internal/coordination/owner/config.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	metrics "github.com/rcrowley/go-metrics"
 
 	"github.com/samphirerail/samphirerail/internal/coordination"
 	"github.com/samphirerail/samphirerail/internal/state"
@@ -90,4 +91,6 @@
 	// that no caller waits for: none of their tasks ran.
 	OnReturned func([]coordination.Submission)
 	Logger     hclog.Logger
+	// Registry receives the shard's metrics; nil means that none are shown.
+	Registry metrics.Registry
 }
--- a/internal/coordination/owner/shard.go
+++ b/internal/coordination/owner/shard.go
@@ -22,8 +22,9 @@
 // everything else reaches the machine through messages.
 type Shard struct {
 	cfg   Config
-	log   hclog.Logger
-	start time.Time
+	log    hclog.Logger
+	meters *meters
+	start  time.Time
 	// takeover is the wall-clock time of the claim, for the age of job IDs.
 	takeover time.Time
 
@@ -68,6 +69,7 @@
 	s := &Shard{
 		cfg:       cfg,
 		log:       cfg.Logger.With("shard", cfg.Shard, "epoch", cfg.Epoch.Number),
+		meters:    newMeters(cfg.Registry),
 		start:     time.Now(),
 		takeover:  time.Now(),
 		messages:  make(chan message, eventBuffer),
@@ -95,8 +97,12 @@
 func (s *Shard) Summary() Summary { return *s.summary.Load() }
 
 func (s *Shard) summarize() {
+	stats := s.machine.Stats()
+	if !s.resigned {
+		s.meters.show(stats)
+	}
 	s.summary.Store(&Summary{
-		Stats:         s.machine.Stats(),
+		Stats:         stats,
 		ConfigVersion: s.configVersion,
 		Ready:         s.configVersion >= 0 && !s.resigned,
 	})
@@ -185,11 +191,15 @@
 
 // step applies an event and carries out the actions.
 func (s *Shard) step(ctx context.Context, ev machine.Event) {
-	s.perform(ctx, s.machine.Step(s.now(), ev))
+	begin := time.Now()
+	actions := s.machine.Step(s.now(), ev)
+	s.meters.decided(begin)
+	s.perform(ctx, actions)
 }
 
 func (s *Shard) perform(ctx context.Context, actions []machine.Action) {
 	for _, action := range actions {
+		s.meters.count(action)
 		switch a := action.(type) {
 		case machine.Start:
 			s.performStart(ctx, a)
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -147,7 +147,6 @@
 	c.duration("upstream.lease", s.Upstream.Lease, 2*s.Upstream.SyncWait.Std(), 10*time.Minute)
 	c.duration("upstream.sync_wait", s.Upstream.SyncWait, 100*time.Millisecond, time.Minute)
 	c.duration("upstream.timeout", s.Upstream.Timeout, 100*time.Millisecond, time.Minute)
-	c.number("limits.body_bytes", float64(s.Limits.BodyBytes), 1<<10, 64<<20)
 	c.duration("limits.max_wait", s.Limits.MaxWait, time.Second, time.Hour)
 	c.number("limits.retries", float64(s.Limits.Retries), 0, 10)
 	c.number("limits.log_append_rate", s.Limits.LogAppendRate, 0.1, 200)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -102,7 +102,6 @@
 
 // Limits bounds what one entry takes in.
 type Limits struct {
-	BodyBytes     int64    `toml:"body_bytes"`
 	MaxWait       Duration `toml:"max_wait"`
 	Retries       int      `toml:"retries"`
 	LogAppendRate float64  `toml:"log_append_rate"`
@@ -153,7 +152,6 @@
 			Timeout:     Duration(2 * time.Second),
 		},
 		Limits: Limits{
-			BodyBytes:     1 << 20,
 			MaxWait:       Duration(60 * time.Second),
 			Retries:       3,
 			LogAppendRate: 5,
