Answer writers after the view is published; ask a draining owner again soon

Cause: under the race detector TestWrite/appended_twice failed: the writer was answered before the view with its record was published. Also a confirmation waited up to a second after an owner had caught up. Change: outcomes are told after publication; a draining process is asked again every 50 ms. A test waited for less than it needed: it now waits for the version.

--- a/internal/coordination/configlog/confirm_test.go
+++ b/internal/coordination/configlog/confirm_test.go
@@ -81,6 +81,7 @@
 		is.Equal(len(entries), 1)
 		is.Equal(entries[0].ID, state.EntryID("e1/2"))
 		var refused *config.InvalidError
+		is.NoErr(first.WaitVersion(ctx, second.Version()))
 		is.True(errors.As(first.Register(ctx), &refused)) // it has ended
 		is.NoErr(second.Leave(ctx))
 		is.Equal(len(second.View().RegisteredEntries("d1")), 0)
--- a/internal/coordination/configlog/control.go
+++ b/internal/coordination/configlog/control.go
@@ -17,8 +17,12 @@
 	// wanted receives the next batch; nil when the writer asks for none.
 	wanted  chan<- batch
 	waiters map[string]chan writeOutcome
+	// answers are outcomes that are told once the fold is published.
+	answers []func()
 	// confirming is the ID of the confirmation on its way.
 	confirming string
+	// again fires when a process that drains is to be asked once more.
+	again *time.Timer
 	snapshots  snapshotPlan
 }
 
@@ -29,6 +33,8 @@
 func (c *control) run(ctx context.Context) error {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
+	c.again = time.NewTimer(tickInterval)
+	defer c.again.Stop()
 	for {
 		c.handOut()
 		select {
@@ -36,6 +42,8 @@
 			return ctx.Err()
 		case e := <-c.f.events:
 			c.handle(e)
+		case <-c.again.C:
+			c.confirm()
 		case <-ticker.C:
 			c.confirm()
 			c.snapshot()
@@ -124,7 +132,8 @@
 	c.history.add(stored)
 }
 
-// noteResult logs a record that was not accepted and answers its writer.
+// noteResult logs a record that was not accepted and prepares the answer to its
+// writer.
 func (c *control) noteResult(offset int64, record config.Record, result config.Result) {
 	switch result.Outcome {
 	case config.Conflict, config.Invalid:
@@ -149,12 +158,22 @@
 func (c *control) answer(id string, outcome writeOutcome) {
 	if done, ok := c.waiters[id]; ok {
 		delete(c.waiters, id)
-		done <- outcome
+		c.answers = append(c.answers, func() { done <- outcome })
+	}
+}
+
+// tell sends the outcomes to the writers.
+func (c *control) tell() {
+	for _, send := range c.answers {
+		send()
 	}
+	c.answers = nil
 }
 
-// publish shows the fold to other goroutines and confirms what it must.
+// publish shows the fold to other goroutines, answers the writers, and confirms
+// what it must.
 func (c *control) publish() {
+	defer c.tell()
 	old := c.f.current.Load()
 	view := c.fold.View()
 	if view.Version() <= old.view.Version() {
@@ -232,6 +251,7 @@
 		}
 		c.answer(record.ID, writeOutcome{err: unknownWrite(record.ID, cause)})
 	}
+	c.tell()
 }
 
 // confirm tells the stream that this entry acts on its view, when its domain
@@ -246,7 +266,11 @@
 		return
 	}
 	settlement := c.f.opts.Settle(view)
-	if settlement == Draining || (!due && settlement != Settled) {
+	if settlement == Draining {
+		c.again.Reset(drainInterval)
+		return
+	}
+	if !due && settlement != Settled {
 		return
 	}
 	c.confirming = c.enqueueOwn(config.Confirm{
--- a/internal/coordination/configlog/options.go
+++ b/internal/coordination/configlog/options.go
@@ -32,6 +32,8 @@
 	// tickInterval is how often waiting confirmations and snapshots are looked
 	// at when nothing else happens.
 	tickInterval = time.Second
+	// drainInterval is how often a process that drains is asked again.
+	drainInterval = 50 * time.Millisecond
 	// readBackoff and maxReadBackoff bound the pause after a failed read.
 	readBackoff    = 100 * time.Millisecond
 	maxReadBackoff = 2 * time.Second
