Replay traces on virtual time against a policy and a baseline

Cause: waiting time, packing and share distance could not be compared between the state machine and plain first-fit FIFO. Ruled out: measuring on running processes, since wall-clock runs differ each time and cost hours for the same virtual time. Change: a line format for traces with a seeded generator of both deployments, an emulator with its own ledger of what workers run, and a first-fit FIFO baseline with the same limits and refusals.

--- /dev/null
+++ b/internal/state/baseline/firstfit.go
@@ -0,0 +1,258 @@
+// Package baseline is a plain scheduler that the state machine is compared
+// with: first come, first served, on the first upstream with room.
+package baseline
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/samphirerail/samphirerail/internal/state"
+	"github.com/samphirerail/samphirerail/internal/state/cell"
+	"github.com/samphirerail/samphirerail/internal/state/machine"
+)
+
+const (
+	// maxRetries is how often the tasks of a job are started again.
+	maxRetries = 5
+	// retryWait is how long a task that failed waits before its next start.
+	retryWait = time.Second
+	// retryAfter is when a refused caller is told to come back.
+	retryAfter = time.Second
+)
+
+// FirstFitFIFO serves the jobs of a service in the order of their arrival. The
+// first job that finds no room keeps all later ones of its service waiting; a
+// team at its limit keeps only its own later jobs waiting. It corrects no
+// declared sizes, ejects no upstream and preempts nothing. It is not safe for
+// concurrent use.
+type FirstFitFIFO struct {
+	now      state.Time
+	cell     *cell.Cell
+	quotas   map[state.TeamID]machine.Quota
+	usage    map[state.TeamID]state.Vector
+	queued   map[state.TeamID]int
+	lines    []*line
+	jobs     map[state.JobID]*job
+	tasks    map[state.TaskID]*attempt
+	byVM     map[state.VMID][]*attempt
+	sequence uint64
+	due      deadlines
+	// later are the tasks that wait for a retry, in order of time.
+	later []retry
+	out   []machine.Action
+}
+
+// line is the waiting jobs of one service, by team in order of arrival.
+type line struct {
+	service state.Service
+	teams   []*teamLine
+}
+
+type teamLine struct {
+	team state.TeamID
+	jobs []*job
+}
+
+type job struct {
+	spec     state.Job
+	sequence uint64
+	pending  []int
+	outputs  [][]byte
+	done     int
+	active   int
+	attempts int
+	retries  int
+	ran      bool
+	waiting  bool
+	// cancelled says that the answer waits for the end of what runs.
+	cancelled bool
+	// regroup says that a gang stops what it started.
+	regroup bool
+	ended   bool
+}
+
+// retry is a task, or with allTasks a gang, that waits for its next start.
+type retry struct {
+	at    state.Time
+	job   *job
+	index int
+}
+
+const allTasks = -1
+
+type attempt struct {
+	id    state.TaskID
+	job   *job
+	index int
+	vm    state.VMID
+	ran   bool
+}
+
+// New returns an empty scheduler of one failure domain.
+func New() *FirstFitFIFO {
+	return &FirstFitFIFO{
+		cell:   cell.NewFirstFit(),
+		quotas: map[state.TeamID]machine.Quota{},
+		usage:  map[state.TeamID]state.Vector{},
+		queued: map[state.TeamID]int{},
+		jobs:   map[state.JobID]*job{},
+		tasks:  map[state.TaskID]*attempt{},
+		byVM:   map[state.VMID][]*attempt{},
+	}
+}
+
+// Step applies an event and returns what to do, as machine.Machine.Step does.
+func (f *FirstFitFIFO) Step(now state.Time, ev machine.Event) []machine.Action {
+	f.now = max(f.now, now)
+	f.out = nil
+	f.expire()
+	f.retryDue()
+	f.apply(ev)
+	f.schedule()
+	return f.out
+}
+
+func (f *FirstFitFIFO) apply(ev machine.Event) {
+	switch ev := ev.(type) {
+	case machine.Submit:
+		f.submit(ev.Job)
+	case machine.CancelJob:
+		f.cancel(ev.Job)
+	case machine.Started:
+		if a, ok := f.tasks[ev.Task]; ok {
+			a.ran = true
+			a.job.ran = true
+		}
+	case machine.StartRefused:
+		f.taskEnded(machine.Ended{Task: ev.Task, End: machine.EndNotRun})
+	case machine.StartUnknown:
+		if a, ok := f.tasks[ev.Task]; ok {
+			f.emit(machine.ResolveStart{Task: a.id, VM: a.vm, Cancel: true})
+		}
+	case machine.Ended:
+		f.taskEnded(ev)
+	case machine.UpstreamJoined:
+		f.cell.Put(cell.Upstream{VM: ev.VM, Rack: ev.Rack, Service: ev.Service, Capacity: ev.Capacity, Free: ev.Capacity})
+	case machine.Fenced:
+		f.fenced(ev)
+	case machine.UpstreamSilent:
+		f.cell.SetReadiness(ev.VM, cell.Silent)
+	case machine.LeaseLapsed:
+		f.cell.SetReadiness(ev.VM, cell.Unfenced)
+		f.loseAll(ev.VM)
+	case machine.QuotasChanged:
+		clear(f.quotas)
+		for _, q := range ev.Quotas {
+			f.quotas[q.Team] = q
+		}
+	}
+}
+
+func (f *FirstFitFIFO) emit(a machine.Action) { f.out = append(f.out, a) }
+
+func (f *FirstFitFIFO) fenced(ev machine.Fenced) {
+	f.loseAll(ev.VM)
+	f.cell.SetReadiness(ev.VM, cell.Ready)
+}
+
+func (f *FirstFitFIFO) loseAll(vm state.VMID) {
+	lost := f.byVM[vm]
+	for _, a := range append([]*attempt(nil), lost...) {
+		f.taskEnded(machine.Ended{Task: a.id, End: machine.EndStopped})
+	}
+}
+
+func (f *FirstFitFIFO) submit(spec state.Job) {
+	if refusal := f.refuse(&spec); refusal != nil {
+		f.emit(machine.Answer{Job: spec.ID, Team: spec.Team, State: state.JobRefused, Refusal: refusal})
+		return
+	}
+	f.sequence++
+	j := &job{spec: spec, sequence: f.sequence, outputs: make([][]byte, spec.Tasks)}
+	for i := range spec.Tasks {
+		j.pending = append(j.pending, i)
+	}
+	f.jobs[spec.ID] = j
+	f.due.add(j)
+	f.emit(machine.Accept{Job: spec.ID, State: state.JobQueued})
+	f.wait(j)
+}
+
+// refuse gives the refusals that the state machine gives too.
+func (f *FirstFitFIFO) refuse(spec *state.Job) *state.Refusal {
+	refusal := &state.Refusal{Verdict: state.NotRun, Detail: "refused on arrival", Remedy: "submit less"}
+	quota := f.quotas[spec.Team]
+	need := spec.Each
+	if spec.Class == state.ClassGang || spec.Class == state.ClassStanding {
+		need = spec.Total()
+	}
+	total, _ := f.cell.Total(spec.Service)
+	_, fits := f.cell.Largest(spec.Service, spec.Each)
+	gang := spec.Class == state.ClassGang
+	switch {
+	case !fits || gang && !need.Fits(total):
+		refusal.Reason = state.ReasonNeverRunnable
+	case !need.Fits(quota.Limit):
+		refusal.Reason = state.ReasonOverLimit
+	case f.queued[spec.Team] >= quota.MaxQueued:
+		refusal.Reason = state.ReasonQueueFull
+		refusal.RetryAfter = retryAfter
+	default:
+		return nil
+	}
+	return refusal
+}
+
+func (f *FirstFitFIFO) cancel(id state.JobID) {
+	j, ok := f.jobs[id]
+	if !ok || j.ended || j.cancelled {
+		return
+	}
+	j.cancelled = true
+	f.unwait(j)
+	j.pending = nil
+	f.stopAll(j)
+	f.settle(j)
+}
+
+func (f *FirstFitFIFO) stopAll(j *job) {
+	for index := range j.spec.Tasks {
+		for number := j.attempts; number > 0; number-- {
+			if a, ok := f.tasks[taskID(j.spec.ID, index, number)]; ok {
+				f.emit(machine.Stop{Task: a.id, VM: a.vm, Verb: machine.StopCancel})
+				break
+			}
+		}
+	}
+}
+
+func taskID(id state.JobID, index, number int) state.TaskID {
+	return state.TaskID(fmt.Sprintf("%s/%d/%d", id, index, number))
+}
+
+func (f *FirstFitFIFO) answer(j *job, s state.JobState, reason state.Reason) {
+	j.ended = true
+	f.unwait(j)
+	a := machine.Answer{Job: j.spec.ID, Team: j.spec.Team, State: s}
+	if s == state.JobSucceeded {
+		a.Outputs = j.outputs
+	} else {
+		a.Refusal = &state.Refusal{Reason: reason, Verdict: j.verdict(), Detail: "ended without success", Remedy: "submit again"}
+	}
+	f.emit(a)
+	if j.active > 0 {
+		f.stopAll(j)
+		return
+	}
+	delete(f.jobs, j.spec.ID)
+}
+
+func (j *job) verdict() state.Verdict {
+	switch {
+	case j.ran:
+		return state.HasRun
+	case j.active > 0:
+		return state.Unknown
+	}
+	return state.NotRun
+}
--- /dev/null
+++ b/internal/state/emulator/events.go
@@ -0,0 +1,59 @@
+package emulator
+
+import (
+	"container/heap"
+
+	"github.com/samphirerail/samphirerail/internal/state"
+)
+
+// item is something to do at a virtual time.
+type item struct {
+	at       state.Time
+	sequence uint64
+	do       func()
+}
+
+// items is a heap by time, then by the order of adding.
+type items []*item
+
+func (s items) Len() int { return len(s) }
+
+func (s items) Less(i, j int) bool {
+	if s[i].at != s[j].at {
+		return s[i].at < s[j].at
+	}
+	return s[i].sequence < s[j].sequence
+}
+
+func (s items) Swap(i, j int) { s[i], s[j] = s[j], s[i] }
+
+// Push implements heap.Interface.
+func (s *items) Push(x any) { *s = append(*s, x.(*item)) }
+
+// Pop implements heap.Interface.
+func (s *items) Pop() any {
+	last := len(*s) - 1
+	it := (*s)[last]
+	(*s)[last] = nil
+	*s = (*s)[:last]
+	return it
+}
+
+// queue holds what is to be done, in order of time.
+type queue struct {
+	items    items
+	sequence uint64
+}
+
+func (q *queue) add(at state.Time, do func()) {
+	q.sequence++
+	heap.Push(&q.items, &item{at: at, sequence: q.sequence, do: do})
+}
+
+// next takes out the first item due by the end, or returns nil.
+func (q *queue) next(end state.Time) *item {
+	if len(q.items) == 0 || q.items[0].at > end {
+		return nil
+	}
+	return heap.Pop(&q.items).(*item)
+}
--- /dev/null
+++ b/internal/state/trace/codec.go
@@ -0,0 +1,119 @@
+package trace
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+
+	"github.com/rotisserie/eris"
+)
+
+// maxLine is the longest line of a trace in bytes.
+const maxLine = 64 << 10
+
+// LineError says which line of a trace can't be used.
+type LineError struct {
+	Line    int
+	Problem string
+}
+
+func (e *LineError) Error() string {
+	return fmt.Sprintf("trace: line %d %s; see docs/TRACES.md", e.Line, e.Problem)
+}
+
+// Write writes a trace, one JSON object a line.
+func Write(w io.Writer, t *Trace) error {
+	buffered := bufio.NewWriter(w)
+	encoder := json.NewEncoder(buffered)
+	if err := encoder.Encode(t.Header); err != nil {
+		return eris.Wrap(err, "trace: write the header")
+	}
+	for i := range t.Events {
+		if err := encoder.Encode(&t.Events[i]); err != nil {
+			return eris.Wrapf(err, "trace: write event %d", i)
+		}
+	}
+	return eris.Wrap(buffered.Flush(), "trace: write")
+}
+
+// Read reads a whole trace. It fails with a *LineError when a line is not valid
+// or goes back in time.
+func Read(r io.Reader) (*Trace, error) {
+	lines := bufio.NewScanner(r)
+	lines.Buffer(make([]byte, 0, maxLine), maxLine)
+	t := &Trace{}
+	number := 0
+	for lines.Scan() {
+		number++
+		if problem := t.take(number, lines.Bytes()); problem != "" {
+			return nil, &LineError{Line: number, Problem: problem}
+		}
+	}
+	if err := lines.Err(); err != nil {
+		return nil, eris.Wrapf(err, "trace: read line %d", number+1)
+	}
+	if number == 0 {
+		return nil, &LineError{Line: 1, Problem: "is missing"}
+	}
+	return t, nil
+}
+
+// take adds a line and returns what is wrong with it.
+func (t *Trace) take(number int, line []byte) string {
+	if number == 1 {
+		if err := decode(line, &t.Header); err != nil {
+			return "is no header: " + err.Error()
+		}
+		if t.Header.Format != Format {
+			return fmt.Sprintf("has format %q, not %q", t.Header.Format, Format)
+		}
+		return ""
+	}
+	var e Event
+	if err := decode(line, &e); err != nil {
+		return "is no event: " + err.Error()
+	}
+	if problem := e.check(); problem != "" {
+		return problem
+	}
+	if e.Time() < t.End() {
+		return "goes back in time"
+	}
+	t.Events = append(t.Events, e)
+	return ""
+}
+
+func decode(line []byte, into any) error {
+	decoder := json.NewDecoder(bytes.NewReader(line))
+	decoder.DisallowUnknownFields()
+	return decoder.Decode(into)
+}
+
+// check returns what is wrong with an event.
+func (e *Event) check() string {
+	if e.AtMicros < 0 {
+		return "has a negative time"
+	}
+	switch e.Kind {
+	case KindUpstream:
+		return missing(e.Upstream == nil || e.Upstream.VM == "" || e.Upstream.Domain == "", "an upstream with vm and domain")
+	case KindTeam:
+		return missing(e.Team == nil || e.Team.ID == "", "a team with id")
+	case KindSubmit:
+		return missing(e.Submit == nil || e.Submit.ID == "" || !e.Submit.Class.Valid(), "a job with id and class")
+	case KindCancel:
+		return missing(e.Job == "", "a job")
+	case KindLost, KindBack, KindFaulty, KindRepaired:
+		return missing(e.VM == "", "a vm")
+	}
+	return fmt.Sprintf("has the unknown event %q", e.Kind)
+}
+
+func missing(lacks bool, what string) string {
+	if !lacks {
+		return ""
+	}
+	return "lacks " + what
+}
--- /dev/null
+++ b/internal/state/trace/deployment.go
@@ -0,0 +1,127 @@
+package trace
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/samphirerail/samphirerail/internal/state"
+)
+
+// Deployment names one of the known cells.
+type Deployment string
+
+// The deployments.
+const (
+	Coop   Deployment = "coop"
+	Oyster Deployment = "oyster"
+)
+
+// Valid reports whether d is a known deployment.
+func (d Deployment) Valid() bool { return d == Coop || d == Oyster }
+
+// slotsPerUpstream is the number of tasks that an upstream runs at once.
+const slotsPerUpstream = 8
+
+// racksPerDomain is how many racks the upstreams of a domain are spread over.
+const racksPerDomain = 4
+
+// fleet is the upstreams of one service.
+type fleet struct {
+	service  state.Service
+	count    int
+	capacity state.Vector
+}
+
+// plan is what a deployment consists of.
+type plan struct {
+	domains []state.DomainID
+	fleets  []fleet
+	teams   []teamPlan
+}
+
+// teamPlan is one team. Demand is its part of all submissions; Limit is the
+// part of a domain that it may hold, in percent.
+type teamPlan struct {
+	id           state.TeamID
+	weight       int
+	demand       int
+	limitPercent int64
+}
+
+func planOf(d Deployment) (plan, error) {
+	switch d {
+	case Coop:
+		return plan{
+			domains: []state.DomainID{"brest", "lorient", "quimper"},
+			fleets: []fleet{
+				{service: "fitting", count: 35, capacity: capacity(32, 64, 0)},
+				{service: "design", count: 13, capacity: capacity(32, 128, 8)},
+			},
+			teams: []teamPlan{
+				{"bagad", 8, 30, 70}, {"cercle", 5, 30, 60}, {"fanfare", 3, 18, 50},
+				{"harmonie", 2, 12, 40}, {"parade", 1, 6, 25}, {"tailleurs", 1, 4, 25},
+			},
+		}, nil
+	case Oyster:
+		return plan{
+			domains: []state.DomainID{"gaiman", "madryn", "rawson", "trelew"},
+			fleets: []fleet{
+				{service: "lease", count: 35, capacity: capacity(32, 64, 0)},
+				{service: "sanitation", count: 13, capacity: capacity(64, 128, 8)},
+			},
+			teams: []teamPlan{
+				{"growers", 6, 34, 60}, {"inspectors", 6, 26, 60}, {"laboratory", 4, 18, 50},
+				{"permits", 2, 12, 40}, {"tides", 1, 6, 30}, {"wardens", 1, 4, 30},
+			},
+		}, nil
+	}
+	return plan{}, fmt.Errorf("trace: unknown deployment %q; use %q or %q", d, Coop, Oyster)
+}
+
+func capacity(cores, gigabytes, accelerators int64) state.Vector {
+	return state.Vector{CPUMilli: cores * 1000, MemoryMB: gigabytes * 1024, Accelerators: accelerators, Slots: slotsPerUpstream}
+}
+
+// domainCapacity is the smallest capacity of a domain.
+func (p *plan) domainCapacity() state.Vector {
+	var total state.Vector
+	for _, f := range p.fleets {
+		total = total.Add(f.capacity.Scale(int64(f.count / len(p.domains))))
+	}
+	return total
+}
+
+// slots is the number of slots of the whole cell.
+func (p *plan) slots() int {
+	slots := 0
+	for _, f := range p.fleets {
+		slots += f.count * slotsPerUpstream
+	}
+	return slots
+}
+
+// Options choose what Generate makes.
+type Options struct {
+	Deployment Deployment
+	Seed       uint64
+	// Submissions is the number of jobs, without those of the wave.
+	Submissions int
+	// Load is the average demand for slots, in percent of all slots.
+	Load int
+	// Wave is the number of batch jobs that one team submits at once and
+	// cancels at once; 0 means none.
+	Wave int
+}
+
+// DefaultOptions returns the options for a deployment and seed.
+func DefaultOptions(d Deployment, seed uint64) Options {
+	return Options{Deployment: d, Seed: seed, Submissions: 20_000, Load: 110}
+}
+
+// Run times and margins of the generated work.
+const (
+	requestRunTime  = 40 * time.Millisecond
+	batchRunTime    = 15 * time.Second
+	gangRunTime     = 12 * time.Second
+	standingRunTime = 90 * time.Second
+)
--- /dev/null
+++ b/internal/state/trace/doc.go
@@ -0,0 +1,4 @@
+// Package trace reads, writes and generates recorded traces: what callers and
+// the platform did to a cell, in order of time. docs/TRACES.md describes the
+// format.
+package trace
