--- /dev/null
+++ b/internal/replay/table.go
@@ -0,0 +1,151 @@
+package replay
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"text/tabwriter"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/samphirerail/samphirerail/internal/state/emulator"
+)
+
+// WriteJSON writes the reports as one JSON array.
+func WriteJSON(w io.Writer, reports []*emulator.Report) error {
+	encoder := json.NewEncoder(w)
+	encoder.SetIndent("", "  ")
+	return eris.Wrap(encoder.Encode(reports), "replay: write the reports")
+}
+
+// row is one line of the table: a measure and its value for each policy.
+type row struct {
+	measure string
+	value   func(r *emulator.Report) string
+}
+
+// WriteTable writes the reports side by side, one measure a line.
+func WriteTable(w io.Writer, reports []*emulator.Report) error {
+	if len(reports) == 0 {
+		return nil
+	}
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	header := "measure"
+	for _, r := range reports {
+		header += "\t" + r.Policy
+	}
+	fmt.Fprintln(table, header)
+	for _, line := range rows(reports) {
+		text := line.measure
+		for _, r := range reports {
+			text += "\t" + line.value(r)
+		}
+		fmt.Fprintln(table, text)
+	}
+	if err := table.Flush(); err != nil {
+		return eris.Wrap(err, "replay: write the table")
+	}
+	return writeBreaches(w, reports)
+}
+
+func writeBreaches(w io.Writer, reports []*emulator.Report) error {
+	for _, r := range reports {
+		for _, b := range r.Breaches {
+			if _, err := fmt.Fprintf(w, "%s at %d us: %s: %s\n", r.Policy, b.AtMicros, b.Rule, b.Detail); err != nil {
+				return eris.Wrap(err, "replay: write the breaches")
+			}
+		}
+	}
+	return nil
+}
+
+func rows(reports []*emulator.Report) []row {
+	all := outcomeRows()
+	all = append(all, waitRows(reports[0])...)
+	all = append(all, loadRows(reports)...)
+	all = append(all, refusalRows(reports)...)
+	return append(all,
+		count("starts", func(r *emulator.Report) int { return r.Starts }),
+		count("retries", func(r *emulator.Report) int { return r.Retries }),
+		row{"decisions per second", func(r *emulator.Report) string { return fmt.Sprintf("%.0f", r.DecisionsPerSecond) }},
+		count("breaches", func(r *emulator.Report) int { return len(r.Breaches) }),
+	)
+}
+
+func outcomeRows() []row {
+	return []row{
+		count("jobs", func(r *emulator.Report) int { return r.Jobs }),
+		count("succeeded", func(r *emulator.Report) int { return r.Succeeded }),
+		count("cancelled", func(r *emulator.Report) int { return r.Cancelled }),
+		count("failed", func(r *emulator.Report) int { return r.Failed }),
+		count("refused", func(r *emulator.Report) int { return r.Refused }),
+		count("unknown", func(r *emulator.Report) int { return r.Unknown }),
+		{"late", func(r *emulator.Report) string {
+			return fmt.Sprintf("%d of %d (%s)", r.Late.Jobs, r.Late.Of, percent(r.Late.Part))
+		}},
+	}
+}
+
+func waitRows(r *emulator.Report) []row {
+	var lines []row
+	for i, w := range r.Waits {
+		lines = append(lines, row{"wait p50/p99 ms, " + w.Group, func(r *emulator.Report) string {
+			return fmt.Sprintf("%.1f / %.1f", r.Waits[i].P50MS, r.Waits[i].P99MS)
+		}})
+	}
+	return lines
+}
+
+func loadRows(reports []*emulator.Report) []row {
+	var lines []row
+	for _, service := range serviceNames(reports) {
+		lines = append(lines,
+			row{"in use while work waits, " + service, func(r *emulator.Report) string {
+				p, ok := packing(r, service)
+				return percentOr(ok, p.InUse)
+			}},
+			row{"accelerators stranded, " + service, func(r *emulator.Report) string {
+				p, ok := packing(r, service)
+				return percentOr(ok, p.Stranded)
+			}})
+	}
+	lines = append(lines, row{"upstreams overused", func(r *emulator.Report) string { return percent(r.Overused) }})
+	for _, team := range teamNames(reports) {
+		lines = append(lines, row{"share/fair/distance, " + team, func(r *emulator.Report) string {
+			t, ok := teamShare(r, team)
+			if !ok {
+				return "-"
+			}
+			return fmt.Sprintf("%s / %s / %s", percent(t.Share), percent(t.Fair), percent(t.Distance))
+		}})
+	}
+	return append(lines, row{"shortfall of share, mean", func(r *emulator.Report) string { return percent(r.Shortfall) }})
+}
+
+func refusalRows(reports []*emulator.Report) []row {
+	var lines []row
+	for _, reason := range reasonNames(reports) {
+		lines = append(lines, count("refusals, "+reason, func(r *emulator.Report) int {
+			for _, c := range r.Refusals {
+				if string(c.Reason) == reason {
+					return c.Count
+				}
+			}
+			return 0
+		}))
+	}
+	return lines
+}
+
+func count(measure string, value func(r *emulator.Report) int) row {
+	return row{measure, func(r *emulator.Report) string { return fmt.Sprint(value(r)) }}
+}
+
+func percent(part float64) string { return fmt.Sprintf("%.1f%%", part*100) }
+
+func percentOr(ok bool, part float64) string {
+	if !ok {
+		return "-"
+	}
+	return percent(part)
+}
