Hold upstreams for a gang only where and while that helps

Change: count what is left once tasks other than standing ones have ended, and release the hold of a team that may not start its gang.

--- a/internal/state/machine/gang.go
+++ b/internal/state/machine/gang.go
@@ -93,7 +93,7 @@
 			continue
 		}
 		rec, _ := m.cell.Get(u.vm)
-		candidates = append(candidates, candidate{up: u, free: fitCount(j.amount, rec.Free), all: fitCount(j.amount, u.capacity)})
+		candidates = append(candidates, candidate{up: u, free: fitCount(j.amount, rec.Free), all: fitCount(j.amount, u.drained())})
 	}
 	slices.SortFunc(candidates, func(a, b candidate) int {
 		if a.free != b.free {
@@ -120,6 +120,18 @@
 	}
 }
 
+// drained is what the upstream has free once its tasks have ended, other than
+// those of standing jobs.
+func (u *upstream) drained() state.Vector {
+	free := u.capacity
+	for _, a := range u.tasks {
+		if a.job.spec.Class == state.ClassStanding && !a.released {
+			free = free.Sub(a.amount)
+		}
+	}
+	return free
+}
+
 // tryHeldGang starts a gang on the upstreams held for it once they have room.
 func (m *Machine) tryHeldGang(j *job) {
 	s := m.service(j.spec.Service)
@@ -127,6 +139,9 @@
 		return
 	}
 	if !m.allows(m.team(j.spec.Team), j.amount.Scale(int64(len(j.pending)))) {
+		// Held upstreams are of no use to a team at its limit.
+		m.releaseGangHold(j)
+		m.watchGang(j)
 		return
 	}
 	var vms []state.VMID
