Prove that a VM is gone before its place is given away

Cause: after all entries of a domain were replaced, no process had seen the lost VMs on the list, so their entries stayed registered and their upstreams counted as full for good. Taking any absence as proof was ruled out: a list older than the record of a new VM lacks it too. An owner announces when it takes work, and a call about a job right after a takeover says to ask again where it said that there is no such job.

--- a/internal/agent/contact.go
+++ b/internal/agent/contact.go
@@ -46,6 +46,30 @@
 	return time.Since(l.start) - time.Duration(l.last.Load())
 }
 
+// contactVMs is a platform.VMList that notes when its last successful read began.
+type contactVMs struct {
+	platform.VMList
+	last atomic.Pointer[time.Time]
+}
+
+// List implements platform.VMList.
+func (l *contactVMs) List(ctx context.Context) (platform.VMListReply, error) {
+	begin := time.Now()
+	reply, err := l.VMList.List(ctx)
+	if err == nil {
+		l.last.Store(&begin)
+	}
+	return reply, err
+}
+
+// lastRead returns when the last successful read began; zero before the first.
+func (l *contactVMs) lastRead() time.Time {
+	if t := l.last.Load(); t != nil {
+		return *t
+	}
+	return time.Time{}
+}
+
 // workerPool keeps one client per worker address, so that all links of this
 // process to a worker share one connection budget.
 type workerPool struct {
--- a/internal/agent/parts.go
+++ b/internal/agent/parts.go
@@ -31,7 +31,7 @@
 // clients are the connections to the platform and to other entries.
 type clients struct {
 	log   *contactLog
-	vms   *platformclient.VMList
+	vms   *contactVMs
 	peers *rpc.Client
 	dial  owner.Dialer
 }
@@ -48,7 +48,7 @@
 	})
 	return &clients{
 		log:   newContactLog(platformclient.NewLog(s.Platform.Log, options)),
-		vms:   platformclient.NewVMList(s.Platform.VMList, options),
+		vms:   &contactVMs{VMList: platformclient.NewVMList(s.Platform.VMList, options)},
 		peers: rpc.NewClient(cfg),
 		dial:  workers.dial,
 	}
@@ -95,12 +95,13 @@
 
 func newOwner(s settings.Settings, id identity, c *clients, follower *configlog.Follower, members *membership.Service, logger hclog.Logger, registry metrics.Registry, status *statusBoard) *owning {
 	o := &owning{}
+	absences := inventory.NewAbsences(inventory.DefaultListLag, c.vms.lastRead)
 	o.manager = owner.NewManager(owner.ManagerConfig{
 		Config: owner.Config{
 			Shard:      id.shard,
 			Machine:    machineConfig(s),
 			Timing:     timing(s),
-			Source:     inventory.NewSource(id.domain, follower.View, members.Snapshot),
+			Source:     inventory.NewSource(id.domain, follower.View, members.Snapshot, absences),
 			Dial:       c.dial,
 			OnReturned: func(list []coordination.Submission) { go o.resubmit(list, logger) },
 			Logger:     logger,
@@ -113,7 +114,7 @@
 	o.manager.OnFenced(o.runner.Fenced)
 	o.joiner = &inventory.Joiner{
 		Domain: id.domain, Config: follower, Listed: members.Snapshot,
-		Owns: func() bool { return o.manager.Owns(id.shard) }, Interval: time.Second, Logger: logger,
+		Owns: func() bool { return o.manager.Owns(id.shard) }, Interval: time.Second, Absences: absences, Logger: logger,
 	}
 	o.limits = &limits.Rebalancer{
 		Domain: id.domain, Config: follower, Members: members.Snapshot,
--- a/internal/coordination/configlog/control.go
+++ b/internal/coordination/configlog/control.go
@@ -22,8 +22,8 @@
 	// confirming is the ID of the confirmation on its way.
 	confirming string
 	// again fires when a process that drains is to be asked once more.
-	again *time.Timer
-	snapshots  snapshotPlan
+	again     *time.Timer
+	snapshots snapshotPlan
 }
 
 func newControl(f *Follower) *control {
--- a/internal/coordination/inventory/joiner.go
+++ b/internal/coordination/inventory/joiner.go
@@ -29,16 +29,13 @@
 	Config   Writer
 	Listed   func() *membership.Snapshot
 	Owns     func() bool
+	Absences *Absences
 	Interval time.Duration
 	Logger   hclog.Logger
-
-	// seen holds the upstreams that were found in the VM list.
-	seen map[state.VMID]bool
 }
 
 // Run compares and writes until ctx ends.
 func (j *Joiner) Run(ctx context.Context) {
-	j.seen = map[state.VMID]bool{}
 	ticker := time.NewTicker(j.Interval)
 	defer ticker.Stop()
 	for {
@@ -58,16 +55,38 @@
 	if listed.ListVersion == 0 {
 		return
 	}
-	for _, vm := range listed.Upstreams {
-		j.seen[state.VMID(vm.ID)] = true
-	}
 	view := j.Config.View()
 	if missing := j.missing(view, listed); len(missing) > 0 {
 		j.write(ctx, config.JoinUpstreams{Domain: j.Domain, Upstreams: missing}, "upstreams joined", len(missing))
 	}
 	if gone := j.gone(view, listed); len(gone) > 0 {
 		j.write(ctx, config.DropUpstreams{Domain: j.Domain, Upstreams: gone}, "upstreams dropped", len(gone))
+		for _, vm := range gone {
+			j.Absences.Forget(vm)
+		}
+	}
+	for _, entry := range j.ended(view, listed) {
+		j.write(ctx, config.UnregisterEntry{Entry: entry}, "entry unregistered", 1)
+	}
+}
+
+// ended returns the registered entries of the domain that are dead and whose VM
+// is gone.
+func (j *Joiner) ended(view *config.View, listed *membership.Snapshot) []state.EntryID {
+	var ended []state.EntryID
+	now := time.Now()
+	for _, registered := range view.RegisteredEntries(j.Domain) {
+		vm := registered.ID.VM()
+		if _, ok := find(listed.ListedEntries, vm); ok {
+			j.Absences.Listed(vm)
+			continue
+		}
+		entry, known := listed.Entry(registered.ID)
+		if alive := known && entry.Live(); !alive && j.Absences.Gone(vm, now) {
+			ended = append(ended, registered.ID)
+		}
 	}
+	return ended
 }
 
 // missing returns listed upstreams that are not configured, maxJoin at most.
@@ -91,11 +110,12 @@
 	return missing
 }
 
-// gone returns configured upstreams that were listed once and are no more.
+// gone returns configured upstreams that exist no more.
 func (j *Joiner) gone(view *config.View, listed *membership.Snapshot) []state.VMID {
 	var gone []state.VMID
+	now := time.Now()
 	for _, u := range view.Upstreams(j.Domain) {
-		if _, ok := find(listed.Upstreams, u.ID); !ok && j.seen[u.ID] {
+		if _, ok := find(listed.Upstreams, u.ID); !ok && j.Absences.Gone(u.ID, now) {
 			gone = append(gone, u.ID)
 		}
 	}
--- a/internal/coordination/inventory/source.go
+++ b/internal/coordination/inventory/source.go
@@ -6,6 +6,7 @@
 import (
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/samphirerail/samphirerail/internal/coordination/membership"
 	"github.com/samphirerail/samphirerail/internal/coordination/owner"
@@ -18,31 +19,32 @@
 // Source implements owner.Source for the shard of one domain. It is safe for
 // concurrent use.
 type Source struct {
-	domain state.DomainID
-	view   func() *config.View
-	listed func() *membership.Snapshot
+	domain   state.DomainID
+	view     func() *config.View
+	listed   func() *membership.Snapshot
+	absences *Absences
 
 	mu          sync.Mutex
 	version     uint64
 	configured  int64
 	listVersion int64
-	// seen holds the upstreams that this process has found in the VM list. One
-	// that was seen and is listed no more is gone; one that was never seen may
-	// be newer than the list.
-	seen map[state.VMID]bool
+	// open says that the last Load met an upstream that is neither listed nor
+	// known to be gone.
+	open bool
 }
 
 // NewSource returns the source of a domain's shard.
-func NewSource(domain state.DomainID, view func() *config.View, listed func() *membership.Snapshot) *Source {
-	return &Source{domain: domain, view: view, listed: listed, configured: config.NoVersion - 1, seen: map[state.VMID]bool{}}
+func NewSource(domain state.DomainID, view func() *config.View, listed func() *membership.Snapshot, absences *Absences) *Source {
+	return &Source{domain: domain, view: view, listed: listed, absences: absences, configured: config.NoVersion - 1}
 }
 
-// Version implements owner.Source.
+// Version implements owner.Source. An absence can turn into proof without a
+// change of the list, so the version also rises while one is open.
 func (s *Source) Version() uint64 {
 	configured, listed := s.view().Version(), s.listed().ListVersion
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if configured != s.configured || listed != s.listVersion {
+	if configured != s.configured || listed != s.listVersion || s.open {
 		s.configured, s.listVersion = configured, listed
 		s.version++
 	}
@@ -57,25 +59,28 @@
 		ConfigVersion: view.Version(),
 		Quotas:        quotas(view, s.domain),
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, vm := range listed.Upstreams {
-		s.seen[state.VMID(vm.ID)] = true
-	}
+	open := false
+	now := time.Now()
 	for _, u := range view.Upstreams(s.domain) {
-		inventory.Upstreams = append(inventory.Upstreams, s.join(u, listed))
+		joined := s.join(u, listed, now)
+		open = open || joined.Address == "" && !joined.Gone
+		inventory.Upstreams = append(inventory.Upstreams, joined)
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.open = open
 	return inventory
 }
 
 // join combines what the configuration and the VM list tell of an upstream.
-func (s *Source) join(u config.Upstream, listed *membership.Snapshot) owner.Upstream {
+func (s *Source) join(u config.Upstream, listed *membership.Snapshot, now time.Time) owner.Upstream {
 	out := owner.Upstream{VM: u.ID, Rack: u.Rack, Service: u.Service, Capacity: u.Capacity, Leaving: u.Draining}
 	vm, ok := find(listed.Upstreams, u.ID)
 	if !ok {
-		out.Gone = s.seen[u.ID]
+		out.Gone = s.absences.Gone(u.ID, now)
 		return out
 	}
+	s.absences.Listed(u.ID)
 	out.Address = vm.Address
 	out.Incarnation = vm.Incarnation
 	out.Leaving = out.Leaving || vm.State == platform.VMLeaving
--- a/internal/coordination/owner/config.go
+++ b/internal/coordination/owner/config.go
@@ -87,6 +87,8 @@
 	Dial    Dialer
 	// OnFenced is called when a worker obeys a newer owner.
 	OnFenced func(*platform.FencedError)
+	// OnReady is called once the shard takes work.
+	OnReady func()
 	// OnReturned receives the jobs that waited when the shard resigned and
 	// that no caller waits for: none of their tasks ran.
 	OnReturned func([]coordination.Submission)
--- a/internal/coordination/owner/jobs.go
+++ b/internal/coordination/owner/jobs.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"slices"
 	"time"
 
@@ -19,6 +20,13 @@
 
 func sortVMs(vms []state.VMID) { slices.Sort(vms) }
 
+// takeoverRetry is when to ask again for a job after a takeover.
+const takeoverRetry = time.Second
+
+// takeoverGrace is how long after a takeover a job that is not on record may
+// still be reported by a worker that has not been heard.
+const takeoverGrace = 10 * time.Second
+
 // Submit hands a job to the machine and waits for its end as the submission
 // asks. It fails with ErrEnded when the shard ends first: the outcome is then
 // the new owner's to tell.
@@ -170,7 +178,7 @@
 	case !ok:
 		return coordination.JobStatus{}, ErrEnded
 	case !found:
-		return coordination.JobStatus{}, unknownJob(id)
+		return coordination.JobStatus{}, s.noRecord(id)
 	}
 	return s.await(ctx, id, wait, status)
 }
@@ -192,11 +200,27 @@
 	case !ok:
 		return coordination.JobStatus{}, ErrEnded
 	case !found:
-		return coordination.JobStatus{}, unknownJob(id)
+		return coordination.JobStatus{}, s.noRecord(id)
 	}
 	return s.await(ctx, id, 0, status)
 }
 
+// noRecord refuses a call about a job that is not on record. While workers have
+// not been heard since the takeover, one of them may hold it.
+func (s *Shard) noRecord(id state.JobID) *state.Refusal {
+	missing := s.Summary().Upstreams - s.Summary().Fenced
+	if missing == 0 && s.Summary().Ready || time.Since(s.takeover) > takeoverGrace {
+		return unknownJob(id)
+	}
+	return &state.Refusal{
+		Reason:     state.ReasonNoOwner,
+		Verdict:    state.Unknown,
+		Detail:     fmt.Sprintf("the owner has just taken over and not yet heard from %d upstreams", missing),
+		Remedy:     "ask again",
+		RetryAfter: takeoverRetry,
+	}
+}
+
 // answer wakes those who wait for the job.
 func (s *Shard) answer(a machine.Answer) {
 	delete(s.traces, a.Job)
--- a/internal/coordination/owner/manager.go
+++ b/internal/coordination/owner/manager.go
@@ -73,6 +73,7 @@
 	cfg := m.cfg.Config
 	cfg.Epoch = epoch
 	cfg.OnFenced = m.fenced
+	cfg.OnReady = m.cfg.Changed
 	cfg.Machine.FirstAttempt = firstAttempt(epoch)
 	shard := NewShard(cfg)
 	m.current = shard
--- a/internal/coordination/owner/reconcile.go
+++ b/internal/coordination/owner/reconcile.go
@@ -17,6 +17,7 @@
 	if !inventory.Known {
 		return
 	}
+	first := s.configVersion < 0
 	s.version = version
 	s.configVersion = inventory.ConfigVersion
 	list := inventory.Upstreams
@@ -31,6 +32,16 @@
 	for _, vm := range s.absent(present) {
 		s.drop(ctx, vm)
 	}
+	if first {
+		s.summarize()
+		s.becameReady()
+	}
+}
+
+func (s *Shard) becameReady() {
+	if s.cfg.OnReady != nil {
+		s.spawn(s.cfg.OnReady)
+	}
 }
 
 // absent returns the upstreams that are no longer listed, in the order of the
--- a/internal/coordination/owner/shard.go
+++ b/internal/coordination/owner/shard.go
@@ -21,7 +21,7 @@
 // last job that it started. Its control goroutine (Run) owns the state machine;
 // everything else reaches the machine through messages.
 type Shard struct {
-	cfg   Config
+	cfg    Config
 	log    hclog.Logger
 	meters *meters
 	start  time.Time
