--- a/internal/agent/parts.go
+++ b/internal/agent/parts.go
@@ -94,6 +94,7 @@
 			Timing:     timing(s),
 			Source:     inventory.NewSource(id.domain, follower.View, members.Snapshot),
 			Dial:       c.dial,
+			Log:        c.log,
 			OnReturned: func(list []coordination.Submission) { go o.resubmit(list, logger) },
 			Logger:     logger,
 		},
--- /dev/null
+++ b/internal/coordination/journal/fold.go
@@ -0,0 +1,71 @@
+package journal
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/samphirerail/samphirerail/internal/state"
+	"github.com/samphirerail/samphirerail/platform"
+)
+
+// fold is what the records read so far say.
+type fold struct {
+	epoch    platform.Epoch
+	sequence uint64
+	base     int64
+	baseAt   time.Time
+	open     map[state.JobID]*foldedJob
+	accepted int
+}
+
+type foldedJob struct {
+	job   Job
+	order int
+}
+
+func newFold() *fold { return &fold{open: map[state.JobID]*foldedJob{}} }
+
+// apply takes in a record. Repeats and records of an epoch older than the newest
+// one seen have no effect.
+func (f *fold) apply(data []byte) error {
+	b, err := decode(data)
+	if err != nil {
+		return err
+	}
+	order := b.Epoch.Compare(f.epoch)
+	if order < 0 || order == 0 && b.Sequence <= f.sequence {
+		return nil
+	}
+	f.epoch, f.sequence = b.Epoch, b.Sequence
+	f.base, f.baseAt = b.Base, time.UnixMilli(b.BaseUnixMS)
+	for i := range b.Entries {
+		f.applyEntry(&b.Entries[i])
+	}
+	return nil
+}
+
+func (f *fold) applyEntry(e *entry) {
+	switch {
+	case e.Ended != nil:
+		delete(f.open, e.Ended.ID)
+	case e.Accepted != nil && f.open[e.Accepted.ID] == nil:
+		f.accepted++
+		f.open[e.Accepted.ID] = &foldedJob{job: *e.Accepted, order: f.accepted}
+	}
+}
+
+// unfinished returns the jobs that have not ended, in the order in which they
+// were first read.
+func (f *fold) unfinished() []Job {
+	list := make([]*foldedJob, 0, len(f.open))
+	for _, j := range f.open {
+		list = append(list, j)
+	}
+	slices.SortFunc(list, func(a, b *foldedJob) int { return cmp.Compare(a.order, b.order) })
+	jobs := make([]Job, len(list))
+	for i, j := range list {
+		jobs[i] = j.job
+	}
+	return jobs
+}
--- a/internal/coordination/owner/config.go
+++ b/internal/coordination/owner/config.go
@@ -84,6 +84,8 @@
 	Timing  Timing
 	Source  Source
 	Dial    Dialer
+	// Log keeps the accepted jobs; when nil they live in memory only.
+	Log platform.Log
 	// OnFenced is called when a worker obeys a newer owner.
 	OnFenced func(*platform.FencedError)
 	// OnReturned receives the jobs that waited when the shard resigned and
--- /dev/null
+++ b/internal/coordination/owner/durable.go
@@ -0,0 +1,133 @@
+package owner
+
+import (
+	"context"
+	"time"
+
+	"github.com/samphirerail/samphirerail/internal/coordination"
+	"github.com/samphirerail/samphirerail/internal/coordination/journal"
+	"github.com/samphirerail/samphirerail/internal/state"
+	"github.com/samphirerail/samphirerail/internal/state/machine"
+)
+
+// journalWait is how long an answer waits for the log to take what it promises.
+const journalWait = time.Second
+
+// openJournal makes the journal of the shard when there is a log for it.
+func (s *Shard) openJournal() {
+	if s.cfg.Log == nil {
+		return
+	}
+	s.journal = journal.New(journal.Config{
+		Log:         s.cfg.Log,
+		Domain:      s.cfg.Shard.Domain(),
+		Epoch:       s.cfg.Epoch,
+		OnRecovered: func(jobs []journal.Job) { s.post(func(loop context.Context) { s.recovered(loop, jobs) }) },
+		OnStalled:   func(error) { s.post(s.journalStalled) },
+		Logger:      s.log,
+	})
+}
+
+// runJournal starts the goroutine that writes the journal.
+func (s *Shard) runJournal(ctx context.Context) {
+	if s.journal == nil {
+		return
+	}
+	s.spawn(func() {
+		err := s.journal.Run(ctx)
+		if ctx.Err() == nil {
+			s.log.Warn("journal stopped; accepted jobs are not durable any more", "error", err)
+		}
+		s.post(s.journalStalled)
+	})
+}
+
+// post runs f on the control goroutine, without waiting for it.
+func (s *Shard) post(f func(ctx context.Context)) {
+	select {
+	case s.messages <- message{call: f}:
+	case <-s.done:
+	}
+}
+
+// journalAccepted adds a job that the machine has taken in.
+func (s *Shard) journalAccepted(sub coordination.Submission) {
+	if s.journal == nil || sub.Class == state.ClassRequest || s.resigned {
+		return
+	}
+	if view, ok := s.machine.Job(sub.ID); !ok || view.State.Ended() {
+		return
+	}
+	s.journal.Accept(journal.FromSubmission(sub, time.Now()))
+}
+
+// leftToNextOwner journals the end of a job. It reports true when there is none:
+// the job of a resigned shard that the next owner may run.
+func (s *Shard) leftToNextOwner(a machine.Answer, waiting int) bool {
+	if s.journal == nil {
+		return false
+	}
+	if a.Refusal != nil && a.Refusal.Reason == state.ReasonShuttingDown {
+		written, idempotent := s.journal.Written(a.Job)
+		if written && (idempotent || waiting == 0) {
+			return true
+		}
+	}
+	s.journal.End(a.Job, a.State)
+	return false
+}
+
+// mayRunAgain reports whether the next owner may run a job that it finds in the
+// journal.
+func (s *Shard) mayRunAgain(id state.JobID) bool {
+	if s.journal == nil {
+		return false
+	}
+	written, idempotent := s.journal.Written(id)
+	return written && idempotent
+}
+
+// confirmAccepted says of an accepted job whether it is durable, for which it
+// waits.
+func (s *Shard) confirmAccepted(ctx context.Context, status coordination.JobStatus) coordination.JobStatus {
+	if s.journal == nil || status.State.Ended() {
+		return s.confirmEnded(ctx, status)
+	}
+	if commit := s.journal.Accepted(status.ID); commit != nil {
+		status.Durable = commit.Wait(ctx, journalWait)
+	}
+	return status
+}
+
+// confirmEnded keeps a promise that the job did not run from being given before
+// the log has the end of the job: a new owner might run it still.
+func (s *Shard) confirmEnded(ctx context.Context, status coordination.JobStatus) coordination.JobStatus {
+	if s.journal == nil {
+		return status
+	}
+	if !status.State.Ended() {
+		commit := s.journal.Accepted(status.ID)
+		status.Durable = commit != nil && commit.Stored()
+		return status
+	}
+	if status.Refusal == nil || status.Refusal.Verdict != state.NotRun {
+		return status
+	}
+	commit := s.journal.Ending(status.ID)
+	if commit == nil || commit.Wait(ctx, journalWait) {
+		return status
+	}
+	refusal := *status.Refusal
+	refusal.Verdict = state.Unknown
+	refusal.Detail += "; the log service did not record this yet, and a new owner might run the job"
+	status.Refusal = &refusal
+	return status
+}
+
+// flushJournal waits until the log has taken what was added, or for a bounded
+// time.
+func (s *Shard) flushJournal(ctx context.Context) {
+	if s.journal != nil {
+		s.journal.Last().Wait(ctx, journalWait)
+	}
+}
--- a/internal/coordination/owner/jobs.go
+++ b/internal/coordination/owner/jobs.go
@@ -29,7 +29,8 @@
 	if !ok {
 		return coordination.JobStatus{}, ErrEnded
 	}
-	return s.await(ctx, sub.ID, sub.Wait, status)
+	answer, err := s.await(ctx, sub.ID, sub.Wait, status)
+	return s.confirmAccepted(ctx, answer), err
 }
 
 // submit runs on the control goroutine.
@@ -51,6 +52,7 @@
 		status <- statusOfAnswer(*own)
 		return
 	}
+	s.journalAccepted(sub)
 	s.waitFor(job.ID, sub.Wait > 0, status)
 }
 
@@ -164,6 +166,11 @@
 		if view, known := s.machine.Job(id); known && (team == "" || view.Team == team) {
 			found = true
 			s.waitFor(id, wait > 0, status)
+			return
+		}
+		if recovered, ok := s.recoveredStatus(team, id); ok {
+			found = true
+			status <- recovered
 		}
 	})
 	switch {
@@ -172,7 +179,8 @@
 	case !found:
 		return coordination.JobStatus{}, unknownJob(id)
 	}
-	return s.await(ctx, id, wait, status)
+	answer, err := s.await(ctx, id, wait, status)
+	return s.confirmEnded(ctx, answer), err
 }
 
 // Cancel ends a team's job and waits for its final status.
@@ -194,7 +202,8 @@
 	case !found:
 		return coordination.JobStatus{}, unknownJob(id)
 	}
-	return s.await(ctx, id, 0, status)
+	answer, err := s.await(ctx, id, 0, status)
+	return s.confirmEnded(ctx, answer), err
 }
 
 // answer wakes those who wait for the job.
@@ -203,6 +212,10 @@
 	delete(s.waiting, a.Job)
 	waiting := s.waiters[a.Job]
 	delete(s.waiters, a.Job)
+	if s.leftToNextOwner(a, len(waiting)) {
+		closeAll(waiting)
+		return
+	}
 	if len(waiting) == 0 {
 		return
 	}
@@ -233,12 +246,13 @@
 }
 
 // giveBack carries out the actions of a resignation: jobs that no caller waits
-// for are returned to be submitted to the next owner.
+// for, and those that the next owner may find in the journal, are returned to be
+// submitted to that owner.
 func (s *Shard) giveBack(ctx context.Context, actions []machine.Action) {
 	var returned []coordination.Submission
 	for _, action := range actions {
 		a, ok := action.(machine.Answer)
-		if !ok || len(s.waiters[a.Job]) > 0 {
+		if !ok || len(s.waiters[a.Job]) > 0 && !s.mayRunAgain(a.Job) {
 			continue
 		}
 		if w, waits := s.waiting[a.Job]; waits {
@@ -254,9 +268,13 @@
 // failWaiters tells everyone who still waits that the shard has ended.
 func (s *Shard) failWaiters() {
 	for _, waiting := range s.waiters {
-		for _, w := range waiting {
-			close(w)
-		}
+		closeAll(waiting)
+	}
+}
+
+func closeAll(waiting []chan<- coordination.JobStatus) {
+	for _, w := range waiting {
+		close(w)
 	}
 }
 
--- a/internal/coordination/owner/labels.go
+++ b/internal/coordination/owner/labels.go
@@ -21,13 +21,15 @@
 }
 
 // maxLabelPayload is the largest payload, in bytes, that travels with a task. A
-// task with a larger one can't be started again by another owner.
+// larger one reaches another owner through the journal only.
 const maxLabelPayload = 8 << 10
 
 func encodeLabels(job *state.Job, now state.Time, wall time.Time) ([]byte, error) {
 	l := labels{Job: *job}
 	if job.Class == state.ClassRequest || len(job.Payload) > maxLabelPayload {
 		l.Job.Payload = nil
+	}
+	if job.Class == state.ClassRequest {
 		l.Job.Idempotent = false
 	}
 	if job.Deadline > 0 {
--- a/internal/coordination/owner/manager.go
+++ b/internal/coordination/owner/manager.go
@@ -122,6 +122,7 @@
 		for ctx.Err() == nil && !shard.Idle(ctx) {
 			sleep(ctx, idlePoll)
 		}
+		shard.flushJournal(ctx)
 	}()
 }
 
--- a/internal/coordination/owner/reconcile.go
+++ b/internal/coordination/owner/reconcile.go
@@ -10,7 +10,7 @@
 // reconcile brings the machine's upstreams and quotas in line with the source.
 func (s *Shard) reconcile(ctx context.Context) {
 	version := s.cfg.Source.Version()
-	if version == s.version || s.resigned {
+	if version == s.version || s.resigned || s.awaitsJournal() {
 		return
 	}
 	inventory := s.cfg.Source.Load()
@@ -31,6 +31,7 @@
 	for _, vm := range s.absent(present) {
 		s.drop(ctx, vm)
 	}
+	s.resume(ctx)
 }
 
 // absent returns the upstreams that are no longer listed, in the order of the
--- a/internal/coordination/owner/shard.go
+++ b/internal/coordination/owner/shard.go
@@ -9,6 +9,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/samphirerail/samphirerail/internal/coordination"
+	"github.com/samphirerail/samphirerail/internal/coordination/journal"
 	"github.com/samphirerail/samphirerail/internal/state"
 	"github.com/samphirerail/samphirerail/internal/state/machine"
 	"github.com/samphirerail/samphirerail/platform"
@@ -45,6 +46,10 @@
 	version       uint64
 	configVersion int64
 	resigned      bool
+	recovery      recovery
+
+	// journal is nil when accepted jobs are not kept.
+	journal *journal.Journal
 }
 
 // Summary is what a shard tells of itself.
@@ -82,6 +87,7 @@
 		configVersion: -1,
 	}
 	s.summary.Store(&Summary{ConfigVersion: -1})
+	s.openJournal()
 	return s
 }
 
@@ -114,6 +120,7 @@
 		s.work.Wait()
 		s.failWaiters()
 	}()
+	s.runJournal(ctx)
 	s.reconcile(ctx)
 	s.summarize()
 	for {
@@ -127,6 +134,7 @@
 		case <-ticker.C:
 			s.reconcile(ctx)
 			s.step(ctx, machine.Tick{})
+			s.resume(ctx)
 			s.summarize()
 		}
 	}
