--- a/internal/coordination/owner/config.go
+++ b/internal/coordination/owner/config.go
@@ -85,6 +85,8 @@
 	Timing  Timing
 	Source  Source
 	Dial    Dialer
+	// Log keeps the accepted jobs; when nil they live in memory only.
+	Log platform.Log
 	// OnFenced is called when a worker obeys a newer owner.
 	OnFenced func(*platform.FencedError)
 	// OnReady is called once the shard takes work.
--- a/internal/coordination/owner/shard.go
+++ b/internal/coordination/owner/shard.go
@@ -9,6 +9,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/samphirerail/samphirerail/internal/coordination"
+	"github.com/samphirerail/samphirerail/internal/coordination/journal"
 	"github.com/samphirerail/samphirerail/internal/state"
 	"github.com/samphirerail/samphirerail/internal/state/machine"
 	"github.com/samphirerail/samphirerail/platform"
@@ -46,6 +47,10 @@
 	version       uint64
 	configVersion int64
 	resigned      bool
+	recovery      recovery
+
+	// journal is nil when accepted jobs are not kept.
+	journal *journal.Journal
 }
 
 // Summary is what a shard tells of itself.
@@ -84,6 +89,7 @@
 		configVersion: -1,
 	}
 	s.summary.Store(&Summary{ConfigVersion: -1})
+	s.openJournal()
 	return s
 }
 
@@ -120,6 +126,7 @@
 		s.work.Wait()
 		s.failWaiters()
 	}()
+	s.runJournal(ctx)
 	s.reconcile(ctx)
 	s.summarize()
 	for {
@@ -133,6 +140,7 @@
 		case <-ticker.C:
 			s.reconcile(ctx)
 			s.step(ctx, machine.Tick{})
+			s.resume(ctx)
 			s.summarize()
 		}
 	}
