Measure entry processes against stand-ins of a given size

Change: byte counters by kind of connection (net.<kind>.*), a stand-in fleet in one process, 'measure process|fill|path', and a script that combines them.

--- a/internal/agent/parts.go
+++ b/internal/agent/parts.go
@@ -19,6 +19,7 @@
 	"github.com/samphirerail/samphirerail/internal/state"
 	"github.com/samphirerail/samphirerail/internal/state/machine"
 	"github.com/samphirerail/samphirerail/internal/state/queue"
+	"github.com/samphirerail/samphirerail/internal/transport/netcount"
 	"github.com/samphirerail/samphirerail/internal/transport/platformclient"
 	"github.com/samphirerail/samphirerail/internal/transport/rpc"
 	"github.com/samphirerail/samphirerail/platform"
@@ -36,7 +37,8 @@
 }
 
 func newClients(s settings.Settings, logger hclog.Logger, registry metrics.Registry) *clients {
-	options := platformclient.Options{Timeout: s.Platform.Timeout.Std()}
+	logOptions := platformclient.Options{Timeout: s.Platform.Timeout.Std(), Traffic: netcount.New(registry, "log")}
+	listOptions := platformclient.Options{Timeout: s.Platform.Timeout.Std(), Traffic: netcount.New(registry, "vms")}
 	cfg := rpc.DefaultClientConfig()
 	cfg.Logger = logger
 	cfg.Registry = registry
@@ -44,10 +46,11 @@
 	workers := newWorkerPool(platformclient.Options{
 		Timeout:        s.Upstream.Timeout.Std(),
 		MaxConnections: s.Upstream.Connections,
+		Traffic:        netcount.New(registry, "workers"),
 	})
 	return &clients{
-		log:   newContactLog(platformclient.NewLog(s.Platform.Log, options)),
-		vms:   platformclient.NewVMList(s.Platform.VMList, options),
+		log:   newContactLog(platformclient.NewLog(s.Platform.Log, logOptions)),
+		vms:   platformclient.NewVMList(s.Platform.VMList, listOptions),
 		peers: rpc.NewClient(cfg),
 		dial:  workers.dial,
 	}
--- a/internal/command/dev.go
+++ b/internal/command/dev.go
@@ -23,7 +23,7 @@
 		Action: func(ctx context.Context, cmd *cli.Command) error {
 			return runDev(ctx, cmd)
 		},
-		Commands: []*cli.Command{devPlatformCommand(), devUpstreamCommand()},
+		Commands: []*cli.Command{devPlatformCommand(), devUpstreamCommand(), devFleetCommand()},
 	}
 }
 
@@ -114,6 +114,28 @@
 	}
 }
 
+func devFleetCommand() *cli.Command {
+	return &cli.Command{
+		Name:   "fleet",
+		Usage:  "run many stand-in workers in one process and put them on the stand-in VM list",
+		Hidden: true,
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "platform", Required: true, Usage: "`IP:PORT` of the stand-in platform"},
+			&cli.IntFlag{Name: "count", Value: 100, Usage: "number of workers"},
+			&cli.StringFlag{Name: "domain", Required: true, Usage: "failure `DOMAIN`"},
+			&cli.StringFlag{Name: "service", Value: "fitting", Usage: "customer `SERVICE`"},
+		},
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			signals := notifyStop()
+			fleet, err := devmode.ServeFleet(ctx, cmd.String("platform"), cmd.String("domain"), cmd.String("service"), cmd.Int("count"))
+			if err != nil {
+				return err
+			}
+			return serveStandIn(ctx, cmd, fleet, signals)
+		},
+	}
+}
+
 // serveStandIn prints the address of a stand-in and serves until a signal.
 func serveStandIn(ctx context.Context, cmd *cli.Command, server devmode.Server, signals <-chan os.Signal) error {
 	fmt.Fprintf(cmd.Root().Writer, "listening %s\n", server.Address())
--- a/internal/devmode/standins.go
+++ b/internal/devmode/standins.go
@@ -85,11 +85,20 @@
 
 // putVM puts a VM on the list of a stand-in platform.
 func putVM(ctx context.Context, address string, vm platform.VM) error {
-	body, err := json.Marshal(vm)
+	return callVMs(ctx, http.MethodPut, address, vm)
+}
+
+// PutVMs puts VMs on the list of a stand-in platform, in one change.
+func PutVMs(ctx context.Context, address string, vms []platform.VM) error {
+	return callVMs(ctx, http.MethodPost, address, vms)
+}
+
+func callVMs(ctx context.Context, method, address string, rows any) error {
+	body, err := json.Marshal(rows)
 	if err != nil {
-		return eris.Wrap(err, "devmode: can't encode the VM")
+		return eris.Wrap(err, "devmode: can't encode the VMs")
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+address+platform.PathVMs, bytes.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+platform.PathVMs, bytes.NewReader(body))
 	if err != nil {
 		return eris.Wrap(err, "devmode: the platform's address is not IP:port")
 	}
--- /dev/null
+++ b/internal/measure/path.go
@@ -0,0 +1,134 @@
+package measure
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/google/uuid"
+
+	v1 "github.com/samphirerail/samphirerail/internal/protocol/v1"
+	"github.com/samphirerail/samphirerail/internal/state"
+	"github.com/samphirerail/samphirerail/internal/transport/platformclient"
+	"github.com/samphirerail/samphirerail/platform"
+)
+
+// The range of the latency histogram in microseconds, and its precision.
+const (
+	lowestMicros  = 1
+	highestMicros = 60_000_000
+	digits        = 3
+)
+
+// Call makes one request; the number is unique to it.
+type Call func(ctx context.Context, number int64) error
+
+// Latency is what a run of calls took.
+type Latency struct {
+	Calls  int64
+	Failed int64
+	// LastError is of one of the failed calls.
+	LastError error
+	P50       time.Duration
+	P99       time.Duration
+	PerSecond float64
+}
+
+// Run has callers make calls one after the other for a time, and measures each.
+func Run(ctx context.Context, callers int, period time.Duration, call Call) Latency {
+	start := time.Now()
+	ctx, cancel := context.WithTimeout(ctx, period)
+	defer cancel()
+	var (
+		mu      sync.Mutex
+		all     = hdrhistogram.New(lowestMicros, highestMicros, digits)
+		result  Latency
+		workers sync.WaitGroup
+	)
+	for i := range callers {
+		workers.Go(func() {
+			for n := int64(i); ctx.Err() == nil; n += int64(callers) {
+				begin := time.Now()
+				err := call(context.WithoutCancel(ctx), n)
+				took := time.Since(begin)
+				mu.Lock()
+				result.Calls++
+				if err != nil {
+					result.Failed++
+					result.LastError = err
+				}
+				_ = all.RecordValue(took.Microseconds())
+				mu.Unlock()
+			}
+		})
+	}
+	workers.Wait()
+	result.P50 = time.Duration(all.ValueAtQuantile(50)) * time.Microsecond
+	result.P99 = time.Duration(all.ValueAtQuantile(99)) * time.Microsecond
+	result.PerSecond = float64(result.Calls) / time.Since(start).Seconds()
+	return result
+}
+
+// EntryCall returns a call that submits a request to an entry and waits for
+// its answer.
+func EntryCall(entry, key string, client *http.Client) Call {
+	return func(ctx context.Context, n int64) error {
+		want := fmt.Sprintf(`"answer %d"`, n)
+		body, err := json.Marshal(v1.SubmitRequest{
+			Class: state.ClassRequest, Service: "fitting", CPUMilli: 100, MemoryMB: 64, FirstAttempt: true,
+			Idempotent: true, Payload: []byte(want), WaitMS: time.Second.Milliseconds() * 20,
+		})
+		if err != nil {
+			return err
+		}
+		req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+entry+"/v1/jobs", bytes.NewReader(body))
+		if err != nil {
+			return err
+		}
+		req.Header.Set("Authorization", "Bearer "+key)
+		req.Header.Set("Content-Type", "application/json")
+		resp, err := client.Do(req)
+		if err != nil {
+			return err
+		}
+		defer func() { _ = resp.Body.Close() }()
+		data, err := io.ReadAll(resp.Body)
+		if err != nil {
+			return err
+		}
+		if resp.StatusCode >= http.StatusMultipleChoices {
+			return fmt.Errorf("measure: the entry answered %s: %s", resp.Status, data)
+		}
+		return nil
+	}
+}
+
+// DirectCall returns a call that starts a task on a stand-in worker (IP:port)
+// and waits for its end. The worker must have no other owner.
+func DirectCall(ctx context.Context, address string, callers int) (Call, error) {
+	w := platformclient.NewWorker(address, platformclient.Options{MaxConnections: callers})
+	epoch := platform.Epoch{Number: 1, Owner: "measure"}
+	fenced, err := w.Fence(ctx, platform.FenceRequest{Epoch: epoch})
+	if err != nil {
+		return nil, err
+	}
+	lease := fenced.Clock + platform.WorkerClock(time.Hour)
+	return func(ctx context.Context, n int64) error {
+		reply, err := w.Start(ctx, platform.StartRequest{
+			Epoch: epoch, Incarnation: fenced.Incarnation, LeaseUntil: lease, Wait: true,
+			Spec: platform.TaskSpec{
+				TaskID: uuid.NewString(), Class: string(state.ClassRequest), Payload: fmt.Appendf(nil, `"answer %d"`, n),
+			},
+		})
+		if err == nil && reply.Status.State != platform.TaskSucceeded {
+			return fmt.Errorf("measure: the task ended as %s", reply.Status.State)
+		}
+		return err
+	}, nil
+}
--- a/internal/transport/platformclient/caller.go
+++ b/internal/transport/platformclient/caller.go
@@ -46,7 +46,7 @@
 		options:   options,
 		addresses: addresses,
 		transport: &http.Transport{
-			DialContext:         dialer.DialContext,
+			DialContext:         options.Traffic.Dialer(dialer.DialContext),
 			MaxConnsPerHost:     options.MaxConnections,
 			MaxIdleConnsPerHost: cmp.Or(options.MaxConnections, maxIdleConnections),
 			IdleConnTimeout:     idleTimeout,
--- a/internal/transport/platformclient/options.go
+++ b/internal/transport/platformclient/options.go
@@ -12,6 +12,8 @@
 
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/trace"
+
+	"github.com/samphirerail/samphirerail/internal/transport/netcount"
 )
 
 const (
@@ -40,6 +42,8 @@
 	MaxReplyBytes int64
 	// TracerProvider makes the span of each call; the global one when nil.
 	TracerProvider trace.TracerProvider
+	// Traffic counts the bytes of all connections; nil counts none.
+	Traffic *netcount.Counter
 }
 
 func (o Options) withDefaults() Options {
--- a/internal/transport/rpc/connection.go
+++ b/internal/transport/rpc/connection.go
@@ -8,6 +8,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/samphirerail/samphirerail/internal/transport/netcount"
 )
 
 // errIdle closes a connection that nobody used for a while.
@@ -31,6 +33,9 @@
 	cause error
 }
 
+// trafficKind names the counters of the bytes between entries.
+const trafficKind = "entries"
+
 // dial opens a connection. Its errors mean that nothing was sent.
 func dial(ctx context.Context, cfg *ClientConfig, address string) (*connection, error) {
 	ctx, cancel := context.WithTimeout(ctx, cfg.DialTimeout)
@@ -40,6 +45,7 @@
 	if err != nil {
 		return nil, err
 	}
+	conn = netcount.New(cfg.Registry, trafficKind).Conn(conn)
 	if err := greet(conn, address, cfg.version, cfg.DialTimeout); err != nil {
 		_ = conn.Close()
 		return nil, err
--- a/internal/transport/rpc/server.go
+++ b/internal/transport/rpc/server.go
@@ -14,6 +14,8 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"github.com/samphirerail/samphirerail/internal/coordination"
+
+	"github.com/samphirerail/samphirerail/internal/transport/netcount"
 )
 
 // serviceName is the name of the service on the wire.
@@ -107,6 +109,7 @@
 }
 
 func (s *Server) accept() {
+	traffic := netcount.New(s.cfg.Registry, trafficKind)
 	for {
 		conn, err := s.listener.Accept()
 		if errors.Is(err, net.ErrClosed) {
@@ -117,7 +120,8 @@
 			s.pause()
 			continue
 		}
-		s.wg.Go(func() { s.serve(conn) })
+		counted := traffic.Conn(conn)
+		s.wg.Go(func() { s.serve(counted) })
 	}
 }
 
--- /dev/null
+++ b/scripts/measure.sh
@@ -0,0 +1,109 @@
+#!/usr/bin/env bash
+# Measures one entry process against stand-ins on the loopback address.
+# Usage: scripts/measure.sh BINARY LABEL FLEET FILL_UPSTREAMS TEAMS [SECONDS] [LIST] [EXTRA_TOML]
+#   FLEET           workers that the entry owns (stand-ins in one process)
+#   FILL_UPSTREAMS  upstreams of each of the 13 other domains in the configuration
+#   TEAMS           contracts
+#   LIST            1 puts the others' upstreams on the VM list too
+# ENTRIES=N starts N-1 more entries in the same domain; REMOTE=1 puts them in other domains.
+# RUNNING=N starts N standing tasks; PATH_LOAD=1 measures the path.
+set -euo pipefail
+binary=$1 label=$2 fleet=$3 fill=$4 teams=$5 seconds=${6:-20} list=${7:-0} extra=${8:-}
+dir=$(mktemp -d)
+pids=()
+stop() {
+	local pid
+	for pid in "${pids[@]}"; do kill -TERM "$pid" 2>/dev/null || true; done
+	for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null || true; done
+	rm -rf "$dir"
+}
+trap stop EXIT
+
+address() { # FILE: waits for the address that a stand-in prints
+	local i
+	for i in $(seq 300); do
+		if grep -q '^listening ' "$1"; then sed -n 's/^listening //p' "$1"; return; fi
+		sleep 0.1
+	done
+	echo "no address in $1" >&2; return 1
+}
+
+port=$((20000 + RANDOM % 20000))
+"$binary" dev platform >"$dir/platform" 2>&1 & pids+=($!)
+platform=$(address "$dir/platform")
+if ((fill > 0 || teams > 0)); then
+	flags=(); if ((list)); then flags=(--list); fi
+	"$binary" measure fill --platform "$platform" --upstreams "$fill" --teams "$teams" "${flags[@]}"
+fi
+if ((fleet > 0)); then
+	"$binary" dev fleet --platform "$platform" --domain d00 --count "$fleet" >"$dir/fleet" 2>&1 & pids+=($!)
+	address "$dir/fleet" >/dev/null
+fi
+
+entry() { # NUMBER DOMAIN
+	local n=$1 domain=$2 base=$((port + 3 * $1))
+	cat >"$dir/e$n.toml" <<EOF
+[entry]
+vm = "e$n"
+domain = "$domain"
+region = "r"
+[listen]
+callers = "127.0.0.1:$base"
+internal = "127.0.0.1:$((base + 1))"
+operators = "127.0.0.1:$((base + 2))"
+[platform]
+log = ["$platform"]
+vm_list = ["$platform"]
+bootstrap_key = "boot.secret"
+[shutdown]
+balancer_delay = "10ms"
+timeout = "5s"
+$extra
+EOF
+	curl -sf -X PUT "http://$platform/v1/vms" -d "{\"id\":\"e$n\",\"incarnation\":\"1\",\"role\":\"entry\",\"state\":\"live\",\"region\":\"r\",\"domain\":\"$domain\",\"address\":\"127.0.0.1:$((base + 1))\"}"
+	"$binary" run --config "$dir/e$n.toml" >"$dir/e$n.log" 2>&1 & pids+=($!)
+	started=$!
+}
+
+api() { curl -sf -H 'Authorization: Bearer boot.secret' -H 'Content-Type: application/json' "$@"; }
+
+entry 0 d00; pid=$started
+base=$port ops=127.0.0.1:$((port + 2))
+for n in $(seq 1 $((${ENTRIES:-1} - 1))); do
+	domain=d00; if ((${REMOTE:-0})); then domain=$(printf 'd%02d' $((n % 14))); fi
+	entry "$n" "$domain"
+done
+for _ in $(seq 600); do curl -sf "http://$ops/readyz" >/dev/null && break; sleep 0.1; done
+curl -sf "http://$ops/readyz" >/dev/null || { tail -5 "$dir/e0.log" >&2; exit 1; }
+sleep $((12 + fleet / 300))
+if ((${RUNNING:-0} > 0 || ${PATH_LOAD:-0})); then
+	key=$(api -X POST "http://127.0.0.1:$base/v1/keys" -d '{"base_version":-2,"id":"t1","team":"team001","role":"caller"}' | sed -n 's/.*"bearer":"\([^"]*\)".*/\1/p')
+	sleep 2
+fi
+if ((${RUNNING:-0} > 0)); then
+	for _ in $(seq $((RUNNING / 100))); do
+		curl -sf -o /dev/null -H "Authorization: Bearer $key" -H 'Content-Type: application/json' "http://127.0.0.1:$base/v1/jobs" \
+			-d '{"class":"standing","service":"fitting","tasks":100,"cpu_milli":100,"memory_mb":64}' || echo "submit failed" >&2
+	done
+	sleep 6
+fi
+if ((${SHOW_STATUS:-0})); then api "http://127.0.0.1:$base/v1/status"; echo; fi
+"$binary" measure process --pid "$pid" --operators "$ops" --for "${seconds}s" --label "$label"
+if [[ -n ${PROFILE:-} ]]; then
+	curl -sf "http://$ops/debug/pprof/heap" >"$PROFILE.heap"
+	curl -sf "http://$ops/debug/pprof/goroutine?debug=1" >"$PROFILE.goroutine"
+	curl -sf "http://$ops/debug/pprof/profile?seconds=10" >"$PROFILE.cpu"
+fi
+if ((${PATH_LOAD:-0})); then
+	"$binary" dev upstream --vm direct --domain d99 --service fitting >"$dir/direct" 2>&1 & pids+=($!)
+	worker=$(address "$dir/direct")
+	for callers in ${CALLERS:-1 8 32}; do
+		"$binary" measure path --worker "$worker" --callers "$callers" --label "direct" || true
+		"$binary" measure process --pid "$pid" --operators "$ops" --for 4s --label "under load" & observer=$!
+		"$binary" measure path --entry "127.0.0.1:$base" --key "$key" --callers "$callers" --label "owner" || true
+		wait $observer
+		if ((${ENTRIES:-1} > 1)); then
+			"$binary" measure path --entry "127.0.0.1:$((base + 3))" --key "$key" --callers "$callers" --label "forwarded" || true
+		fi
+	done
+fi
--- a/standin/vmlist/service.go
+++ b/standin/vmlist/service.go
@@ -52,6 +52,7 @@
 	}
 	s.mux.Handle("GET "+platform.PathVMs, s.gate.Wrap(http.HandlerFunc(s.serveList)))
 	s.mux.HandleFunc("PUT "+platform.PathVMs, s.servePut)
+	s.mux.HandleFunc("POST "+platform.PathVMs, s.servePutAll)
 	s.mux.HandleFunc("DELETE "+platform.PathVMs+"/{id...}", s.serveRemove)
 	faults.Register(s.mux, s.Faults, s.SetFaults)
 	return s
@@ -98,7 +99,31 @@
 
 // Put adds a VM or replaces the row with its ID. It fails with
 // platform.ErrInvalid.
-func (s *Service) Put(vm platform.VM) error {
+func (s *Service) Put(vm platform.VM) error { return s.PutAll([]platform.VM{vm}) }
+
+// PutAll adds or replaces rows in one change. When one of them is invalid it
+// changes nothing and fails with platform.ErrInvalid.
+func (s *Service) PutAll(vms []platform.VM) error {
+	for _, vm := range vms {
+		if err := check(vm); err != nil {
+			return err
+		}
+	}
+	s.change(func(rows []platform.VM) []platform.VM {
+		for _, vm := range vms {
+			i, found := slices.BinarySearchFunc(rows, vm.ID, compareID)
+			if found {
+				rows[i] = vm
+				continue
+			}
+			rows = slices.Insert(rows, i, vm)
+		}
+		return rows
+	})
+	return nil
+}
+
+func check(vm platform.VM) error {
 	if vm.ID == "" || vm.Incarnation == "" || vm.Address == "" {
 		return fmt.Errorf("%w: id, incarnation and address must be set", platform.ErrInvalid)
 	}
@@ -108,14 +133,6 @@
 	if vm.Role != platform.RoleEntry && vm.Role != platform.RoleUpstream {
 		return fmt.Errorf("%w: role must be entry or upstream", platform.ErrInvalid)
 	}
-	s.change(func(vms []platform.VM) []platform.VM {
-		i, found := slices.BinarySearchFunc(vms, vm.ID, compareID)
-		if found {
-			vms[i] = vm
-			return vms
-		}
-		return slices.Insert(vms, i, vm)
-	})
 	return nil
 }
 
@@ -163,6 +180,19 @@
 	w.WriteHeader(http.StatusNoContent)
 }
 
+func (s *Service) servePutAll(w http.ResponseWriter, r *http.Request) {
+	var vms []platform.VM
+	err := wire.Decode(r, &vms)
+	if err == nil {
+		err = s.PutAll(vms)
+	}
+	if err != nil {
+		wire.WriteError(w, err)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
 func (s *Service) serveRemove(w http.ResponseWriter, r *http.Request) {
 	s.Remove(r.PathValue("id"))
 	w.WriteHeader(http.StatusNoContent)
