Read only the changes of the VM list, of the own domain

Change: ListRequest{Since, Domain}; the reply holds changed rows and dropped IDs, or the whole list when the changes are not remembered.

--- a/internal/coordination/membership/loop.go
+++ b/internal/coordination/membership/loop.go
@@ -120,14 +120,16 @@
 	}
 }
 
-// pollList reads the VM list at an interval, less often while it fails.
+// pollList reads the changes of the VM list at an interval, less often while it
+// fails.
 func (s *Service) pollList(ctx context.Context) error {
 	delay := backoff.NewExponentialBackOff()
 	delay.InitialInterval = s.cfg.ListInterval
 	delay.MaxInterval = s.cfg.ListMaxInterval
 	failing := false
+	req := platform.ListRequest{Domain: string(s.cfg.Domain)}
 	for {
-		reply, err := s.list.List(ctx)
+		reply, err := s.list.List(ctx, req)
 		next := s.cfg.ListInterval
 		read := listRead{}
 		if err != nil {
@@ -135,6 +137,7 @@
 		} else {
 			delay.Reset()
 			read.reply = &reply
+			req.Since = max(req.Since, reply.Version)
 		}
 		if failing != (err != nil) {
 			failing = err != nil
--- a/internal/coordination/membership/service_test.go
+++ b/internal/coordination/membership/service_test.go
@@ -67,7 +67,7 @@
 	return answer, err
 }
 
-func (n *network) List(context.Context) (platform.VMListReply, error) {
+func (n *network) List(context.Context, platform.ListRequest) (platform.VMListReply, error) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.down {
--- a/internal/coordination/membership/view.go
+++ b/internal/coordination/membership/view.go
@@ -107,17 +107,19 @@
 	return c
 }
 
-// applyList takes in a VM list. An older version than the newest is ignored.
+// applyList takes in a VM list or its changes. An older version than the newest
+// is ignored, and so are changes since another version than the newest.
 func (v *view) applyList(reply platform.VMListReply, now state.Time) {
 	v.listTried = true
-	if reply.Version <= v.listVersion {
+	if reply.Version <= v.listVersion || reply.Since != 0 && reply.Since != v.listVersion {
 		return
 	}
+	vms := v.merged(reply)
 	v.listVersion = reply.Version
 	v.listed = map[state.VMID]platform.VM{}
 	v.upstreams = nil
 	v.listedEntries = nil
-	for _, vm := range reply.VMs {
+	for _, vm := range vms {
 		switch {
 		case vm.Role == platform.RoleEntry:
 			v.listed[state.VMID(vm.ID)] = vm
@@ -135,6 +137,23 @@
 	}
 }
 
+// merged returns the whole list that a reply leads to.
+func (v *view) merged(reply platform.VMListReply) []platform.VM {
+	if reply.Since == 0 {
+		return reply.VMs
+	}
+	replaced := make(map[string]bool, len(reply.VMs)+len(reply.Gone))
+	for _, vm := range reply.VMs {
+		replaced[vm.ID] = true
+	}
+	for _, id := range reply.Gone {
+		replaced[id] = true
+	}
+	vms := slices.Concat(v.listedEntries, v.upstreams)
+	vms = slices.DeleteFunc(vms, func(vm platform.VM) bool { return replaced[vm.ID] })
+	return append(vms, reply.VMs...)
+}
+
 func byVMID(a, b platform.VM) int { return strings.Compare(a.ID, b.ID) }
 
 // isListed reports whether the VM list names this incarnation, and its state.
--- a/internal/coordination/membership/view_test.go
+++ b/internal/coordination/membership/view_test.go
@@ -171,6 +171,51 @@
 	is.Equal(len(v.snapshot(Entry{ID: v.cfg.Self}).Upstreams), 0)
 }
 
+func TestListChanges(t *testing.T) {
+	row := func(id string, state platform.VMState) platform.VM {
+		return platform.VM{ID: id, Incarnation: "i1", Role: platform.RoleUpstream, State: state, Domain: "a", Address: "10.1.0.1:1"}
+	}
+	live, leaving := platform.VMLive, platform.VMLeaving
+	tests := []struct {
+		name  string
+		reply platform.VMListReply
+		want  []platform.VM
+	}{
+		{
+			name:  "rows are added, replaced and dropped",
+			reply: platform.VMListReply{Version: 6, Since: 5, VMs: []platform.VM{row("u3", live), row("u1", leaving)}, Gone: []string{"u2"}},
+			want:  []platform.VM{row("u1", leaving), row("u3", live)},
+		},
+		{
+			name:  "a row that was dropped and added again is listed",
+			reply: platform.VMListReply{Version: 7, Since: 5, VMs: []platform.VM{row("u2", leaving)}, Gone: []string{"u2"}},
+			want:  []platform.VM{row("u1", live), row("u2", leaving)},
+		},
+		{
+			name:  "changes since another version are ignored",
+			reply: platform.VMListReply{Version: 7, Since: 6, Gone: []string{"u1", "u2"}},
+			want:  []platform.VM{row("u1", live), row("u2", live)},
+		},
+		{
+			name:  "the whole list replaces all",
+			reply: platform.VMListReply{Version: 9, VMs: []platform.VM{row("u9", live)}},
+			want:  []platform.VM{row("u9", live)},
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			v := testView(t, nil)
+			v.applyList(platform.VMListReply{Version: 5, VMs: []platform.VM{row("u2", live), row("u1", live)}}, 0)
+			before := v.snapshot(Entry{ID: v.cfg.Self})
+			v.applyList(tt.reply, 0)
+			is.Equal(v.snapshot(Entry{ID: v.cfg.Self}).Upstreams, tt.want)
+			// A snapshot taken before stays as it was.
+			is.Equal(before.Upstreams, []platform.VM{row("u1", live), row("u2", live)})
+		})
+	}
+}
+
 func TestForget(t *testing.T) {
 	is := is.New(t)
 	v := testView(t, nil)
--- a/internal/coordination/ownership/runner_test.go
+++ b/internal/coordination/ownership/runner_test.go
@@ -60,7 +60,7 @@
 	return peer.members.HandleHeartbeat(ctx, hb)
 }
 
-func (d *domain) List(context.Context) (platform.VMListReply, error) {
+func (d *domain) List(context.Context, platform.ListRequest) (platform.VMListReply, error) {
 	reply := platform.VMListReply{Version: 1}
 	for i := range 3 {
 		reply.VMs = append(reply.VMs, platform.VM{ID: fmt.Sprint("vm", i), Incarnation: "i1", Role: platform.RoleEntry, State: platform.VMLive, Domain: "a", Address: fmt.Sprint("10.0.0.", i, ":1")})
--- a/internal/transport/platformclient/vmlist.go
+++ b/internal/transport/platformclient/vmlist.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net/http"
+	"net/url"
+	"strconv"
 
 	"github.com/samphirerail/samphirerail/platform"
 )
@@ -21,10 +23,21 @@
 func (v *VMList) Close() { v.caller.close() }
 
 // List implements platform.VMList.
-func (v *VMList) List(ctx context.Context) (platform.VMListReply, error) {
+func (v *VMList) List(ctx context.Context, req platform.ListRequest) (platform.VMListReply, error) {
+	query := url.Values{}
+	if req.Since != 0 {
+		query.Set(platform.QuerySince, strconv.FormatInt(req.Since, 10))
+	}
+	if req.Domain != "" {
+		query.Set(platform.QueryDomain, req.Domain)
+	}
+	path := platform.PathVMs
+	if len(query) > 0 {
+		path += "?" + query.Encode()
+	}
 	var reply platform.VMListReply
 	_, err := v.caller.do(ctx, call{
-		name: "vms.list", method: http.MethodGet, path: platform.PathVMs,
+		name: "vms.list", method: http.MethodGet, path: path,
 		timeout: v.caller.options.Timeout,
 	}, &reply)
 	return reply, err
--- a/standin/vmlist/service.go
+++ b/standin/vmlist/service.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -26,10 +27,27 @@
 	LagMilliseconds int64 `json:"lag_milliseconds,omitempty"`
 }
 
+// maxDropped is how many dropped rows are remembered for callers that ask for
+// changes.
+const maxDropped = 10_000
+
+// row is a VM and the version that last changed it.
+type row struct {
+	vm      platform.VM
+	version int64
+}
+
+// dropped is a row that was dropped by a version.
+type dropped struct {
+	id      string
+	version int64
+}
+
 // snapshot is the list as it was from a time on.
 type snapshot struct {
-	from time.Time
-	list platform.VMListReply
+	from    time.Time
+	version int64
+	rows    []row
 }
 
 // Service is the VM list. All methods are safe for concurrent use.
@@ -41,6 +59,10 @@
 	lag time.Duration
 	// history is never empty; the last element is the truth.
 	history []snapshot
+	// dropped holds the newest dropped rows; changes are known since
+	// forgotten.
+	dropped   []dropped
+	forgotten int64
 }
 
 // New returns an empty list.
@@ -84,17 +106,43 @@
 	return nil
 }
 
-// List returns the list as it was before the lag.
-func (s *Service) List(context.Context) (platform.VMListReply, error) {
+// List returns the list as it was before the lag, or its changes.
+func (s *Service) List(_ context.Context, req platform.ListRequest) (platform.VMListReply, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	asOf := time.Now().Add(-s.lag)
+	current := s.asOf(time.Now().Add(-s.lag))
+	reply := platform.VMListReply{Version: current.version, Since: req.Since}
+	if req.Since < s.forgotten || req.Since > current.version {
+		reply.Since = 0
+	}
+	for _, r := range current.rows {
+		if r.version > reply.Since && wanted(r.vm, req.Domain) {
+			reply.VMs = append(reply.VMs, r.vm)
+		}
+	}
+	if reply.Since == 0 {
+		return reply, nil
+	}
+	for _, d := range s.dropped {
+		if d.version > reply.Since && d.version <= current.version {
+			reply.Gone = append(reply.Gone, d.id)
+		}
+	}
+	return reply, nil
+}
+
+// asOf returns the newest snapshot that is not younger than a time.
+func (s *Service) asOf(at time.Time) snapshot {
 	for i := len(s.history) - 1; i > 0; i-- {
-		if !s.history[i].from.After(asOf) {
-			return s.history[i].list, nil
+		if !s.history[i].from.After(at) {
+			return s.history[i]
 		}
 	}
-	return s.history[0].list, nil
+	return s.history[0]
+}
+
+func wanted(vm platform.VM, domain string) bool {
+	return domain == "" || vm.Role == platform.RoleEntry || vm.Domain == domain
 }
 
 // Put adds a VM or replaces the row with its ID. It fails with
@@ -109,14 +157,14 @@
 			return err
 		}
 	}
-	s.change(func(rows []platform.VM) []platform.VM {
+	s.change(func(rows []row, version int64) []row {
 		for _, vm := range vms {
 			i, found := slices.BinarySearchFunc(rows, vm.ID, compareID)
 			if found {
-				rows[i] = vm
+				rows[i] = row{vm: vm, version: version}
 				continue
 			}
-			rows = slices.Insert(rows, i, vm)
+			rows = slices.Insert(rows, i, row{vm: vm, version: version})
 		}
 		return rows
 	})
@@ -138,28 +186,38 @@
 
 // Remove drops the row of a VM; one that is not listed is no error.
 func (s *Service) Remove(id string) {
-	s.change(func(vms []platform.VM) []platform.VM {
-		return slices.DeleteFunc(vms, func(vm platform.VM) bool { return vm.ID == id })
+	s.change(func(rows []row, version int64) []row {
+		s.dropped = append(s.dropped, dropped{id: id, version: version})
+		if len(s.dropped) > maxDropped {
+			s.forgotten = s.dropped[0].version
+			s.dropped = slices.Delete(s.dropped, 0, 1)
+		}
+		return slices.DeleteFunc(rows, func(r row) bool { return r.vm.ID == id })
 	})
 }
 
-func compareID(vm platform.VM, id string) int { return cmp.Compare(vm.ID, id) }
+func compareID(r row, id string) int { return cmp.Compare(r.vm.ID, id) }
 
 // change adds a snapshot and drops those that no lag can reach.
-func (s *Service) change(edit func([]platform.VM) []platform.VM) {
+func (s *Service) change(edit func(rows []row, version int64) []row) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	last := s.history[len(s.history)-1].list
-	next := platform.VMListReply{Version: last.Version + 1, VMs: edit(slices.Clone(last.VMs))}
+	last := s.history[len(s.history)-1]
+	version := last.version + 1
 	now := time.Now()
-	s.history = append(s.history, snapshot{from: now, list: next})
+	s.history = append(s.history, snapshot{from: now, version: version, rows: edit(slices.Clone(last.rows), version)})
 	for len(s.history) > 1 && now.Sub(s.history[1].from) > MaxLag {
 		s.history = slices.Delete(s.history, 0, 1)
 	}
 }
 
 func (s *Service) serveList(w http.ResponseWriter, r *http.Request) {
-	list, err := s.List(r.Context())
+	req, err := listRequest(r)
+	if err != nil {
+		wire.WriteError(w, err)
+		return
+	}
+	list, err := s.List(r.Context(), req)
 	if err != nil {
 		wire.WriteError(w, err)
 		return
@@ -167,6 +225,22 @@
 	wire.WriteJSON(w, http.StatusOK, list)
 }
 
+// listRequest reads the query of a call. It fails with platform.ErrInvalid.
+func listRequest(r *http.Request) (platform.ListRequest, error) {
+	query := r.URL.Query()
+	req := platform.ListRequest{Domain: query.Get(platform.QueryDomain)}
+	since := query.Get(platform.QuerySince)
+	if since == "" {
+		return req, nil
+	}
+	n, err := strconv.ParseInt(since, 10, 64)
+	if err != nil || n < 0 {
+		return req, fmt.Errorf("%w: since must be a version", platform.ErrInvalid)
+	}
+	req.Since = n
+	return req, nil
+}
+
 func (s *Service) servePut(w http.ResponseWriter, r *http.Request) {
 	var vm platform.VM
 	err := wire.Decode(r, &vm)
