Hold the Sync of probed workers for one second at most

Cause: a probe asks the first three workers how long ago their owner reached them; ownership's bound is 3 s, but a Sync may be held for 5 s, so a live owner of an idle shard could look silent. Ruled out: a shorter SyncWait for all workers, because each Sync costs some 480 bytes and the traffic of an owner grows with it. Change: one function chooses the workers to probe, for the probe and for the owner's links; the chosen ones hold a Sync for 1 s.

--- a/internal/coordination/owner/manager.go
+++ b/internal/coordination/owner/manager.go
@@ -147,12 +147,10 @@
 // Probe implements ownership.Shard.
 func (m *Manager) Probe(ctx context.Context) (newest platform.Epoch, since time.Duration, answered bool) {
 	since = math.MaxInt64
-	asked := 0
-	for _, u := range m.cfg.Source.Load().Upstreams {
-		if u.Gone || u.Address == "" || asked == probedWorkers || ctx.Err() != nil {
-			continue
+	for _, u := range toProbe(m.cfg.Source.Load().Upstreams) {
+		if ctx.Err() != nil {
+			break
 		}
-		asked++
 		epoch, age, ok := m.probe(ctx, u)
 		if !ok {
 			continue
--- a/internal/coordination/owner/reconcile.go
+++ b/internal/coordination/owner/reconcile.go
@@ -21,16 +21,40 @@
 	s.configVersion = inventory.ConfigVersion
 	list := inventory.Upstreams
 	s.step(ctx, machine.QuotasChanged{Quotas: inventory.Quotas})
+	chosen := probed(list)
 	present := make(map[state.VMID]bool, len(list))
 	for _, info := range list {
 		present[info.VM] = !info.Gone
 		if !info.Gone {
-			s.reconcileOne(ctx, info)
+			s.reconcileOne(ctx, info, chosen[info.VM])
 		}
 	}
 	for _, vm := range s.absent(present) {
 		s.drop(ctx, vm)
 	}
+	for vm, u := range s.upstreams {
+		u.probed.Store(chosen[vm])
+	}
+}
+
+// probed returns the workers whose newest epoch other entries ask for.
+func probed(list []Upstream) map[state.VMID]bool {
+	chosen := make(map[state.VMID]bool, probedWorkers)
+	for _, info := range toProbe(list) {
+		chosen[info.VM] = true
+	}
+	return chosen
+}
+
+// toProbe returns the first workers that have an address.
+func toProbe(list []Upstream) []Upstream {
+	chosen := make([]Upstream, 0, probedWorkers)
+	for _, info := range list {
+		if len(chosen) < probedWorkers && !info.Gone && info.Address != "" {
+			chosen = append(chosen, info)
+		}
+	}
+	return chosen
 }
 
 // absent returns the upstreams that are no longer listed, in the order of the
@@ -46,16 +70,16 @@
 	return gone
 }
 
-func (s *Shard) reconcileOne(ctx context.Context, info Upstream) {
+func (s *Shard) reconcileOne(ctx context.Context, info Upstream, probed bool) {
 	u, ok := s.upstreams[info.VM]
 	if !ok {
 		s.step(ctx, machine.UpstreamJoined{VM: info.VM, Rack: info.Rack, Service: info.Service, Capacity: info.Capacity})
-		s.link(ctx, info)
+		s.link(ctx, info, probed)
 		return
 	}
 	if u.info.Address != info.Address || u.info.Incarnation != info.Incarnation {
 		u.cancel()
-		s.link(ctx, info)
+		s.link(ctx, info, probed)
 	}
 	if info.Leaving && !u.info.Leaving {
 		s.step(ctx, machine.UpstreamLeaving{VM: info.VM})
@@ -65,10 +89,11 @@
 
 // link starts the goroutine that looks after a worker. An upstream without an
 // address stays unfenced.
-func (s *Shard) link(ctx context.Context, info Upstream) {
+func (s *Shard) link(ctx context.Context, info Upstream, probed bool) {
 	u := newUpstream(s, info)
 	linkCtx, cancel := context.WithCancel(ctx)
 	u.cancel = cancel
+	u.probed.Store(probed)
 	s.upstreams[info.VM] = u
 	if info.Address == "" {
 		return
--- a/internal/coordination/owner/upstream.go
+++ b/internal/coordination/owner/upstream.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -17,6 +18,11 @@
 // upstream counts as silent.
 const silentAfter = 2
 
+// probedSyncWait is the longest time that a probed worker may hold a Sync. It is
+// shorter than ownership's ContactBound, so that a probe by another entry finds
+// a recent contact while the owner lives.
+const probedSyncWait = time.Second
+
 // upstream is the owner's link to one worker: it fences it, renews its lease
 // and brings its news. One goroutine runs it; others start and stop tasks
 // through it.
@@ -32,6 +38,9 @@
 	pending     []control
 	controlling bool
 
+	// probed workers are those that other entries ask for the newest epoch.
+	probed atomic.Bool
+
 	// The fields below belong to the goroutine of run.
 	fenced   bool
 	silent   bool
@@ -110,14 +119,15 @@
 
 func (u *upstream) sync(ctx context.Context) bool {
 	timing := u.shard.cfg.Timing
-	callCtx, cancel := context.WithTimeout(ctx, timing.SyncWait+timing.Call)
+	hold := u.syncWait()
+	callCtx, cancel := context.WithTimeout(ctx, hold+timing.Call)
 	defer cancel()
 	reply, err := u.worker.Sync(callCtx, platform.SyncRequest{
 		Epoch:       u.shard.cfg.Epoch,
 		Incarnation: u.currentIncarnation(),
 		LeaseUntil:  u.clock.extend(timing.Lease, time.Now()),
 		AckEvent:    u.ackEvent,
-		Wait:        timing.SyncWait,
+		Wait:        hold,
 	})
 	if err != nil {
 		u.failed(ctx, err)
@@ -137,6 +147,15 @@
 	return true
 }
 
+// syncWait is how long the worker may hold the next Sync.
+func (u *upstream) syncWait() time.Duration {
+	longest := u.shard.cfg.Timing.SyncWait
+	if u.probed.Load() {
+		return min(longest, probedSyncWait)
+	}
+	return longest
+}
+
 func (u *upstream) deliver(reply platform.SyncReply) {
 	for _, ev := range reply.Events {
 		u.ackEvent = max(u.ackEvent, ev.Sequence)
