--- a/internal/agent/contact.go
+++ b/internal/agent/contact.go
@@ -53,9 +53,9 @@
 }
 
 // List implements platform.VMList.
-func (l *contactVMs) List(ctx context.Context) (platform.VMListReply, error) {
+func (l *contactVMs) List(ctx context.Context, req platform.ListRequest) (platform.VMListReply, error) {
 	begin := time.Now()
-	reply, err := l.VMList.List(ctx)
+	reply, err := l.VMList.List(ctx, req)
 	if err == nil {
 		l.last.Store(&begin)
 	}
