--- a/internal/agent/parts.go
+++ b/internal/agent/parts.go
@@ -36,14 +36,17 @@
 }
 
 func newClients(s settings.Settings, logger hclog.Logger, registry metrics.Registry) *clients {
-	options := platformclient.Options{Timeout: s.Platform.Timeout.Std()}
+	source := s.Listen.Source()
+	options := platformclient.Options{Timeout: s.Platform.Timeout.Std(), LocalAddress: source}
 	cfg := rpc.DefaultClientConfig()
+	cfg.LocalAddress = source
 	cfg.Logger = logger
 	cfg.Registry = registry
 	cfg.Tracer = otel.GetTracerProvider()
 	workers := newWorkerPool(platformclient.Options{
 		Timeout:        s.Upstream.Timeout.Std(),
 		MaxConnections: s.Upstream.Connections,
+		LocalAddress:   source,
 	})
 	return &clients{
 		log:   newContactLog(platformclient.NewLog(s.Platform.Log, options)),
@@ -69,7 +72,7 @@
 	return membership.New(membership.Config{
 		Self:           id.entry,
 		Domain:         id.domain,
-		Address:        s.Listen.Internal,
+		Address:        s.Listen.Advertised(),
 		Seeds:          s.Peers.Seeds,
 		Interval:       s.Peers.Heartbeat.Std(),
 		RemoteInterval: s.Peers.RemoteHeartbeat.Std(),
--- a/internal/e2e/checker_test.go
+++ b/internal/e2e/checker_test.go
@@ -88,14 +88,47 @@
 			faults = append(faults, fmt.Sprintf("%s was pushed past what it holds: %s", vm, v))
 		}
 		for _, r := range h.Runs {
-			runs = append(runs, placed{Run: r, vm: vm, index: r.TaskID[:strings.LastIndex(r.TaskID, "/")]})
+			runs = append(runs, newPlaced(r, vm))
 		}
 	}
 	faults = append(faults, checkPlaces(runs)...)
-	faults = append(faults, checkLimit(runs, limit)...)
+	faults = append(faults, checkLimit(runsOf(runs, team), limit)...)
 	return append(faults, checkTold(runs, cs.all())...)
 }
 
+// runs returns what all workers ran.
+func (c *cluster) runs() []placed {
+	c.t.Helper()
+	var runs []placed
+	for vm := range c.upstreams {
+		for _, r := range c.history(vm).Runs {
+			runs = append(runs, newPlaced(r, vm))
+		}
+	}
+	return runs
+}
+
+func newPlaced(r worker.Run, vm string) placed {
+	return placed{Run: r, vm: vm, index: r.TaskID[:strings.LastIndex(r.TaskID, "/")]}
+}
+
+// runsOf returns the runs of a team.
+func runsOf(runs []placed, id state.TeamID) []placed {
+	return slices.DeleteFunc(slices.Clone(runs), func(r placed) bool { return r.Team != string(id) })
+}
+
+// since returns the parts of runs after a time.
+func since(runs []placed, t time.Time) []placed {
+	var rest []placed
+	for _, r := range runs {
+		if end(r) > t.UnixNano() {
+			r.StartUnixNano = max(r.StartUnixNano, t.UnixNano())
+			rest = append(rest, r)
+		}
+	}
+	return rest
+}
+
 // checkPlaces finds tasks that ran in two places at once.
 func checkPlaces(runs []placed) []string {
 	var faults []string
--- a/internal/e2e/cluster_test.go
+++ b/internal/e2e/cluster_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"os"
 	"path/filepath"
 	"testing"
@@ -38,6 +39,9 @@
 	entries   []*entryProcess
 	http      *http.Client
 	teamKey   string
+	// partition is nil unless the shape asks for separate domains.
+	partition *partition
+	subnets   map[string]netip.Prefix
 }
 
 // shape says how large a cluster is.
@@ -46,6 +50,9 @@
 	entries   int
 	upstreams int
 	settings  string
+	// separate gives each domain its own loopback subnet, and puts a forwarder
+	// before each entry, so that domains can be cut off.
+	separate bool
 }
 
 var twoDomains = shape{domains: []string{"north", "south"}, entries: 2, upstreams: 2}
@@ -53,7 +60,13 @@
 // startCluster starts a platform, upstreams and entries, and grants a key.
 func startCluster(t *testing.T, s shape) *cluster {
 	t.Helper()
-	c := &cluster{t: t, upstreams: map[string]string{}, http: &http.Client{Timeout: patience}}
+	c := &cluster{t: t, upstreams: map[string]string{}, http: &http.Client{Timeout: patience}, subnets: map[string]netip.Prefix{}}
+	if s.separate {
+		c.partition = newPartition()
+		for i, domain := range s.domains {
+			c.subnets[domain] = netip.PrefixFrom(netip.AddrFrom4([4]byte{127, 0, byte(i + 1), 0}), 24)
+		}
+	}
 	c.platform = start(t, "platform", "samphirerail", "dev", "platform").listening()
 	for _, domain := range s.domains {
 		for i := range s.upstreams {
@@ -75,8 +88,8 @@
 	return p
 }
 
-func freeAddress(t *testing.T) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+func freeAddress(t *testing.T, ip string) string {
+	listener, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -85,7 +98,12 @@
 }
 
 func (c *cluster) startEntry(vm, domain, extra string) *entryProcess {
-	e := &entryProcess{vm: vm, domain: domain, callers: freeAddress(c.t), internal: freeAddress(c.t), operators: freeAddress(c.t)}
+	ip := c.ip(domain)
+	e := &entryProcess{vm: vm, domain: domain, callers: freeAddress(c.t, ip), internal: freeAddress(c.t, ip), operators: freeAddress(c.t, ip)}
+	advertise := e.internal
+	if c.partition != nil {
+		advertise = c.partition.forward(c.t, e.internal)
+	}
 	e.config = filepath.Join(c.t.TempDir(), vm+".toml")
 	text := fmt.Sprintf(`
 [entry]
@@ -95,6 +113,7 @@
 [listen]
 callers = %q
 internal = %q
+advertise = %q
 operators = %q
 [platform]
 log = [%q]
@@ -102,17 +121,25 @@
 bootstrap_key = %q
 [shutdown]
 balancer_delay = "200ms"
-%s`, vm, domain, e.callers, e.internal, e.operators, c.platform, c.platform, bootstrapKey, extra)
+%s`, vm, domain, e.callers, e.internal, advertise, e.operators, c.platform, c.platform, bootstrapKey, extra)
 	if err := os.WriteFile(e.config, []byte(text), 0o600); err != nil {
 		c.t.Fatal(err)
 	}
 	c.list(platform.VM{
-		ID: vm, Incarnation: "1", Role: platform.RoleEntry, State: platform.VMLive, Region: "test", Domain: domain, Address: e.internal,
+		ID: vm, Incarnation: "1", Role: platform.RoleEntry, State: platform.VMLive, Region: "test", Domain: domain, Address: advertise,
 	})
 	e.process = start(c.t, vm, "samphirerail", "run", "--config", e.config)
 	return e
 }
 
+// ip returns the IP number that the entries of a domain listen on.
+func (c *cluster) ip(domain string) string {
+	if subnet, ok := c.subnets[domain]; ok {
+		return subnet.Addr().Next().String()
+	}
+	return "127.0.0.1"
+}
+
 // list puts a VM on the platform's list.
 func (c *cluster) list(vm platform.VM) {
 	c.t.Helper()
@@ -139,9 +166,7 @@
 	address := c.entries[0].callers
 	c.must(http.MethodPut, address, "/v1/domains", bootstrapKey, domains, nil)
 	c.putContract(address, contract(16*int64(len(s.domains))))
-	var granted v1.GrantedKey
-	c.must(http.MethodPost, address, "/v1/keys", bootstrapKey, v1.GrantKey{ID: "team-key", Team: team, Role: v1.RoleCaller}, &granted)
-	c.teamKey = granted.Bearer
+	c.teamKey = c.grant(address, "team-key", team)
 	for _, e := range c.entries {
 		c.waitUpstreams(e, s.upstreams)
 		c.waitKey(e, c.teamKey, true)
@@ -159,13 +184,26 @@
 }
 
 func (c *cluster) putContract(address string, message v1.Contract) v1.WriteResult {
+	c.t.Helper()
+	return c.putContractOf(address, team, message)
+}
+
+func (c *cluster) putContractOf(address string, id state.TeamID, message v1.Contract) v1.WriteResult {
 	c.t.Helper()
 	base := v1.AnyVersion
 	var result v1.WriteResult
-	c.must(http.MethodPut, address, "/v1/contracts/"+string(team), bootstrapKey, v1.PutContract{Write: v1.Write{BaseVersion: &base}, Contract: message}, &result)
+	c.must(http.MethodPut, address, "/v1/contracts/"+string(id), bootstrapKey, v1.PutContract{Write: v1.Write{BaseVersion: &base}, Contract: message}, &result)
 	return result
 }
 
+// grant grants a caller's key through an entry and returns the bearer.
+func (c *cluster) grant(address, id string, holder state.TeamID) string {
+	c.t.Helper()
+	var granted v1.GrantedKey
+	c.must(http.MethodPost, address, "/v1/keys", bootstrapKey, v1.GrantKey{ID: id, Team: holder, Role: v1.RoleCaller}, &granted)
+	return granted.Bearer
+}
+
 func (c *cluster) waitReady(e *entryProcess) {
 	c.t.Helper()
 	eventually(c.t, e.vm+" is ready", func() error {
--- a/internal/e2e/load_test.go
+++ b/internal/e2e/load_test.go
@@ -28,6 +28,11 @@
 // startLoad runs a number of callers, each with one request at a time. pick
 // returns the entry for the next request.
 func startLoad(cs *callers, callers int, idempotent bool, pick func(n int64) *entryProcess) *load {
+	return startLoadOf(cs, callers, 10*time.Millisecond, idempotent, pick)
+}
+
+// startLoadOf is startLoad with requests that run for a given time.
+func startLoadOf(cs *callers, callers int, run time.Duration, idempotent bool, pick func(n int64) *entryProcess) *load {
 	l := &load{stop: make(chan struct{})}
 	for range callers {
 		l.done.Add(1)
@@ -40,7 +45,7 @@
 				default:
 				}
 				n := l.sent.Add(1)
-				cs.submit(pick(n), request(10*time.Millisecond, fmt.Sprintf("answer %d", n), idempotent))
+				cs.submit(pick(n), request(run, fmt.Sprintf("answer %d", n), idempotent))
 			}
 		}()
 	}
@@ -64,6 +69,15 @@
 	})
 }
 
+// together returns what several groups of callers were told.
+func together(groups ...*callers) *callers {
+	all := &callers{c: groups[0].c}
+	for _, group := range groups {
+		all.told = append(all.told, group.all()...)
+	}
+	return all
+}
+
 // succeeded counts whole answers of jobs that succeeded.
 func (cs *callers) succeeded() int {
 	n := 0
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -131,6 +131,9 @@
 	}
 	c.address("listen.callers", s.Listen.Callers)
 	c.address("listen.internal", s.Listen.Internal)
+	if s.Listen.Advertise != "" {
+		c.address("listen.advertise", s.Listen.Advertise)
+	}
 	c.address("listen.operators", s.Listen.Operators)
 	c.addresses("platform.log", s.Platform.Log, 1)
 	c.addresses("platform.vm_list", s.Platform.VMList, 1)
--- a/internal/settings/check_test.go
+++ b/internal/settings/check_test.go
@@ -39,6 +39,7 @@
 			keys: []string{"peers.seeds[0]", "peers.heartbeat", "peers.dead_after", "policy.objective"},
 		},
 		{name: "host name in place of an IP", text: strings.Replace(valid, "127.0.0.1:7000", "localhost:7000", 1), keys: []string{"listen.callers"}},
+		{name: "advertised host name", text: strings.Replace(valid, "[platform]", "advertise = \"host:1\"\n[platform]", 1), keys: []string{"listen.advertise"}},
 		{name: "syntax", text: "[entry\n", keys: []string{"(syntax)"}},
 		{name: "secret stays out of the fault", text: strings.Replace(valid, "root.s3cret", "s3cret", 1), keys: []string{"platform.bootstrap_key"}},
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -3,6 +3,8 @@
 package settings
 
 import (
+	"cmp"
+	"net/netip"
 	"time"
 )
 
@@ -54,12 +56,30 @@
 type Listen struct {
 	// Callers serves the HTTP interface of callers and operators.
 	Callers string `toml:"callers"`
-	// Internal serves the calls between entries.
+	// Internal serves the calls between entries. Its IP number, unless it is
+	// the unspecified one, is also the source of connections that the entry
+	// opens to the platform, to workers and to other entries.
 	Internal string `toml:"internal"`
+	// Advertise is the IP:port at which other entries reach Internal; empty
+	// means Internal itself.
+	Advertise string `toml:"advertise"`
 	// Operators serves health, readiness and metrics.
 	Operators string `toml:"operators"`
 }
 
+// Advertised returns the IP:port that other entries are told.
+func (l Listen) Advertised() string { return cmp.Or(l.Advertise, l.Internal) }
+
+// Source returns the source address of outgoing connections; it is invalid when
+// the operating system is to choose.
+func (l Listen) Source() netip.Addr {
+	address, err := netip.ParseAddrPort(l.Internal)
+	if err != nil || address.Addr().IsUnspecified() {
+		return netip.Addr{}
+	}
+	return address.Addr()
+}
+
 // Platform holds the endpoints of the platform.
 type Platform struct {
 	Log    []string `toml:"log"`
--- a/internal/transport/rpc/client.go
+++ b/internal/transport/rpc/client.go
@@ -34,7 +34,9 @@
 	IdleTimeout time.Duration
 	// ConnectionsPerPeer is the most connections to one address.
 	ConnectionsPerPeer int
-	MaxFrameBytes      int
+	// LocalAddress is the source address of connections; any when invalid.
+	LocalAddress  netip.Addr
+	MaxFrameBytes int
 	Logger             hclog.Logger
 	Registry           metrics.Registry
 	Tracer             trace.TracerProvider
--- a/internal/transport/rpc/connection.go
+++ b/internal/transport/rpc/connection.go
@@ -36,6 +36,9 @@
 	ctx, cancel := context.WithTimeout(ctx, cfg.DialTimeout)
 	defer cancel()
 	var dialer net.Dialer
+	if cfg.LocalAddress.IsValid() {
+		dialer.LocalAddr = &net.TCPAddr{IP: cfg.LocalAddress.AsSlice()}
+	}
 	conn, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
