Tell a cut by the silence of the other domains, not by their death

An entry of another domain counts as dead after a minute at the earliest, so a contract with on_cut = hold took new work for that long in a domain that was cut off. Ruled out: a shorter RemoteDeadAfter, which would also change how the domains route to each other.

--- a/internal/agent/parts.go
+++ b/internal/agent/parts.go
@@ -169,25 +169,16 @@
 	return t
 }
 
-func newRouter(o *owning, follower *configlog.Follower, c *clients, members *membership.Service, id identity) coordination.JobService {
+func newRouter(o *owning, follower *configlog.Follower, c *clients, members *membership.Service) coordination.JobService {
 	return &admission.Service{
 		JobService: o.router,
 		View:       follower.View,
-		Cut:        func() bool { return c.log.silentFor() > cutAfter && !reachesOtherDomain(members.Snapshot(), id.domain) },
+		Cut:        func() bool { return c.log.silentFor() > cutAfter && members.Snapshot().RemoteSilence > cutAfter },
 	}
 }
 
-// cutAfter is how long the log must be out of reach before the domain may count
-// as cut off.
+// cutAfter is how long the log and every entry of another domain must be out of
+// reach before the domain counts as cut off.
 const cutAfter = 10 * time.Second
 
-func reachesOtherDomain(snapshot *membership.Snapshot, domain state.DomainID) bool {
-	for i := range snapshot.Entries {
-		if e := &snapshot.Entries[i]; e.Domain != domain && e.Live() {
-			return true
-		}
-	}
-	return false
-}
-
 var _ platform.Log = (*contactLog)(nil)
--- a/internal/coordination/membership/evidence.go
+++ b/internal/coordination/membership/evidence.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/samphirerail/samphirerail/internal/coordination"
 	"github.com/samphirerail/samphirerail/internal/state"
@@ -147,5 +148,18 @@
 		ListedEntries: v.listedEntries,
 		ListVersion:   v.listVersion,
 		Stale:         !v.roundDone,
+		RemoteSilence: v.remoteSilence(),
 	}
 }
+
+// remoteSilence returns the time since any entry of another domain gave a sign
+// of life.
+func (v *view) remoteSilence() time.Duration {
+	silence := NeverHeard
+	for _, m := range v.members {
+		if m.domain != v.cfg.Domain {
+			silence = min(silence, v.lastTick-m.heardAt)
+		}
+	}
+	return silence
+}
--- a/internal/coordination/membership/snapshot.go
+++ b/internal/coordination/membership/snapshot.go
@@ -1,8 +1,10 @@
 package membership
 
 import (
+	"math"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/samphirerail/samphirerail/internal/coordination"
 	"github.com/samphirerail/samphirerail/internal/state"
@@ -52,8 +54,14 @@
 	// Stale says that the entry has just started or was paused, and has not
 	// yet contacted every entry of its domain.
 	Stale bool
+	// RemoteSilence is the time since any entry of another domain gave a sign
+	// of life, up to the snapshot; NeverHeard when none did.
+	RemoteSilence time.Duration
 }
 
+// NeverHeard is the silence of entries that were never heard of.
+const NeverHeard time.Duration = math.MaxInt64
+
 // Owner is a shard's owner as the entries tell it.
 type Owner struct {
 	Entry coordination.EntryID
--- a/internal/coordination/membership/traffic_test.go
+++ b/internal/coordination/membership/traffic_test.go
@@ -130,11 +130,14 @@
 		net.start(t, "vm3/i1", "b", "10.0.1.1:1")
 		pass(10 * time.Second)
 		is.True(live(a, "vm3/i1"))
+		is.True(a.service.Snapshot().RemoteSilence <= 4*time.Second)
 		net.with(func() {
 			net.down = true
 			net.cut = func(from, to string) bool { return from[:7] != to[:7] }
 		})
-		pass(time.Minute)
+		pass(10 * time.Second)
+		is.True(a.service.Snapshot().RemoteSilence >= 10*time.Second)
+		pass(50 * time.Second)
 		is.True(live(a, "vm2/i1"))
 		is.True(!live(a, "vm3/i1"))
 		is.True(!a.service.Stale())
