Let the lease of a worker lapse that does not answer

The owner renewed the lease with every Sync it tried, also while the worker did not answer. A renewal whose answer is lost may have arrived, so the owner could never be sure that the lease had lapsed: tasks on a worker that was cut off were never started elsewhere. Ruled out: the team's limit hiding behind the unfenced worker (the same with a larger limit).

After a Sync without an answer the next ones ask only for a sign of life, with the lease that was last sent, and are not held.

The stand-in's early_cancels switch now says refused and forgets it; with the former reply the owner waited for proof and no harm could come of it.

--- a/internal/coordination/owner/clock.go
+++ b/internal/coordination/owner/clock.go
@@ -54,6 +54,13 @@
 	return until
 }
 
+// unchanged returns the longest lease that was ever asked for.
+func (c *leaseClock) unchanged() platform.WorkerClock {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.longest
+}
+
 // lapsed reports whether every lease that was ever asked for has ended on the
 // worker's clock.
 func (c *leaseClock) lapsed(now time.Time) bool {
--- a/internal/coordination/owner/upstream.go
+++ b/internal/coordination/owner/upstream.go
@@ -109,16 +109,10 @@
 }
 
 func (u *upstream) sync(ctx context.Context) bool {
-	timing := u.shard.cfg.Timing
-	callCtx, cancel := context.WithTimeout(ctx, timing.SyncWait+timing.Call)
+	req := u.syncRequest()
+	callCtx, cancel := context.WithTimeout(ctx, req.Wait+u.shard.cfg.Timing.Call)
 	defer cancel()
-	reply, err := u.worker.Sync(callCtx, platform.SyncRequest{
-		Epoch:       u.shard.cfg.Epoch,
-		Incarnation: u.currentIncarnation(),
-		LeaseUntil:  u.clock.extend(timing.Lease, time.Now()),
-		AckEvent:    u.ackEvent,
-		Wait:        timing.SyncWait,
-	})
+	reply, err := u.worker.Sync(callCtx, req)
 	if err != nil {
 		u.failed(ctx, err)
 		return false
@@ -137,6 +131,25 @@
 	return true
 }
 
+// syncRequest renews the lease of a worker that answers. One that does not is
+// only asked for a sign of life: a renewal whose answer is lost may have
+// arrived, so that its lease would never be known to have lapsed.
+func (u *upstream) syncRequest() platform.SyncRequest {
+	timing := u.shard.cfg.Timing
+	req := platform.SyncRequest{
+		Epoch:       u.shard.cfg.Epoch,
+		Incarnation: u.currentIncarnation(),
+		AckEvent:    u.ackEvent,
+	}
+	if u.failures > 0 {
+		req.LeaseUntil = u.clock.unchanged()
+		return req
+	}
+	req.LeaseUntil = u.clock.extend(timing.Lease, time.Now())
+	req.Wait = timing.SyncWait
+	return req
+}
+
 func (u *upstream) deliver(reply platform.SyncReply) {
 	for _, ev := range reply.Events {
 		u.ackEvent = max(u.ackEvent, ev.Sequence)
--- a/internal/e2e/partition_test.go
+++ b/internal/e2e/partition_test.go
@@ -103,4 +103,3 @@
 	<-closed
 	pumps.Wait()
 }
-
--- a/internal/transport/rpc/client.go
+++ b/internal/transport/rpc/client.go
@@ -37,9 +37,9 @@
 	// LocalAddress is the source address of connections; any when invalid.
 	LocalAddress  netip.Addr
 	MaxFrameBytes int
-	Logger             hclog.Logger
-	Registry           metrics.Registry
-	Tracer             trace.TracerProvider
+	Logger        hclog.Logger
+	Registry      metrics.Registry
+	Tracer        trace.TracerProvider
 
 	// version and noProbes are changed by tests.
 	version  uint16
--- a/standin/worker/calls.go
+++ b/standin/worker/calls.go
@@ -187,9 +187,8 @@
 // apply applies a verb to one task and returns its state after that.
 func (w *Worker) apply(verb platform.ControlVerb, id string) platform.TaskStatus {
 	t, known := w.tasks[id]
-	if !known && verb == platform.VerbCancel && !w.faults.Ignore.EarlyCancels {
-		t = w.refuse(platform.TaskSpec{TaskID: id}, w.clock())
-		return t.report()
+	if !known && verb == platform.VerbCancel {
+		return w.cancelEarly(id)
 	}
 	if !known {
 		return unknownTask(id)
@@ -206,6 +205,14 @@
 	return t.report()
 }
 
+// cancelEarly cancels a task whose start has not arrived.
+func (w *Worker) cancelEarly(id string) platform.TaskStatus {
+	if w.faults.Ignore.EarlyCancels {
+		return platform.TaskStatus{Spec: platform.TaskSpec{TaskID: id}, State: platform.TaskRefused}
+	}
+	return w.refuse(platform.TaskSpec{TaskID: id}, w.clock()).report()
+}
+
 // Inspect returns the record of a task, with its payload.
 func (w *Worker) Inspect(_ context.Context, req platform.InspectRequest) (platform.StartReply, error) {
 	w.mu.Lock()
--- a/standin/worker/faults.go
+++ b/standin/worker/faults.go
@@ -12,7 +12,8 @@
 type Ignore struct {
 	// Epochs makes the worker serve owners of any epoch.
 	Epochs bool `json:"epochs,omitempty"`
-	// EarlyCancels makes a cancel of a task that is not known leave no record.
+	// EarlyCancels makes a cancel of a task that is not known leave no record,
+	// though the reply says that the task is refused.
 	EarlyCancels bool `json:"early_cancels,omitempty"`
 	// LeaseEnds makes tasks run on after the end of the lease.
 	LeaseEnds bool `json:"lease_ends,omitempty"`
