--- a/internal/agent/parts.go
+++ b/internal/agent/parts.go
@@ -38,15 +38,18 @@
 }
 
 func newClients(s settings.Settings, logger hclog.Logger, registry metrics.Registry) *clients {
-	logOptions := platformclient.Options{Timeout: s.Platform.Timeout.Std(), Traffic: netcount.New(registry, "log")}
-	listOptions := platformclient.Options{Timeout: s.Platform.Timeout.Std(), Traffic: netcount.New(registry, "vms")}
+	source := s.Listen.Source()
+	logOptions := platformclient.Options{Timeout: s.Platform.Timeout.Std(), LocalAddress: source, Traffic: netcount.New(registry, "log")}
+	listOptions := platformclient.Options{Timeout: s.Platform.Timeout.Std(), LocalAddress: source, Traffic: netcount.New(registry, "vms")}
 	cfg := rpc.DefaultClientConfig()
+	cfg.LocalAddress = source
 	cfg.Logger = logger
 	cfg.Registry = registry
 	cfg.Tracer = otel.GetTracerProvider()
 	workers := newWorkerPool(platformclient.Options{
 		Timeout:        s.Upstream.Timeout.Std(),
 		MaxConnections: s.Upstream.Connections,
+		LocalAddress:   source,
 		Traffic:        netcount.New(registry, "workers"),
 	})
 	return &clients{
@@ -73,7 +76,7 @@
 	return membership.New(membership.Config{
 		Self:           id.entry,
 		Domain:         id.domain,
-		Address:        s.Listen.Internal,
+		Address:        s.Listen.Advertised(),
 		Seeds:          s.Peers.Seeds,
 		Interval:       s.Peers.Heartbeat.Std(),
 		RemoteInterval: s.Peers.RemoteHeartbeat.Std(),
@@ -172,25 +175,16 @@
 	return t
 }
 
-func newRouter(o *owning, follower *configlog.Follower, c *clients, members *membership.Service, id identity) coordination.JobService {
+func newRouter(o *owning, follower *configlog.Follower, c *clients, members *membership.Service) coordination.JobService {
 	return &admission.Service{
 		JobService: o.router,
 		View:       follower.View,
-		Cut:        func() bool { return c.log.silentFor() > cutAfter && !reachesOtherDomain(members.Snapshot(), id.domain) },
+		Cut:        func() bool { return c.log.silentFor() > cutAfter && members.Snapshot().RemoteSilence > cutAfter },
 	}
 }
 
-// cutAfter is how long the log must be out of reach before the domain may count
-// as cut off.
+// cutAfter is how long the log and every entry of another domain must be out of
+// reach before the domain counts as cut off.
 const cutAfter = 10 * time.Second
 
-func reachesOtherDomain(snapshot *membership.Snapshot, domain state.DomainID) bool {
-	for i := range snapshot.Entries {
-		if e := &snapshot.Entries[i]; e.Domain != domain && e.Live() {
-			return true
-		}
-	}
-	return false
-}
-
 var _ platform.Log = (*contactLog)(nil)
--- a/internal/transport/rpc/client.go
+++ b/internal/transport/rpc/client.go
@@ -34,10 +34,12 @@
 	IdleTimeout time.Duration
 	// ConnectionsPerPeer is the most connections to one address.
 	ConnectionsPerPeer int
-	MaxFrameBytes      int
-	Logger             hclog.Logger
-	Registry           metrics.Registry
-	Tracer             trace.TracerProvider
+	// LocalAddress is the source address of connections; any when invalid.
+	LocalAddress  netip.Addr
+	MaxFrameBytes int
+	Logger        hclog.Logger
+	Registry      metrics.Registry
+	Tracer        trace.TracerProvider
 
 	// version and noProbes are changed by tests.
 	version  uint16
