--- a/internal/replay/table.go
+++ b/internal/replay/table.go
@@ -104,6 +104,10 @@
 				p, ok := packing(r, service)
 				return percentOr(ok, p.InUse)
 			}},
+			row{"really in use while work waits, " + service, func(r *emulator.Report) string {
+				p, ok := packing(r, service)
+				return percentOr(ok, p.RealUse)
+			}},
 			row{"accelerators stranded, " + service, func(r *emulator.Report) string {
 				p, ok := packing(r, service)
 				return percentOr(ok, p.Stranded)
--- a/internal/state/emulator/emulator.go
+++ b/internal/state/emulator/emulator.go
@@ -22,8 +22,14 @@
 	// Clock reads a monotonic clock, to measure what decisions cost. Nil
 	// leaves that out of the report.
 	Clock func() time.Duration
+	// LostAnswers is one in how many starts has its answer lost; 0 means
+	// DefaultLostAnswers.
+	LostAnswers uint64
 }
 
+// DefaultLostAnswers is one in how many starts has its answer lost.
+const DefaultLostAnswers = 500
+
 // The model of workers and of the owner's view of them.
 const (
 	// messageTime is how long a message between owner and worker takes.
@@ -46,8 +52,6 @@
 	tickPeriod = 10 * time.Millisecond
 	// samplePeriod is the time between two samples of the report.
 	samplePeriod = 100 * time.Millisecond
-	// lostAnswers is one in how many starts has its answer lost.
-	lostAnswers = 500
 	// drainTime is how long after the trace's end jobs may still end by
 	// themselves; then they are cancelled, and settleTime is left.
 	drainTime  = 10 * time.Minute
@@ -126,6 +130,9 @@
 
 // Run replays a trace and returns the report.
 func Run(t *trace.Trace, opts Options) *Report {
+	if opts.LostAnswers == 0 {
+		opts.LostAnswers = DefaultLostAnswers
+	}
 	e := &Emulator{
 		opts:     opts,
 		trace:    t,
--- a/internal/state/emulator/report.go
+++ b/internal/state/emulator/report.go
@@ -79,7 +79,10 @@
 // waits for it. Parts are between 0 and 1.
 type Packing struct {
 	Service state.Service `json:"service"`
-	InUse   float64       `json:"in_use"`
+	// InUse counts what tasks declare, RealUse what they really use, at most
+	// what each upstream has.
+	InUse   float64 `json:"in_use"`
+	RealUse float64 `json:"real_use"`
 	// Stranded is the part of the accelerators that are free on upstreams
 	// that have no slot or processor left, while work waits for some.
 	Stranded float64 `json:"stranded_accelerators"`
@@ -254,7 +257,8 @@
 func (e *Emulator) reportPacking(r *Report) {
 	for _, s := range e.meter.services {
 		r.Packing = append(r.Packing, Packing{
-			Service: s.name, InUse: average(s.inUse, s.samples), Stranded: average(s.stranded, s.strandedSamples),
+			Service: s.name, InUse: average(s.inUse, s.samples),
+			RealUse: average(s.realUse, s.samples), Stranded: average(s.stranded, s.strandedSamples),
 		})
 	}
 	slices.SortFunc(r.Packing, func(a, b Packing) int { return cmp.Compare(a.Service, b.Service) })
--- a/internal/state/emulator/sample.go
+++ b/internal/state/emulator/sample.go
@@ -20,6 +20,8 @@
 type serviceMeter struct {
 	samples int
 	inUse   float64
+	// realUse is what tasks really use, at most what each upstream has.
+	realUse float64
 	// stranded is the free accelerators on upstreams without a free slot or
 	// processor, as a part of all, while work waits for accelerators.
 	stranded        float64
@@ -110,12 +112,13 @@
 		if !w.services[s.service] {
 			continue
 		}
-		var used, free state.Vector
+		var used, really, free state.Vector
 		for _, up := range d.workers {
 			if up.spec.Service != s.service {
 				continue
 			}
 			used = used.Add(up.used)
+			really = really.Add(up.realUse().Min(up.capacity))
 			left := up.capacity.Sub(up.used)
 			if left.Slots == 0 || left.CPUMilli < leastCPU {
 				free = free.Add(left)
@@ -124,6 +127,7 @@
 		m := e.meter.service(s.service)
 		m.samples++
 		m.inUse += used.DominantShare(s.capacity)
+		m.realUse += really.DominantShare(s.capacity)
 		if w.accelerators[s.service] && s.capacity.Accelerators > 0 {
 			m.strandedSamples++
 			m.stranded += float64(free.Accelerators) / float64(s.capacity.Accelerators)
@@ -165,12 +169,8 @@
 		if len(w.tasks) == 0 {
 			continue
 		}
-		var used state.Vector
-		for _, t := range w.tasks {
-			used = used.Add(t.used())
-		}
 		e.meter.upstreams.busy++
-		if !used.Fits(w.capacity) {
+		if !w.realUse().Fits(w.capacity) {
 			e.meter.upstreams.overused++
 		}
 	}
--- a/internal/state/emulator/worker.go
+++ b/internal/state/emulator/worker.go
@@ -112,7 +112,7 @@
 	w := e.workers[s.VM]
 	t := &task{
 		id: s.Task, key: taskKey{s.Job.ID, s.Index}, record: r, amount: s.Job.Each,
-		mute: xxhash.Sum64String(string(s.Task))%lostAnswers == 0, wait: s.Wait,
+		mute: xxhash.Sum64String(string(s.Task))%e.opts.LostAnswers == 0, wait: s.Wait,
 	}
 	number := w.number
 	e.after(messageTime, func() { e.arrive(w, t, number) })
@@ -297,3 +297,12 @@
 	v.MemoryMB = v.MemoryMB * percent / 100
 	return v
 }
+
+// realUse is what the worker's tasks really use.
+func (w *worker) realUse() state.Vector {
+	var used state.Vector
+	for _, t := range w.tasks {
+		used = used.Add(t.used())
+	}
+	return used
+}
--- a/internal/state/trace/codec.go
+++ b/internal/state/trace/codec.go
@@ -8,6 +8,8 @@
 	"io"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/samphirerail/samphirerail/internal/state"
 )
 
 // maxLine is the longest line of a trace in bytes.
@@ -44,10 +46,11 @@
 	lines := bufio.NewScanner(r)
 	lines.Buffer(make([]byte, 0, maxLine), maxLine)
 	t := &Trace{}
+	vms := map[state.VMID]bool{}
 	number := 0
 	for lines.Scan() {
 		number++
-		if problem := t.take(number, lines.Bytes()); problem != "" {
+		if problem := t.take(number, lines.Bytes(), vms); problem != "" {
 			return nil, &LineError{Line: number, Problem: problem}
 		}
 	}
@@ -60,8 +63,9 @@
 	return t, nil
 }
 
-// take adds a line and returns what is wrong with it.
-func (t *Trace) take(number int, line []byte) string {
+// take adds a line and returns what is wrong with it. It keeps the upstreams
+// that were named so far.
+func (t *Trace) take(number int, line []byte, vms map[state.VMID]bool) string {
 	if number == 1 {
 		if err := decode(line, &t.Header); err != nil {
 			return "is no header: " + err.Error()
@@ -81,6 +85,12 @@
 	if e.Time() < t.End() {
 		return "goes back in time"
 	}
+	if e.Upstream != nil {
+		vms[e.Upstream.VM] = true
+	}
+	if e.VM != "" && !vms[e.VM] {
+		return fmt.Sprintf("names the upstream %q before it exists", e.VM)
+	}
 	t.Events = append(t.Events, e)
 	return ""
 }
