--- a/internal/state/emulator/emulator.go
+++ b/internal/state/emulator/emulator.go
@@ -288,7 +288,7 @@
 	for _, action := range actions {
 		switch action := action.(type) {
 		case machine.Start:
-			e.start(d, action)
+			e.start(action)
 		case machine.ResolveStart:
 			e.resolve(action)
 		case machine.Stop:
--- a/internal/state/emulator/worker.go
+++ b/internal/state/emulator/worker.go
@@ -104,7 +104,7 @@
 }
 
 // start carries a start to its worker.
-func (e *Emulator) start(d *domain, s machine.Start) {
+func (e *Emulator) start(s machine.Start) {
 	r := e.jobs[s.Job.ID]
 	r.starts++
 	e.meter.starts++
--- a/internal/state/trace/deployment.go
+++ b/internal/state/trace/deployment.go
@@ -58,8 +58,12 @@
 				{service: "design", count: 13, capacity: capacity(32, 128, 8)},
 			},
 			teams: []teamPlan{
-				{"bagad", 8, 30, 70}, {"cercle", 5, 30, 60}, {"fanfare", 3, 18, 50},
-				{"harmonie", 2, 12, 40}, {"parade", 1, 6, 25}, {"tailleurs", 1, 4, 25},
+				{"bagad", 8, 30, 70},
+				{"cercle", 5, 30, 60},
+				{"fanfare", 3, 18, 50},
+				{"harmonie", 2, 12, 40},
+				{"parade", 1, 6, 25},
+				{"tailleurs", 1, 4, 25},
 			},
 		}, nil
 	case Oyster:
@@ -70,8 +74,12 @@
 				{service: "sanitation", count: 13, capacity: capacity(64, 128, 8)},
 			},
 			teams: []teamPlan{
-				{"growers", 6, 34, 60}, {"inspectors", 6, 26, 60}, {"laboratory", 4, 18, 50},
-				{"permits", 2, 12, 40}, {"tides", 1, 6, 30}, {"wardens", 1, 4, 30},
+				{"growers", 6, 34, 60},
+				{"inspectors", 6, 26, 60},
+				{"laboratory", 4, 18, 50},
+				{"permits", 2, 12, 40},
+				{"tides", 1, 6, 30},
+				{"wardens", 1, 4, 30},
 			},
 		}, nil
 	}
