Let operators' writes pass the budget of an entry's own records

Cause: three appends a second for all writes made 100 contracts written one after the other take over 30 s. Change: own records keep their budget; all appends of an entry are bounded by 20 a second. The oldest offset comes from the reply that says forgotten; the extra read is gone.

--- a/internal/coordination/configlog/control.go
+++ b/internal/coordination/configlog/control.go
@@ -23,7 +23,9 @@
 	confirming string
 	// again fires when a process that drains is to be asked once more.
 	again *time.Timer
-	snapshots  snapshotPlan
+	// budget fires when the next batch of own records may be handed out.
+	budget    *time.Timer
+	snapshots snapshotPlan
 }
 
 func newControl(f *Follower) *control {
@@ -35,6 +37,8 @@
 	defer ticker.Stop()
 	c.again = time.NewTimer(tickInterval)
 	defer c.again.Stop()
+	c.budget = time.NewTimer(tickInterval)
+	defer c.budget.Stop()
 	for {
 		c.handOut()
 		select {
@@ -44,6 +48,7 @@
 			c.handle(e)
 		case <-c.again.C:
 			c.confirm()
+		case <-c.budget.C:
 		case <-ticker.C:
 			c.confirm()
 			c.snapshot()
@@ -51,11 +56,16 @@
 	}
 }
 
-// handOut gives the writer a batch when it asks for one and records wait.
+// handOut gives the writer a batch when it asks for one, records wait and the
+// budget allows it.
 func (c *control) handOut() {
 	if c.wanted == nil || c.queue.len() == 0 {
 		return
 	}
+	if len(c.queue.operators) == 0 && !c.f.ownLimiter.Allow() {
+		c.budget.Reset(time.Duration(float64(time.Second) / c.f.opts.AppendsPerSecond))
+		return
+	}
 	records := c.queue.pop()
 	data, err := config.Encode(records)
 	if err != nil {
--- a/internal/coordination/configlog/follower.go
+++ b/internal/coordination/configlog/follower.go
@@ -26,10 +26,12 @@
 // Follower keeps the configuration of one entry. Its methods are safe for
 // concurrent use.
 type Follower struct {
-	opts    Options
-	log     hclog.Logger
-	limiter *rate.Limiter
-	meters  meters
+	opts Options
+	log  hclog.Logger
+	// limiter bounds all appends, ownLimiter those without an operator's write.
+	limiter    *rate.Limiter
+	ownLimiter *rate.Limiter
+	meters     meters
 
 	current   atomic.Pointer[published]
 	ready     chan struct{}
@@ -52,13 +54,14 @@
 	}
 	opts = opts.withDefaults()
 	f := &Follower{
-		opts:    opts,
-		log:     opts.Logger.Named("configlog"),
-		limiter: rate.NewLimiter(rate.Limit(opts.AppendsPerSecond), appendBurst),
-		meters:  newMeters(opts.Metrics),
-		ready:   make(chan struct{}),
-		stopped: make(chan struct{}),
-		events:  make(chan event),
+		opts:       opts,
+		log:        opts.Logger.Named("configlog"),
+		limiter:    rate.NewLimiter(rate.Limit(opts.MaxAppendsPerSecond), appendBurst),
+		ownLimiter: rate.NewLimiter(rate.Limit(opts.AppendsPerSecond), ownAppendBurst),
+		meters:     newMeters(opts.Metrics),
+		ready:      make(chan struct{}),
+		stopped:    make(chan struct{}),
+		events:     make(chan event),
 	}
 	f.current.Store(&published{view: config.NewFold().View(), next: make(chan struct{})})
 	return f, nil
--- a/internal/coordination/configlog/options.go
+++ b/internal/coordination/configlog/options.go
@@ -23,6 +23,7 @@
 	DefaultPollWait         = 20 * time.Second
 	DefaultWriteTimeout     = 10 * time.Second
 	DefaultAppendsPerSecond = 3.0
+	DefaultMaxAppends       = 20.0
 	DefaultSnapshotAge      = 10 * time.Minute
 	DefaultSnapshotRecords  = 5000
 	DefaultSnapshotDelay    = 20 * time.Second
@@ -45,8 +46,10 @@
 	appendTimeout = 3 * time.Second
 	// pollMargin is what a read may take beyond its wait.
 	pollMargin = 5 * time.Second
-	// appendBurst is how many appends may follow each other at once.
-	appendBurst = 4
+	// ownAppendBurst and appendBurst are how many appends may follow each
+	// other at once, of the process's own records and of all.
+	ownAppendBurst = 4
+	appendBurst    = 20
 	// maxQueuedWrites is the most records that wait for their append.
 	maxQueuedWrites = 4096
 	// maxBatchRecords and maxBatchBytes bound one append.
@@ -94,8 +97,11 @@
 	PollWait time.Duration
 	// WriteTimeout bounds a write from its call to its fold.
 	WriteTimeout time.Duration
-	// AppendsPerSecond is the budget of this process.
+	// AppendsPerSecond is the budget of this process for what it writes by
+	// itself. Operators' writes do not wait for it.
 	AppendsPerSecond float64
+	// MaxAppendsPerSecond bounds all appends of this process.
+	MaxAppendsPerSecond float64
 	// SnapshotAge and SnapshotRecords make a snapshot due. The age must be
 	// well inside the retention of the log.
 	SnapshotAge     time.Duration
@@ -121,6 +127,7 @@
 	o.PollWait = orDefault(o.PollWait, DefaultPollWait)
 	o.WriteTimeout = orDefault(o.WriteTimeout, DefaultWriteTimeout)
 	o.AppendsPerSecond = orDefault(o.AppendsPerSecond, DefaultAppendsPerSecond)
+	o.MaxAppendsPerSecond = orDefault(o.MaxAppendsPerSecond, DefaultMaxAppends)
 	o.SnapshotAge = orDefault(o.SnapshotAge, DefaultSnapshotAge)
 	o.SnapshotRecords = orDefault(o.SnapshotRecords, DefaultSnapshotRecords)
 	o.SnapshotDelay = orDefault(o.SnapshotDelay, DefaultSnapshotDelay)
--- a/internal/coordination/configlog/reader.go
+++ b/internal/coordination/configlog/reader.go
@@ -49,7 +49,7 @@
 	asked := time.Now()
 	reply, err := f.readFrom(ctx, f.Version()+1, wait)
 	if errors.Is(err, platform.ErrForgotten) {
-		return target, f.restore(ctx)
+		return target, f.restore(ctx, reply.Oldest)
 	}
 	if err != nil {
 		return 0, err
@@ -91,11 +91,8 @@
 }
 
 // restore replaces what the log has forgotten by a snapshot from the log.
-func (f *Follower) restore(ctx context.Context) error {
-	oldest, err := f.oldest(ctx)
-	if err != nil {
-		return eris.Wrap(err, "find the oldest record")
-	}
+// oldest is the first offset that the log keeps.
+func (f *Follower) restore(ctx context.Context, oldest int64) error {
 	fold, err := f.findSnapshot(ctx, oldest)
 	if err != nil {
 		return err
@@ -111,13 +108,6 @@
 	return nil
 }
 
-// oldest asks for the first offset that the log keeps, by a read past the
-// tail.
-func (f *Follower) oldest(ctx context.Context) (int64, error) {
-	reply, err := f.readFrom(ctx, math.MaxInt64, 0)
-	return reply.Oldest, err
-}
-
 // findSnapshot reads from an offset on until it has met a whole snapshot that
 // misses nothing before that offset.
 func (f *Follower) findSnapshot(ctx context.Context, from int64) (*config.Fold, error) {
