Keep late reports of ended tasks from counting them again

Ruled out: taking every task with this owner's attempt numbers as ended, since an owner that is not given a first attempt would stop what it adopts.

--- a/internal/state/machine/accounts.go
+++ b/internal/state/machine/accounts.go
@@ -21,13 +21,16 @@
 type drainRate struct {
 	last     state.Time
 	interval float64
+	// waits says that jobs waited when the last one left.
+	waits bool
 }
 
-func (d *drainRate) observe(now state.Time) {
-	if d.last > 0 {
+func (d *drainRate) observe(now state.Time, waits bool) {
+	if d.waits {
 		d.interval += drainWeight * (float64(now-d.last) - d.interval)
 	}
 	d.last = now
+	d.waits = waits
 }
 
 // retryAfter is when the next job is likely to leave the queue.
@@ -126,6 +129,7 @@
 func (m *Machine) release(a *attempt) {
 	m.giveBack(a)
 	delete(m.tasks, a.id)
+	m.early.keep(Ended{Task: a.id}, true)
 	last := len(a.up.tasks) - 1
 	a.up.tasks[a.position] = a.up.tasks[last]
 	a.up.tasks[a.position].position = a.position
--- a/internal/state/machine/adopt.go
+++ b/internal/state/machine/adopt.go
@@ -61,8 +61,8 @@
 	m.refreshShares()
 }
 
-// recount puts the upstream into the cell with what its tasks leave free, which
-// may be less than nothing.
+// recount sets what the upstream's tasks leave free of it, which may be less
+// than nothing.
 func (m *Machine) recount(u *upstream) {
 	free := u.capacity
 	for _, a := range u.tasks {
@@ -70,8 +70,13 @@
 			free = free.Sub(a.amount)
 		}
 	}
+	rec, ok := m.cell.Get(u.vm)
+	if ok && rec.Capacity == u.capacity {
+		m.cell.Release(u.vm, free.Sub(rec.Free))
+		return
+	}
 	m.cell.Put(cell.Upstream{
-		VM: u.vm, Incarnation: u.incarnation, Rack: u.rack, Service: u.service,
+		VM: u.vm, Rack: u.rack, Service: u.service,
 		Capacity: u.capacity, Free: free, Readiness: u.readiness(),
 	})
 }
@@ -80,7 +85,10 @@
 func (m *Machine) adopt(u *upstream, tasks []AdoptedTask) []*attempt {
 	var orphans []*attempt
 	for _, at := range tasks {
-		at = m.withEarlyEnd(at)
+		at, open := m.withEarlyEnd(at)
+		if !open {
+			continue
+		}
 		a, known := m.tasks[at.Task]
 		switch {
 		case known && a.up != u:
--- a/internal/state/machine/cancel.go
+++ b/internal/state/machine/cancel.go
@@ -9,7 +9,7 @@
 		return
 	}
 	if j.state.Ended() {
-		m.emit(j.answer())
+		m.answerAgain(j)
 		return
 	}
 	m.endWhenProved(j, ending{
--- a/internal/state/machine/finish.go
+++ b/internal/state/machine/finish.go
@@ -56,6 +56,17 @@
 	m.endedOnce = append(m.endedOnce, j)
 }
 
+// answerAgain repeats the answer of an ended job, unless it is given in this
+// very step.
+func (m *Machine) answerAgain(j *job) {
+	for _, a := range m.out {
+		if answer, ok := a.(Answer); ok && answer.Job == j.spec.ID {
+			return
+		}
+	}
+	m.emit(j.answer())
+}
+
 // endWhenProved stops what a job runs; the answer follows once every attempt
 // is proved to have ended, which may be now.
 func (m *Machine) endWhenProved(j *job, e ending) {
--- a/internal/state/machine/gang.go
+++ b/internal/state/machine/gang.go
@@ -24,10 +24,6 @@
 // pickGang finds upstreams for all pending tasks. Upstreams on probation are
 // left out, since one failure stops the whole gang.
 func (m *Machine) pickGang(j *job, req cell.Request) ([]state.VMID, bool) {
-	_, free := m.cell.Total(j.spec.Service)
-	if !j.amount.Scale(int64(len(j.pending))).Fits(free) {
-		return nil, false
-	}
 	vms, ok := m.cell.PickMany(req, len(j.pending))
 	for ok {
 		probed := m.onProbation(vms, req.Avoid)
--- a/internal/state/machine/model.go
+++ b/internal/state/machine/model.go
@@ -140,19 +140,21 @@
 
 // splitTaskID is the reverse of taskID.
 func splitTaskID(id state.TaskID) (jobID state.JobID, index, attempt int, err error) {
-	parts := strings.Split(string(id), "/")
-	if len(parts) != 3 {
+	text := string(id)
+	last := strings.LastIndexByte(text, '/')
+	first := strings.LastIndexByte(text[:max(last, 0)], '/')
+	if first < 0 {
 		return "", 0, 0, fmt.Errorf("machine: task ID %q is not <job>/<index>/<attempt>; stop the task by hand", id)
 	}
-	index, err = strconv.Atoi(parts[1])
+	index, err = strconv.Atoi(text[first+1 : last])
 	if err != nil {
 		return "", 0, 0, fmt.Errorf("machine: index of task ID %q: %w", id, err)
 	}
-	attempt, err = strconv.Atoi(parts[2])
+	attempt, err = strconv.Atoi(text[last+1:])
 	if err != nil {
 		return "", 0, 0, fmt.Errorf("machine: attempt of task ID %q: %w", id, err)
 	}
-	return state.JobID(parts[0]), index, attempt, nil
+	return state.JobID(text[:first]), index, attempt, nil
 }
 
 // team is the record of one team.
--- a/internal/state/machine/place.go
+++ b/internal/state/machine/place.go
@@ -49,15 +49,17 @@
 	m.waiting = append(m.waiting, j)
 }
 
-// placeOne starts the next pending task of a job.
-func (m *Machine) placeOne(j *job, avoid []state.VMID) {
+// placeOne starts the next pending task of a job, on a rack with few siblings.
+func (m *Machine) placeOne(j *job, siblings []state.VMID) {
 	index := j.pending[0]
+	req := cell.Request{Service: j.spec.Service, Each: j.amount, Spread: len(siblings) > 0, Placed: siblings}
 	if vm := j.slots[index].avoid; vm != "" {
-		avoid = append(avoid, vm)
+		req.Avoid = []state.VMID{vm}
 	}
-	vm, ok := m.pick(j, avoid)
-	if !ok && len(avoid) > 0 {
-		vm, ok = m.pick(j, nil)
+	vm, ok := m.pick(j, req)
+	if !ok && len(req.Avoid) > 0 {
+		req.Avoid = nil
+		vm, ok = m.pick(j, req)
 	}
 	if !ok {
 		m.queue.Block(&j.item, queue.Room)
@@ -73,8 +75,7 @@
 
 // pick finds an upstream for one task. Only work that may be started again goes
 // to an upstream on probation.
-func (m *Machine) pick(j *job, avoid []state.VMID) (state.VMID, bool) {
-	req := cell.Request{Service: j.spec.Service, Each: j.amount, Avoid: avoid}
+func (m *Machine) pick(j *job, req cell.Request) (state.VMID, bool) {
 	vm, ok := m.cell.Pick(req)
 	for ok && m.upstreams[vm].health.ejected && !j.restartable() {
 		req.Avoid = append(req.Avoid, vm)
@@ -84,22 +85,22 @@
 }
 
 // placeStanding starts the pending tasks of a standing job, spread over racks
-// when they all fit, else one by one apart from their siblings.
+// when they all fit, else one by one.
 func (m *Machine) placeStanding(j *job) {
+	var siblings []state.VMID
+	for i := range j.slots {
+		if a := j.slots[i].current; a != nil {
+			siblings = append(siblings, a.up.vm)
+		}
+	}
 	n := len(j.pending)
 	if n > 1 && m.allows(m.team(j.spec.Team), j.amount.Scale(int64(n))) {
-		req := cell.Request{Service: j.spec.Service, Each: j.amount, Spread: true}
+		req := cell.Request{Service: j.spec.Service, Each: j.amount, Spread: true, Placed: siblings}
 		if vms, ok := m.cell.PickMany(req, n); ok {
 			m.startAll(j, vms)
 			return
 		}
 	}
-	var siblings []state.VMID
-	for i := range j.slots {
-		if a := j.slots[i].current; a != nil {
-			siblings = append(siblings, a.up.vm)
-		}
-	}
 	m.placeOne(j, siblings)
 }
 
@@ -121,8 +122,9 @@
 		return
 	}
 	j.pending = nil
-	m.team(j.spec.Team).drain.observe(m.now)
 	m.dequeue(j)
+	t := m.team(j.spec.Team)
+	t.drain.observe(m.now, t.queued > 0)
 }
 
 // start commits room for a task and starts it. It reports false when the
--- a/internal/state/machine/submit.go
+++ b/internal/state/machine/submit.go
@@ -67,7 +67,7 @@
 		return
 	}
 	if j.state.Ended() {
-		m.emit(j.answer())
+		m.answerAgain(j)
 		return
 	}
 	m.emit(Accept{Job: spec.ID, State: j.state})
--- a/internal/state/machine/world_test.go
+++ b/internal/state/machine/world_test.go
@@ -133,6 +133,16 @@
 	w.checkAccounts(o)
 }
 
+// stepAbout applies an event about a job, which repeats the answer of one that
+// has ended before.
+func (w *world) stepAbout(o *owner, id state.JobID, ev Event) {
+	if j, ok := o.m.jobs[id]; ok && j.state.Ended() {
+		o.quiet = id
+	}
+	w.step(o, ev)
+	o.quiet = ""
+}
+
 func (o *owner) stopMessage(wk *worker, task state.TaskID, verb StopVerb) *message {
 	number, _ := strconv.Atoi(o.m.upstreams[wk.vm].incarnation)
 	return &message{worker: wk, number: number, verb: verb, task: task}
@@ -217,7 +227,8 @@
 	w.dropUnrecorded(o, j.ID)
 }
 
-// dropUnrecorded forgets a refusal at once: it answers one submission only.
+// dropUnrecorded forgets the answer to a job that the owner has no record of:
+// it answered earlier submissions only.
 func (w *world) dropUnrecorded(o *owner, id state.JobID) {
 	if _, known := o.m.jobs[id]; !known {
 		delete(o.answers, id)
@@ -239,9 +250,9 @@
 	}
 	forgotten := w.now-w.issued[j.ID] >= o.m.cfg.Retention
 	j.IssuedBeforeTakeover = home < o.epoch || forgotten
-	o.quiet = j.ID
-	w.step(o, Submit{Job: j})
-	o.quiet = ""
+	// An owner that has forgotten the job may answer the new submission.
+	w.dropUnrecorded(o, j.ID)
+	w.stepAbout(o, j.ID, Submit{Job: j})
 	w.dropUnrecorded(o, j.ID)
 }
 
@@ -424,9 +435,7 @@
 	case 0, 1:
 		for _, id := range w.openIDs(o) {
 			if w.choose(3) == 0 {
-				o.quiet = id
-				w.step(o, CancelJob{Job: id, Team: w.sent[id].Team})
-				o.quiet = ""
+				w.stepAbout(o, id, CancelJob{Job: id, Team: w.sent[id].Team})
 				return
 			}
 		}
@@ -551,6 +560,9 @@
 		}
 		w.cancelStanding()
 	}
+	for _, a := range w.newest().m.tasks {
+		w.breach("task %s on %s is still counted", a.id, a.up.vm)
+	}
 	for _, id := range w.openIDs(w.newest()) {
 		v, _ := w.newest().m.Job(id)
 		w.breach("the newest owner did not come to rest: %+v", v)
@@ -563,7 +575,7 @@
 	o := w.newest()
 	for _, id := range w.openIDs(o) {
 		if w.sent[id].Class == state.ClassStanding {
-			w.step(o, CancelJob{Job: id, Team: w.sent[id].Team})
+			w.stepAbout(o, id, CancelJob{Job: id, Team: w.sent[id].Team})
 		}
 	}
 }
