--- a/internal/coordination/journal/journal_test.go
+++ b/internal/coordination/journal/journal_test.go
@@ -99,8 +99,10 @@
 			l.down = true
 			time.AfterFunc(5*time.Second, func() { l.set(func(l *fakeLog) { l.down = false }) })
 		}},
-		{name: "old records forgotten after they were carried forward", config: func(c *Config) { c.CarryAfter = 5 * time.Second },
-			meanwhile: func(l *fakeLog) { time.Sleep(settleTime); l.forget(2) }},
+		{
+			name: "old records forgotten after they were carried forward", config: func(c *Config) { c.CarryAfter = 5 * time.Second },
+			meanwhile: func(l *fakeLog) { time.Sleep(settleTime); l.forget(2) },
+		},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/internal/coordination/journal/property_test.go
+++ b/internal/coordination/journal/property_test.go
@@ -7,8 +7,9 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/samphirerail/samphirerail/internal/state"
 	"pgregory.net/rapid"
+
+	"github.com/samphirerail/samphirerail/internal/state"
 )
 
 // stepKind is one thing that happens to the owners of a journal or its log.
