--- a/internal/coordination/configlog/control.go
+++ b/internal/coordination/configlog/control.go
@@ -186,7 +186,7 @@
 	defer c.tell()
 	old := c.f.current.Load()
 	view := c.fold.View()
-	if view.Version() <= old.view.Version() {
+	if view.Version() <= old.view.Version() && !c.f.adoptOlder {
 		return
 	}
 	c.f.current.Store(&published{view: view, history: c.history.records, next: make(chan struct{})})
@@ -199,7 +199,7 @@
 // falls.
 func (c *control) adopt(offered foldOffered) bool {
 	moved := false
-	if offered.fold != nil && offered.fold.Version() > c.fold.Version() {
+	if offered.fold != nil && (offered.fold.Version() > c.fold.Version() || c.f.adoptOlder) {
 		c.fold = offered.fold
 		c.history = history{}
 		c.confirming = ""
--- a/internal/coordination/configlog/follower.go
+++ b/internal/coordination/configlog/follower.go
@@ -42,6 +42,9 @@
 	// events reach the goroutine that owns the fold.
 	events chan event
 
+	// adoptOlder lets the version fall, for tests.
+	adoptOlder bool
+
 	snapshotMu    sync.Mutex
 	snapshotView  *config.View
 	snapshotBytes []byte
--- a/internal/coordination/configlog/gossip.go
+++ b/internal/coordination/configlog/gossip.go
@@ -47,7 +47,7 @@
 // that of ctx.
 func (f *Follower) Adopt(ctx context.Context, update coordination.ConfigUpdate) (bool, error) {
 	offered := foldOffered{records: update.Records, ready: true, taken: make(chan bool, 1)}
-	if len(update.Snapshot) > 0 && update.SnapshotVersion > f.Version() {
+	if len(update.Snapshot) > 0 && (update.SnapshotVersion > f.Version() || f.adoptOlder) {
 		fold, err := config.Restore(update.Snapshot)
 		if err != nil {
 			return false, err
--- a/internal/coordination/configlog/snapshot_test.go
+++ b/internal/coordination/configlog/snapshot_test.go
@@ -58,6 +58,31 @@
 	})
 }
 
+// TestWithdrawnKeyStaysWithdrawn offers an older snapshot of a slow peer, also
+// with the rule that the version never falls switched off.
+func TestWithdrawnKeyStaysWithdrawn(t *testing.T) {
+	for _, off := range []bool{false, true} {
+		t.Run(fmt.Sprint("rule off ", off), func(t *testing.T) {
+			bubble(t, func(t *testing.T, ctx context.Context, log *fakeLog) {
+				is := is.New(t)
+				f := startFollower(t, ctx, log.port(), "e1/1", nil)
+				f.adoptOlder = off
+				_, _, err := f.Write(ctx, grantKey("k", "s"))
+				is.NoErr(err)
+				older, err := f.View().EncodeSnapshot()
+				is.NoErr(err)
+				_, _, err = f.Write(ctx, config.Record{Base: 0, Body: config.WithdrawKey{Key: "k"}})
+				is.NoErr(err)
+				synctest.Wait() // the reader waits past the withdrawal
+				_, err = f.Adopt(ctx, coordination.ConfigUpdate{Snapshot: older, SnapshotVersion: 0})
+				is.NoErr(err)
+				_, err = f.View().Authenticate("k", "s")
+				is.Equal(err == nil, off)
+			})
+		})
+	}
+}
+
 func TestRestoreFromLog(t *testing.T) {
 	tests := []struct {
 		name string
