--- a/internal/command/dev.go
+++ b/internal/command/dev.go
@@ -49,7 +49,7 @@
 	fmt.Fprintf(out, "operator key: %s\n", s.OperatorKey)
 	fmt.Fprintf(out, "team key:     %s\n\n", s.TeamKey)
 	fmt.Fprintln(out, "Try in another shell:")
-	fmt.Fprintf(out, "  go run ./cmd/samphirectl --entry %s --key %s submit --service fitting --cpu 500 --memory 256 --payload hello --wait 10s\n", s.CallersAddress, s.TeamKey)
+	fmt.Fprintf(out, "  go run ./cmd/samphirectl --entry %s --key %s submit --service fitting --class request --cpu 500m --memory 256MB --payload hello\n", s.CallersAddress, s.TeamKey)
 	fmt.Fprintf(out, "  go run ./cmd/samphirectl --entry %s --key %s status\n", s.CallersAddress, s.OperatorKey)
 }
 
