Stop an entry whose registration others have ended

Cause: the fold waits for the confirmations of registered entries only; a process that is registered no more could go on placing under an allotment that was cut since. Ruled out: registering again under the same ID, which the fold refuses by design.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -92,6 +92,10 @@
 // Ready returns nil when the entry takes work, otherwise why it does not.
 func (a *Agent) Ready() error { return a.entry.ready() }
 
+// Replaced is closed when another process has taken this entry's place and the
+// agent must be stopped.
+func (a *Agent) Replaced() <-chan struct{} { return a.entry.replaced }
+
 // CallersAddress returns the IP:port of the callers' listener.
 func (a *Agent) CallersAddress() string { return a.entry.listeners.callersAddress }
 
--- a/internal/agent/entry.go
+++ b/internal/agent/entry.go
@@ -37,10 +37,12 @@
 
 	cancel context.CancelFunc
 	work   sync.WaitGroup
+	// replaced is closed when another process has taken this entry's place.
+	replaced chan struct{}
 }
 
 func newEntry(s settings.Settings, id identity, logger hclog.Logger, c *clients, f *configlog.Follower, m *membership.Service, o *owning, l *listeners, status *statusBoard) *entry {
-	e := &entry{settings: s, id: id, log: logger, clients: c, follower: f, members: m, owning: o, listeners: l, status: status}
+	e := &entry{settings: s, id: id, log: logger, clients: c, follower: f, members: m, owning: o, listeners: l, status: status, replaced: make(chan struct{})}
 	l.ready = e.ready
 	return e
 }
@@ -90,11 +92,31 @@
 	if !e.register(ctx) {
 		return
 	}
+	e.spawn(ctx, e.watchRegistration)
 	e.spawn(ctx, e.owning.joiner.Run)
 	e.spawn(ctx, e.owning.limits.Run)
 	_ = e.owning.runner.Run(ctx)
 }
 
+// watchRegistration looks for the end of this entry's registration by others:
+// its confirmations are not waited for any more, so it must not go on.
+func (e *entry) watchRegistration(ctx context.Context) {
+	for {
+		changed := e.follower.Changed()
+		if _, ok := e.follower.View().Entry(e.id.entry); !ok && ctx.Err() == nil && !e.status.leaving.Load() {
+			e.log.Error("the registration was ended by others; the entry stops", "version", e.follower.Version())
+			e.owning.manager.Resign()
+			close(e.replaced)
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+	}
+}
+
 func (e *entry) register(ctx context.Context) bool {
 	for ctx.Err() == nil {
 		err := e.follower.Register(ctx)
--- a/internal/command/app.go
+++ b/internal/command/app.go
@@ -80,15 +80,21 @@
 	if err := a.Start(startCtx); err != nil {
 		return err
 	}
+	var replaced error
 	select {
 	case <-signals:
+	case <-a.Replaced():
+		replaced = errReplaced
 	case <-ctx.Done():
 	}
 	stopCtx, cancelStop := context.WithTimeout(context.WithoutCancel(ctx), s.Shutdown.Timeout.Std())
 	defer cancelStop()
-	return a.Stop(stopCtx)
+	return errors.Join(replaced, a.Stop(stopCtx))
 }
 
+// errReplaced says that the process may not go on as this entry.
+var errReplaced = errors.New("command: another process registered for this VM, or the VM is off the platform's list; start the entry again if it is still wanted")
+
 // notifyStop returns a channel that receives the signals that ask for a stop.
 // The signals stay caught for the life of the process.
 func notifyStop() <-chan os.Signal {
