--- a/internal/e2e/replace_test.go
+++ b/internal/e2e/replace_test.go
@@ -1,6 +1,7 @@
 package e2e
 
 import (
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -15,6 +16,7 @@
 	first := c.entries[0]
 	second := c.startEntry(first.vm, first.domain, oneDomain.settings)
 	is.Equal(first.exitCode(), 2)
+	is.True(strings.Contains(first.output(), "the registration was ended by others"))
 	c.entries[0] = second
 	c.waitReady(second)
 	c.waitUpstreams(second, oneDomain.upstreams)
