Add an open-loop load tool with whole-answer checks

Cause: no tool told what callers see at a rate that does not fall when answers are slow, or what the path adds to a call of the upstream itself. Ruled out: the API client as the sender, since its repeats and its calls for IDs would be measured too. It takes loopback addresses only.

--- a/internal/command/app.go
+++ b/internal/command/app.go
@@ -35,7 +35,7 @@
 		Writer:                out,
 		ErrWriter:             errOut,
 		ExitErrHandler:        func(context.Context, *cli.Command, error) {},
-		Commands:              []*cli.Command{runCommand(), checkCommand(), devCommand(), replayCommand()},
+		Commands:              []*cli.Command{runCommand(), checkCommand(), devCommand(), replayCommand(), loadCommand()},
 	}
 	err := app.Run(ctx, args)
 	if err == nil {
--- /dev/null
+++ b/internal/loadtool/direct.go
@@ -0,0 +1,88 @@
+package loadtool
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/samphirerail/samphirerail/internal/transport/platformclient"
+	"github.com/samphirerail/samphirerail/platform"
+)
+
+// directOwner is the owner that the tool claims to be.
+const directOwner = "loadtool/1"
+
+// directEpoch is above what a new system uses.
+const directEpoch = 1 << 40
+
+// directLease is how long the tool's lease runs.
+const directLease = 24 * time.Hour
+
+// Direct starts tasks on one upstream without an entry. It fences the upstream,
+// which no running system may own.
+type Direct struct {
+	worker *platformclient.Worker
+	fence  platform.FenceReply
+	epoch  platform.Epoch
+	run    string
+}
+
+// NewDirect fences the upstream at an address (IP:port on the loopback
+// network). It fails with an *OptionError or the error of the upstream.
+func NewDirect(ctx context.Context, address string, callers int) (*Direct, error) {
+	if err := CheckLoopback(address); err != nil {
+		return nil, err
+	}
+	d := &Direct{
+		worker: platformclient.NewWorker(address, platformclient.Options{MaxConnections: callers}),
+		epoch:  platform.Epoch{Number: directEpoch, Owner: directOwner},
+		run:    fmt.Sprintf("load%d", time.Now().UnixNano()),
+	}
+	reply, err := d.worker.Fence(ctx, platform.FenceRequest{Epoch: d.epoch})
+	if err != nil {
+		d.worker.Close()
+		return nil, eris.Wrapf(err, "load: fence the upstream at %s; use one that no system owns", address)
+	}
+	d.fence = reply
+	return d, nil
+}
+
+// Close drops the idle connections.
+func (d *Direct) Close() { d.worker.Close() }
+
+// Do implements Target.
+func (d *Direct) Do(ctx context.Context, call *Call) Outcome {
+	outputs := make([][]byte, 0, call.Tasks)
+	for index := range call.Tasks {
+		reply, err := d.worker.Start(ctx, d.request(call, index))
+		switch {
+		case errors.Is(err, platform.ErrUnavailable):
+			return OutcomeNoAnswer
+		case err != nil:
+			return OutcomeNotStarted
+		case reply.Status.State != platform.TaskSucceeded:
+			return Outcome(reply.Status.State)
+		}
+		outputs = append(outputs, reply.Status.Output)
+	}
+	return call.check(outputs)
+}
+
+func (d *Direct) request(call *Call, index int) platform.StartRequest {
+	job := fmt.Sprintf("%s.%d", d.run, call.Number)
+	return platform.StartRequest{
+		Epoch:       d.epoch,
+		Incarnation: d.fence.Incarnation,
+		LeaseUntil:  d.fence.Clock + platform.WorkerClock(directLease),
+		Wait:        true,
+		Spec: platform.TaskSpec{
+			TaskID: fmt.Sprintf("%s/%d/1", job, index), JobID: job, Team: "load", Class: string(call.Class),
+			Resources: platform.Resources{CPUMilli: call.Job.CPUMilli, MemoryMB: call.Job.MemoryMB},
+			RunTime:   call.Job.RunTime,
+			Payload:   call.Payload(),
+		},
+	}
+}
--- /dev/null
+++ b/internal/loadtool/report.go
@@ -0,0 +1,143 @@
+package loadtool
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	hdr "github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/rotisserie/eris"
+)
+
+// The range and precision of latencies.
+const (
+	longestLatency   = 10 * time.Minute
+	latencyPrecision = 3
+)
+
+// Report is what was measured in a run.
+type Report struct {
+	Target  string  `json:"target"`
+	Sent    int     `json:"sent"`
+	Seconds float64 `json:"seconds"`
+	// Rate is in answers a second.
+	Rate float64 `json:"rate"`
+	// Latency of the jobs that succeeded, from the time at which each should
+	// have been sent.
+	Latency Latency `json:"latency"`
+	// SendDelay is by how much the tool itself sent late.
+	SendDelay Latency        `json:"send_delay"`
+	Outcomes  []OutcomeCount `json:"outcomes"`
+}
+
+// Latency is in milliseconds.
+type Latency struct {
+	P50MS  float64 `json:"p50_ms"`
+	P90MS  float64 `json:"p90_ms"`
+	P99MS  float64 `json:"p99_ms"`
+	P999MS float64 `json:"p999_ms"`
+	MaxMS  float64 `json:"max_ms"`
+}
+
+// OutcomeCount is how many calls had an outcome.
+type OutcomeCount struct {
+	Outcome Outcome `json:"outcome"`
+	Count   int     `json:"count"`
+}
+
+// Count returns how many calls had an outcome.
+func (r *Report) Count(outcome Outcome) int {
+	for _, c := range r.Outcomes {
+		if c.Outcome == outcome {
+			return c.Count
+		}
+	}
+	return 0
+}
+
+// recorder collects what one caller measures.
+type recorder struct {
+	latency  *hdr.Histogram
+	delay    *hdr.Histogram
+	outcomes map[Outcome]int
+}
+
+func newRecorder() *recorder {
+	return &recorder{latency: newHistogram(), delay: newHistogram(), outcomes: map[Outcome]int{}}
+}
+
+func newHistogram() *hdr.Histogram {
+	return hdr.New(1, longestLatency.Microseconds(), latencyPrecision)
+}
+
+func (r *recorder) call(ctx context.Context, target Target, call *Call, start time.Time) {
+	due := start.Add(call.due)
+	record(r.delay, time.Since(due))
+	outcome := target.Do(ctx, call)
+	r.outcomes[outcome]++
+	if outcome == OutcomeSucceeded {
+		record(r.latency, time.Since(due))
+	}
+}
+
+// record counts what is out of range as the nearest value in it.
+func record(h *hdr.Histogram, d time.Duration) {
+	_ = h.RecordValue(min(max(d, 0), longestLatency).Microseconds())
+}
+
+func newReport(name string, recorders []*recorder, elapsed time.Duration) *Report {
+	r := &Report{Target: name, Seconds: elapsed.Seconds()}
+	latency, delay := newHistogram(), newHistogram()
+	outcomes := map[Outcome]int{}
+	for _, rec := range recorders {
+		latency.Merge(rec.latency)
+		delay.Merge(rec.delay)
+		for outcome, n := range rec.outcomes {
+			outcomes[outcome] += n
+			r.Sent += n
+		}
+	}
+	for outcome, n := range outcomes {
+		r.Outcomes = append(r.Outcomes, OutcomeCount{Outcome: outcome, Count: n})
+	}
+	slices.SortFunc(r.Outcomes, func(a, b OutcomeCount) int { return cmp.Compare(a.Outcome, b.Outcome) })
+	r.Latency = summarize(latency)
+	r.SendDelay = summarize(delay)
+	r.Rate = float64(r.Sent) / r.Seconds
+	return r
+}
+
+func summarize(h *hdr.Histogram) Latency {
+	at := func(percentile float64) float64 { return float64(h.ValueAtPercentile(percentile)) / 1000 }
+	return Latency{P50MS: at(50), P90MS: at(90), P99MS: at(99), P999MS: at(99.9), MaxMS: float64(h.Max()) / 1000}
+}
+
+// WriteJSON writes the reports as one JSON array.
+func WriteJSON(w io.Writer, reports []*Report) error {
+	encoder := json.NewEncoder(w)
+	encoder.SetIndent("", "  ")
+	return eris.Wrap(encoder.Encode(reports), "load: write the reports")
+}
+
+// WriteTable writes one line per report, then the outcomes.
+func WriteTable(w io.Writer, reports []*Report) error {
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "target\tsent\tper second\tp50 ms\tp90 ms\tp99 ms\tp99.9 ms\tmax ms\tsent late p99 ms")
+	for _, r := range reports {
+		l := r.Latency
+		fmt.Fprintf(table, "%s\t%d\t%.1f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\n",
+			r.Target, r.Sent, r.Rate, l.P50MS, l.P90MS, l.P99MS, l.P999MS, l.MaxMS, r.SendDelay.P99MS)
+	}
+	fmt.Fprintln(table, "\ntarget\toutcome\tcount")
+	for _, r := range reports {
+		for _, c := range r.Outcomes {
+			fmt.Fprintf(table, "%s\t%s\t%d\n", r.Target, c.Outcome, c.Count)
+		}
+	}
+	return eris.Wrap(table.Flush(), "load: write the table")
+}
