Skip the search for work to place when nothing has changed

Ruled out: fewer ticks, since deadlines and retries are looked at then. Change: the queue remembers that all its items are known to be blocked.

--- a/internal/state/queue/queue.go
+++ b/internal/state/queue/queue.go
@@ -67,6 +67,8 @@
 	marks    marks
 	sequence uint64
 	items    int
+	// settled says that every item is known to be blocked.
+	settled bool
 }
 
 // New returns an empty queue.
@@ -84,6 +86,7 @@
 // Push adds an item that is not in a queue.
 func (q *Queue) Push(it *Item) {
 	t := q.team(it.Team)
+	q.settled = false
 	q.sequence++
 	it.sequence = q.sequence
 	if t.items == 0 {
@@ -100,6 +103,7 @@
 		return
 	}
 	t := q.team(it.Team)
+	q.settled = false
 	t.remove(it)
 	q.items--
 	if t.items > 0 {
@@ -129,6 +133,9 @@
 // Next returns the item to place next, of those not known to be blocked, or
 // nil. The item stays in the queue.
 func (q *Queue) Next() *Item {
+	if q.settled {
+		return nil
+	}
 	var best *Item
 	var bestTeam *team
 	for _, t := range q.active {
@@ -140,6 +147,7 @@
 			best, bestTeam = it, t
 		}
 	}
+	q.settled = best == nil
 	return best
 }
 
@@ -170,6 +178,7 @@
 
 // Freed says that an upstream of the service has this much free.
 func (q *Queue) Freed(service state.Service, free state.Vector) {
+	q.settled = false
 	q.marks.freed(service, free)
 	for _, t := range q.active {
 		for _, b := range t.buckets {
@@ -181,10 +190,14 @@
 }
 
 // TeamFreed says that a team uses less of its limit or has a higher one.
-func (q *Queue) TeamFreed(id state.TeamID) { q.team(id).unblock(Limit) }
+func (q *Queue) TeamFreed(id state.TeamID) {
+	q.settled = false
+	q.team(id).unblock(Limit)
+}
 
 // LimitsFreed says that every team may have more room within its limit.
 func (q *Queue) LimitsFreed() {
+	q.settled = false
 	for _, t := range q.active {
 		t.unblock(Limit)
 	}
--- /dev/null
+++ b/internal/state/queue/settled_test.go
@@ -0,0 +1,54 @@
+package queue_test
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/samphirerail/samphirerail/internal/state"
+	"github.com/samphirerail/samphirerail/internal/state/queue"
+)
+
+// TestNextAfterAChange blocks every item, so that Next returns nil, and then
+// changes something that lets one be placed.
+func TestNextAfterAChange(t *testing.T) {
+	item := func(id state.JobID, cpu int64, rank state.Time) *queue.Item {
+		return &queue.Item{Job: id, Team: "alder", Service: "fitting", Each: state.Vector{CPUMilli: cpu, Slots: 1}, Together: 1, Rank: rank}
+	}
+	tests := []struct {
+		name   string
+		cause  queue.Cause
+		change func(q *queue.Queue, first *queue.Item)
+		want   state.JobID
+	}{
+		{name: "nothing", cause: queue.Room, change: func(*queue.Queue, *queue.Item) {}},
+		{name: "a smaller item", cause: queue.Room, change: func(q *queue.Queue, _ *queue.Item) { q.Push(item("small", 10, 9)) }, want: "small"},
+		{name: "room", cause: queue.Room, change: func(q *queue.Queue, _ *queue.Item) {
+			q.Freed("fitting", state.Vector{CPUMilli: 2000, Slots: 1})
+		}, want: "first"},
+		{name: "room of another service", cause: queue.Room, change: func(q *queue.Queue, _ *queue.Item) {
+			q.Freed("design", state.Vector{CPUMilli: 2000, Slots: 1})
+		}},
+		{name: "the team's limit", cause: queue.Limit, change: func(q *queue.Queue, _ *queue.Item) { q.TeamFreed("alder") }, want: "first"},
+		{name: "all limits", cause: queue.Limit, change: func(q *queue.Queue, _ *queue.Item) { q.LimitsFreed() }, want: "first"},
+		{name: "the first item goes", cause: queue.Limit, change: func(q *queue.Queue, first *queue.Item) { q.Remove(first) }, want: "second"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			q := queue.New(queue.Share)
+			first := item("first", 1000, 1)
+			q.Push(first)
+			q.Push(item("second", 900, 2))
+			for it := q.Next(); it != nil; it = q.Next() {
+				q.Block(it, tt.cause)
+			}
+			tt.change(q, first)
+			var got state.JobID
+			if it := q.Next(); it != nil {
+				got = it.Job
+			}
+			is.Equal(got, tt.want)
+		})
+	}
+}
