Report the wall time spent on cancels

Cause: the target for a wave of 10,000 cancels is stated in control time, which the report did not show. Change: the time that a policy takes for cancels is summed up.

--- a/internal/replay/table.go
+++ b/internal/replay/table.go
@@ -68,6 +68,7 @@
 		count("starts", func(r *emulator.Report) int { return r.Starts }),
 		count("retries", func(r *emulator.Report) int { return r.Retries }),
 		row{"decisions per second", func(r *emulator.Report) string { return fmt.Sprintf("%.0f", r.DecisionsPerSecond) }},
+		row{"seconds spent on cancels", func(r *emulator.Report) string { return fmt.Sprintf("%.3f", r.CancelSeconds) }},
 		count("breaches", func(r *emulator.Report) int { return len(r.Breaches) }),
 	)
 }
--- a/internal/state/emulator/emulator.go
+++ b/internal/state/emulator/emulator.go
@@ -98,7 +98,10 @@
 	quotas   []machine.Quota
 	teams    []*teamUse
 	open     int
-	busy     time.Duration
+	// busy is the wall time spent in the policy, cancelling that part of it
+	// spent on cancels.
+	busy       time.Duration
+	cancelling time.Duration
 }
 
 type serviceTotal struct {
@@ -306,7 +309,11 @@
 	}
 	begin := e.opts.Clock()
 	actions := d.policy.Step(e.now, ev)
-	d.busy += e.opts.Clock() - begin
+	spent := e.opts.Clock() - begin
+	d.busy += spent
+	if _, cancels := ev.(machine.CancelJob); cancels {
+		d.cancelling += spent
+	}
 	return actions
 }
 
--- a/internal/state/emulator/report.go
+++ b/internal/state/emulator/report.go
@@ -54,9 +54,11 @@
 	Decisions int `json:"decisions"`
 	// DecisionsPerSecond is per second of wall time spent in the policy; 0
 	// when it was not measured.
-	DecisionsPerSecond float64  `json:"decisions_per_second"`
-	Breaches           []Breach `json:"breaches"`
-	Timeline           []Sample `json:"-"`
+	DecisionsPerSecond float64 `json:"decisions_per_second"`
+	// CancelSeconds is the wall time spent in the policy on cancels.
+	CancelSeconds float64  `json:"cancel_seconds"`
+	Breaches      []Breach `json:"breaches"`
+	Timeline      []Sample `json:"-"`
 }
 
 // Wait is the waiting time of a class: from the submission until every task was
@@ -282,10 +284,12 @@
 	for _, rec := range e.order {
 		r.Decisions += rec.answers
 	}
-	var busy time.Duration
+	var busy, cancelling time.Duration
 	for _, d := range e.domains {
 		busy += d.busy
+		cancelling += d.cancelling
 	}
+	r.CancelSeconds = cancelling.Seconds()
 	if busy > 0 {
 		r.DecisionsPerSecond = float64(r.Decisions) / busy.Seconds()
 	}
