--- a/internal/coordination/owner/manager.go
+++ b/internal/coordination/owner/manager.go
@@ -73,6 +73,7 @@
 	cfg := m.cfg.Config
 	cfg.Epoch = epoch
 	cfg.OnFenced = m.fenced
+	cfg.OnReady = m.cfg.Changed
 	cfg.Machine.FirstAttempt = firstAttempt(epoch)
 	shard := NewShard(cfg)
 	m.current = shard
@@ -134,6 +135,7 @@
 		for ctx.Err() == nil && !shard.Idle(ctx) {
 			sleep(ctx, idlePoll)
 		}
+		shard.flushJournal(ctx)
 	}()
 }
 
@@ -159,12 +161,10 @@
 // Probe implements ownership.Shard.
 func (m *Manager) Probe(ctx context.Context) (newest platform.Epoch, since time.Duration, answered bool) {
 	since = math.MaxInt64
-	asked := 0
-	for _, u := range m.cfg.Source.Load().Upstreams {
-		if u.Gone || u.Address == "" || asked == probedWorkers || ctx.Err() != nil {
-			continue
+	for _, u := range toProbe(m.cfg.Source.Load().Upstreams) {
+		if ctx.Err() != nil {
+			break
 		}
-		asked++
 		epoch, age, ok := m.probe(ctx, u)
 		if !ok {
 			continue
