--- a/internal/command/app.go
+++ b/internal/command/app.go
@@ -35,7 +35,9 @@
 		Writer:                out,
 		ErrWriter:             errOut,
 		ExitErrHandler:        func(context.Context, *cli.Command, error) {},
-		Commands:              []*cli.Command{runCommand(), checkCommand(), devCommand(), replayCommand(), measureCommand()},
+		Commands: []*cli.Command{
+			runCommand(), checkCommand(), devCommand(), replayCommand(), loadCommand(), measureCommand(),
+		},
 	}
 	err := app.Run(ctx, args)
 	if err == nil {
