--- a/internal/measure/fill.go
+++ b/internal/measure/fill.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"time"
 
 	"github.com/google/uuid"
 
@@ -67,7 +68,7 @@
 }
 
 func record(body config.Body) config.Record {
-	return config.Record{ID: uuid.NewString(), Base: config.AnyVersion, Body: body}
+	return config.Record{ID: uuid.NewString(), Base: config.AnyVersion, At: time.Now().UnixMilli(), Body: body}
 }
 
 func contract(i int) config.Contract {
--- a/internal/transport/platformclient/caller.go
+++ b/internal/transport/platformclient/caller.go
@@ -51,6 +51,8 @@
 			MaxIdleConnsPerHost: cmp.Or(options.MaxConnections, maxIdleConnections),
 			IdleConnTimeout:     idleTimeout,
 			DisableCompression:  true,
+			ReadBufferSize:      bufferBytes,
+			WriteBufferSize:     bufferBytes,
 		},
 		tracer:     options.TracerProvider.Tracer(tracerName),
 		propagator: propagation.TraceContext{},
--- a/internal/transport/platformclient/options.go
+++ b/internal/transport/platformclient/options.go
@@ -22,6 +22,9 @@
 	dialTimeout          = 2 * time.Second
 	idleTimeout          = 90 * time.Second
 	keepAliveInterval    = 15 * time.Second
+	// bufferBytes is the size of each of a connection's two buffers. Most calls
+	// and replies of a worker fit into it.
+	bufferBytes = 1 << 10
 	// maxIdleConnections is kept per address when there is no limit.
 	maxIdleConnections = 64
 	tracerName         = "github.com/samphirerail/samphirerail/internal/transport/platformclient"
--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -28,7 +28,8 @@
 	echo "no address in $1" >&2; return 1
 }
 
-port=$((20000 + RANDOM % 20000))
+# Below the range that the system picks ports from.
+port=$((11000 + RANDOM % 20000))
 "$binary" dev platform >"$dir/platform" 2>&1 & pids+=($!)
 platform=$(address "$dir/platform")
 if ((fill > 0 || teams > 0)); then
