Ask a worker for usage each 30 s, not with each Sync

Cause: each Sync carried a row of usage for each running task. Ruled out: fewer Syncs, because they renew the lease and find silent workers. Change: SyncRequest.SkipUsage; the owner sets it until 30 s after the last report. Conclusion: usage is a hint of packing and lags anyway.

--- a/internal/coordination/owner/probed_test.go
+++ b/internal/coordination/owner/probed_test.go
@@ -22,6 +22,8 @@
 	vm   string
 	mu   sync.Mutex
 	held time.Duration
+	// usages counts the reports of usage.
+	usages int
 }
 
 func (w *heldWorker) Fence(context.Context, platform.FenceRequest) (platform.FenceReply, error) {
@@ -31,9 +33,14 @@
 func (w *heldWorker) Sync(ctx context.Context, req platform.SyncRequest) (platform.SyncReply, error) {
 	w.mu.Lock()
 	w.held = max(w.held, req.Wait)
+	reply := platform.SyncReply{Incarnation: "i"}
+	if !req.SkipUsage {
+		w.usages++
+		reply.Usage = []platform.TaskUsage{{TaskID: "t"}}
+	}
 	w.mu.Unlock()
 	sleep(ctx, req.Wait)
-	return platform.SyncReply{Incarnation: "i"}, ctx.Err()
+	return reply, ctx.Err()
 }
 
 func (w *heldWorker) longest() time.Duration {
@@ -77,26 +84,44 @@
 					workers[u.Address] = &heldWorker{vm: string(u.VM)}
 				}
 				timing := DefaultTiming()
-				timing.SyncWait = 5 * time.Second
-				shard := NewShard(Config{
-					Shard: "a/0", Epoch: platform.Epoch{Number: 1, Owner: "e"}, Machine: machine.DefaultConfig(), Timing: timing,
-					Source: fixedSource{Inventory{Known: true, Upstreams: tt.list}},
-					Dial:   func(address string) platform.Worker { return workers[address] },
-					Logger: hclog.NewNullLogger(),
-				})
-				ctx, cancel := context.WithCancel(t.Context())
-				ended := make(chan struct{})
-				go func() {
-					defer close(ended)
-					shard.Run(ctx)
-				}()
+				end := runShard(t.Context(), timing, tt.list, workers)
 				time.Sleep(2 * timing.SyncWait)
 				for address, want := range tt.want {
 					is.Equal(workers[address].longest(), want)
 				}
-				cancel()
-				<-ended
+				end()
 			})
 		})
 	}
 }
+
+// runShard runs a shard until the returned function is called.
+func runShard(ctx context.Context, timing Timing, list []Upstream, workers map[string]*heldWorker) (end func()) {
+	shard := NewShard(Config{
+		Shard: "a/0", Epoch: platform.Epoch{Number: 1, Owner: "e"}, Machine: machine.DefaultConfig(), Timing: timing,
+		Source: fixedSource{Inventory{Known: true, Upstreams: list}},
+		Dial:   func(address string) platform.Worker { return workers[address] },
+		Logger: hclog.NewNullLogger(),
+	})
+	ctx, cancel := context.WithCancel(ctx)
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		shard.Run(ctx)
+	}()
+	return func() {
+		cancel()
+		<-ended
+	}
+}
+
+func TestUsageIsAskedForAtAnInterval(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := &heldWorker{vm: "u1"}
+		end := runShard(t.Context(), DefaultTiming(), []Upstream{{VM: "u1", Address: "a1"}}, map[string]*heldWorker{"a1": w})
+		time.Sleep(2*usageInterval + usageInterval/2)
+		end()
+		is.Equal(w.usages, 3)
+	})
+}
--- a/internal/coordination/owner/upstream.go
+++ b/internal/coordination/owner/upstream.go
@@ -23,6 +23,9 @@
 // a recent contact while the owner lives.
 const probedSyncWait = time.Second
 
+// usageInterval is the least time between two reports of usage by one worker.
+const usageInterval = 30 * time.Second
+
 // upstream is the owner's link to one worker: it fences it, renews its lease
 // and brings its news. One goroutine runs it; others start and stop tasks
 // through it.
@@ -48,6 +51,8 @@
 	leaving  bool
 	failures int
 	ackEvent int64
+	// usageAt is when the worker last reported usage; zero when it never did.
+	usageAt time.Time
 }
 
 func newUpstream(s *Shard, info Upstream) *upstream {
@@ -128,6 +133,7 @@
 		LeaseUntil:  u.clock.extend(timing.Lease, time.Now()),
 		AckEvent:    u.ackEvent,
 		Wait:        hold,
+		SkipUsage:   time.Since(u.usageAt) < usageInterval,
 	})
 	if err != nil {
 		u.failed(ctx, err)
@@ -162,6 +168,7 @@
 		u.shard.send(endedEvent(ev.Status))
 	}
 	if len(reply.Usage) > 0 {
+		u.usageAt = time.Now()
 		u.shard.send(usageEvent(u.info.VM, reply.Usage))
 	}
 	if reply.Leaving && !u.leaving {
--- a/internal/transport/platformclient/worker_test.go
+++ b/internal/transport/platformclient/worker_test.go
@@ -248,6 +248,12 @@
 				r.is.NoErr(err)
 				return len(reply.Usage) == 1 && reply.Usage[0].TaskID == "t1"
 			})
+			reply, err := r.client.Sync(r.ctx, platform.SyncRequest{
+				Epoch: r.epoch, Incarnation: r.fence.Incarnation, LeaseUntil: r.lease(hour), SkipUsage: true,
+			})
+			r.is.NoErr(err)
+			r.is.Equal(len(reply.Usage), 0)
+			r.is.Equal(reply.Running, 1)
 		}},
 		{name: "every task stops when the lease lapses", check: func(r *rig) {
 			reply, err := r.start("t1", `{"run_ms":3600000}`, 20*time.Millisecond, true)
--- a/standin/worker/calls.go
+++ b/standin/worker/calls.go
@@ -127,14 +127,17 @@
 		}
 	}
 	w.advance()
-	return platform.SyncReply{
+	reply := platform.SyncReply{
 		Incarnation: w.incarnation,
 		Clock:       w.clock(),
 		Events:      slices.Clone(w.events),
-		Usage:       w.usage(),
 		Leaving:     w.faults.Leaving,
 		Running:     len(w.running),
-	}, nil
+	}
+	if !req.SkipUsage {
+		reply.Usage = w.usage()
+	}
+	return reply, nil
 }
 
 // await gives up the lock until there is news; it returns false when the time
