Test the policy of a shard with scripts and measure it

Cause: the property test says nothing about order, ejection, preemption, gangs and refusals. Change: tests of the queue and of one machine, lost VMs and resigning owners in the model, a repeat of the same run, benchmarks of a takeover and of p99.

--- a/internal/state/machine/action.go
+++ b/internal/state/machine/action.go
@@ -50,7 +50,10 @@
 	State state.JobState
 }
 
-// Answer is the final answer to a job; it is sent once per job.
+// Answer is the final answer to a job; it is sent once per job, and once more
+// for each Submit or CancelJob that comes after it. An Answer with the reason
+// conflict, or to a Submit that is refused at once, is about that submission
+// only: a job of the same ID that is known goes on.
 type Answer struct {
 	Job   state.JobID
 	Team  state.TeamID
--- a/internal/state/machine/bench_test.go
+++ b/internal/state/machine/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -80,7 +81,9 @@
 	m, tasks := benchMachine(b, benchUpstreams, 8*benchUpstreams+5000)
 	b.ReportAllocs()
 	next := 8*benchUpstreams + 5000
+	var cycles []time.Duration
 	for b.Loop() {
+		begin := time.Now()
 		tasks = append(tasks, benchSubmit(m, next)...)
 		next++
 		for _, a := range m.Step(state.Time(next)*time.Microsecond, Ended{Task: tasks[0], End: EndSucceeded}) {
@@ -89,6 +92,34 @@
 			}
 		}
 		tasks = tasks[1:]
+		cycles = append(cycles, time.Since(begin))
+	}
+	slices.Sort(cycles)
+	b.ReportMetric(float64(cycles[len(cycles)*99/100].Microseconds()), "p99-us/op")
+}
+
+// BenchmarkTakeover fences all upstreams, with what runs there, while jobs wait.
+func BenchmarkTakeover(b *testing.B) {
+	old, _ := benchMachine(b, benchUpstreams, benchRunning)
+	for b.Loop() {
+		b.StopTimer()
+		m, _ := benchMachine(b, 0, 0)
+		b.StartTimer()
+		for i := range benchUpstreams {
+			u := old.upstreams[state.VMID(fmt.Sprintf("vm%05d", i))]
+			m.Step(0, UpstreamJoined{VM: u.vm, Rack: u.rack, Service: u.service, Capacity: u.capacity})
+		}
+		for i := range 1000 {
+			benchSubmit(m, 1000000+i)
+		}
+		for i := range benchUpstreams {
+			u := old.upstreams[state.VMID(fmt.Sprintf("vm%05d", i))]
+			ev := Fenced{VM: u.vm, Incarnation: u.incarnation, Capacity: u.capacity}
+			for _, a := range u.tasks {
+				ev.Tasks = append(ev.Tasks, AdoptedTask{Task: a.id, Job: *a.job.spec})
+			}
+			m.Step(time.Second, ev)
+		}
 	}
 }
 
--- a/internal/state/machine/property_test.go
+++ b/internal/state/machine/property_test.go
@@ -15,9 +15,13 @@
 	crowdSteps    = 150
 )
 
-// play runs one owner for some steps, lets a second one take over, and returns
-// what was violated.
+// play runs one owner for some steps, lets others take over, and returns what
+// was violated.
 func play(choose func(int) int, cfg Config, owners int, drain bool) []string {
+	return playWorld(choose, cfg, owners, drain).breaches
+}
+
+func playWorld(choose func(int) int, cfg Config, owners int, drain bool) *world {
 	w := newWorld(choose, 4)
 	for range owners {
 		w.takeOver(cfg)
@@ -33,7 +37,18 @@
 		}
 		w.drain()
 	}
-	return w.breaches
+	return w
+}
+
+// TestSameDecisions repeats a run and expects the same decisions.
+func TestSameDecisions(t *testing.T) {
+	is := is.New(t)
+	for seed := range uint64(20) {
+		first := playWorld(rand.New(rand.NewPCG(seed, 4)).IntN, DefaultConfig(), 2, true)
+		second := playWorld(rand.New(rand.NewPCG(seed, 4)).IntN, DefaultConfig(), 2, true)
+		is.True(len(first.starts) > 0)
+		is.Equal(first.starts, second.starts)
+	}
 }
 
 func TestAlwaysHolds(t *testing.T) {
--- a/internal/state/machine/world_test.go
+++ b/internal/state/machine/world_test.go
@@ -24,6 +24,8 @@
 	runs     map[string]int
 	ranBy    map[state.JobID]map[int]bool
 	breaches []string
+	// starts are the decisions, in order.
+	starts []string
 }
 
 type worker struct {
@@ -33,6 +35,7 @@
 	capacity state.Vector
 	running  []*modelTask
 	ended    []AdoptedTask
+	dead     bool
 	refused  map[state.TaskID]bool
 }
 
@@ -107,6 +110,9 @@
 	}
 	w.step(o, QuotasChanged{Quotas: quotas})
 	for i, wk := range w.workers {
+		if wk.dead {
+			continue
+		}
 		w.step(o, UpstreamJoined{VM: wk.vm, Rack: fmt.Sprint("rack", i%2), Service: "fitting", Capacity: wk.capacity})
 		o.flight = append(o.flight, &message{worker: wk, fence: true})
 	}
@@ -120,6 +126,7 @@
 	for _, a := range o.m.Step(w.now, ev) {
 		switch a := a.(type) {
 		case Start:
+			w.starts = append(w.starts, fmt.Sprint(w.now, a.Task, a.VM))
 			o.flight = append(o.flight, &message{worker: w.worker(a.VM), start: &a, task: a.Task})
 		case Stop:
 			o.flight = append(o.flight, o.stopMessage(w.worker(a.VM), a.Task, a.Verb))
@@ -144,7 +151,10 @@
 }
 
 func (o *owner) stopMessage(wk *worker, task state.TaskID, verb StopVerb) *message {
-	number, _ := strconv.Atoi(o.m.upstreams[wk.vm].incarnation)
+	number := 0
+	if u, ok := o.m.upstreams[wk.vm]; ok {
+		number, _ = strconv.Atoi(u.incarnation)
+	}
 	return &message{worker: wk, number: number, verb: verb, task: task}
 }
 
@@ -267,6 +277,7 @@
 	}
 	o.flight = slices.Delete(o.flight, i, i+1)
 	switch {
+	case msg.worker != nil && msg.worker.dead:
 	case msg.event != nil:
 		if w.choose(8) == 0 {
 			o.flight = append(o.flight, &message{event: msg.event})
@@ -283,155 +294,10 @@
 
 func (o *owner) tell(ev Event) { o.flight = append(o.flight, &message{event: ev}) }
 
-func (w *world) fence(o *owner, msg *message) {
-	wk := msg.worker
-	if wk.epoch > o.epoch {
-		return
-	}
-	wk.epoch = o.epoch
-	ev := Fenced{VM: wk.vm, Incarnation: fmt.Sprint(wk.number), Capacity: wk.capacity, Tasks: slices.Clone(wk.ended)}
-	for _, t := range wk.running {
-		ev.Tasks = append(ev.Tasks, AdoptedTask{Task: t.id, Job: t.job})
-	}
-	// The calls to one worker to fence it come one after the other.
-	o.flight = slices.DeleteFunc(o.flight, func(msg *message) bool {
-		earlier, ok := msg.event.(Fenced)
-		return ok && earlier.VM == ev.VM && earlier.Incarnation != ev.Incarnation
-	})
-	o.tell(ev)
-}
-
-func (w *world) startAt(o *owner, msg *message) {
-	wk, s := msg.worker, msg.start
-	reply := func(ev Event) {
-		if !msg.answered {
-			o.tell(ev)
-		}
-	}
-	if wk.epoch != o.epoch || s.Incarnation != fmt.Sprint(wk.number) || wk.refused[s.Task] {
-		reply(StartRefused{Task: s.Task, VMFault: w.choose(2) == 0})
-		return
-	}
-	if w.choose(10) == 0 {
-		reply(StartRefused{Task: s.Task})
-		wk.refused[s.Task] = true
-		return
-	}
-	spec := *s.Job
-	spec.Payload = nil
-	wk.running = append(wk.running, &modelTask{id: s.Task, job: spec, owner: o.epoch})
-	w.judgeStart(o, wk, s)
-	reply(Started{Task: s.Task})
-}
-
-// judgeStart checks what must always hold against what really runs.
-func (w *world) judgeStart(o *owner, wk *worker, s *Start) {
-	logical := fmt.Sprintf("%s/%d", s.Job.ID, s.Index)
-	w.runs[logical]++
-	if w.ranBy[s.Job.ID] == nil {
-		w.ranBy[s.Job.ID] = map[int]bool{}
-	}
-	w.ranBy[s.Job.ID][o.epoch] = true
-	if a, ok := o.answers[s.Job.ID]; ok && a.Refusal != nil && a.Refusal.Verdict == state.NotRun {
-		w.breach("job %s ran after it was answered as not run", s.Job.ID)
-	}
-	if !s.Job.Idempotent && w.runs[logical] > 1 {
-		w.breach("task %s ran %d times", logical, w.runs[logical])
-	}
-	var held state.Vector
-	for _, t := range wk.running {
-		held = held.Add(t.job.Each)
-	}
-	if !held.Fits(wk.capacity) {
-		w.breach("%s holds %s", wk.vm, held)
-	}
-	var team state.Vector
-	places := 0
-	for _, other := range w.workers {
-		for _, t := range other.running {
-			if t.job.Team == s.Job.Team {
-				team = team.Add(t.job.Each)
-			}
-			id, index, _, _ := splitTaskID(t.id)
-			if id == s.Job.ID && index == s.Index {
-				places++
-			}
-		}
-	}
-	if !team.Fits(w.limits[s.Job.Team]) {
-		w.breach("team %s holds %s", s.Job.Team, team)
-	}
-	if places > 1 {
-		w.breach("task %s runs in %d places", logical, places)
-	}
-}
-
-func (w *world) stopAt(o *owner, msg *message) {
-	wk := msg.worker
-	if wk.epoch != o.epoch || wk.number != msg.number {
-		return
-	}
-	for i, t := range wk.running {
-		if t.id == msg.task {
-			if msg.verb == StopCheckpoint && w.choose(3) == 0 {
-				return
-			}
-			w.endAt(wk, i, EndStopped)
-			return
-		}
-	}
-	for _, at := range wk.ended {
-		if at.Task == msg.task {
-			o.tell(Ended{Task: at.Task, End: at.End, Output: at.Output})
-			return
-		}
-	}
-	if msg.verb == StopCheckpoint {
-		return
-	}
-	wk.refused[msg.task] = true
-	o.tell(Ended{Task: msg.task, End: EndNotRun})
-}
-
-// endAt ends a running task and tells every owner that may still ask.
-func (w *world) endAt(wk *worker, i int, end TaskEnd) {
-	t := wk.running[i]
-	wk.running = slices.Delete(wk.running, i, i+1)
-	wk.ended = append(wk.ended, AdoptedTask{Task: t.id, Job: t.job, Ended: true, End: end, Output: []byte("out")})
-	for _, o := range w.owners {
-		if o.epoch == wk.epoch || o.epoch == t.owner {
-			o.tell(Ended{Task: t.id, End: end, Output: []byte("out"), Ran: 2 * time.Second})
-		}
-	}
-}
-
-// loseAnswer lets the answer to a start be lost; the start may still arrive.
-func (w *world) loseAnswer(o *owner) {
-	for _, msg := range o.flight {
-		if msg.start != nil && !msg.answered && w.choose(2) == 0 {
-			msg.answered = true
-			o.tell(StartUnknown{Task: msg.task})
-			return
-		}
-	}
-}
-
-func (w *world) finishTask() {
-	wk := w.workers[w.choose(len(w.workers))]
-	if len(wk.running) == 0 {
-		return
-	}
-	end := EndSucceeded
-	if w.choose(4) == 0 {
-		end = EndFailed
-	}
-	w.endAt(wk, w.choose(len(wk.running)), end)
-}
-
 // disturb cancels a job, restarts a worker or lets a lease lapse.
 func (w *world) disturb(o *owner) {
 	wk := w.workers[w.choose(len(w.workers))]
-	switch w.choose(6) {
+	switch w.choose(8) {
 	case 0, 1:
 		for _, id := range w.openIDs(o) {
 			if w.choose(3) == 0 {
@@ -447,6 +313,12 @@
 		w.step(o, UpstreamSilent{VM: wk.vm})
 	case 5:
 		w.step(o, UpstreamBack{VM: wk.vm})
+	case 6:
+		w.kill(w.workers[0])
+	case 7:
+		if o != w.newest() && w.choose(4) == 0 {
+			w.step(o, Resign{})
+		}
 	}
 }
 
@@ -463,7 +335,7 @@
 // restart gives a worker a new incarnation, which the newest owner fences.
 func (w *world) restart(wk *worker) {
 	o := w.newest()
-	if wk.epoch != o.epoch {
+	if wk.epoch != o.epoch || wk.dead {
 		return
 	}
 	wk.number++
@@ -473,6 +345,18 @@
 	o.flight = append(o.flight, &message{worker: wk, fence: true})
 }
 
+// kill ends a VM for good; the owners learn it some time later.
+func (w *world) kill(wk *worker) {
+	if wk.dead || w.choose(10) != 0 {
+		return
+	}
+	wk.dead = true
+	wk.running = nil
+	for _, o := range w.owners {
+		o.tell(UpstreamGone{VM: wk.vm})
+	}
+}
+
 // lapse lets the lease of an owner on a worker lapse: its tasks stop, and its
 // starts on their way are refused because the lease they carry is over.
 func (w *world) lapse(wk *worker) {
@@ -480,7 +364,7 @@
 		return
 	}
 	o := w.owners[wk.epoch-1]
-	if u := o.m.upstreams[wk.vm]; !u.fenced {
+	if u, ok := o.m.upstreams[wk.vm]; !ok || !u.fenced {
 		return
 	}
 	for len(wk.running) > 0 {
@@ -492,90 +376,3 @@
 	w.step(o, LeaseLapsed{VM: wk.vm})
 	o.flight = append(o.flight, &message{worker: wk, fence: true})
 }
-
-// checkAccounts compares a machine's accounts with each other and with what
-// runs on the workers that obey it.
-func (w *world) checkAccounts(o *owner) {
-	usage := map[state.TeamID]state.Vector{}
-	for _, wk := range w.workers {
-		u, ok := o.m.upstreams[wk.vm]
-		if !ok {
-			continue
-		}
-		committed := state.Vector{}
-		for _, a := range u.tasks {
-			committed = committed.Add(a.amount)
-			usage[a.job.spec.Team] = usage[a.job.spec.Team].Add(a.amount)
-			if o.m.tasks[a.id] != a {
-				w.breach("task %s is not indexed", a.id)
-			}
-		}
-		rec, _ := o.m.cell.Get(wk.vm)
-		if u.incarnation != "" && !o.m.cfg.freeOnStop && rec.Free.Add(committed) != u.capacity {
-			w.breach("%s: free %s and committed %s are not %s", wk.vm, rec.Free, committed, u.capacity)
-		}
-	}
-	for _, t := range o.m.teamOrder {
-		if !o.m.cfg.freeOnStop && t.usage != usage[t.id] {
-			w.breach("team %s: usage %s, tasks %s", t.id, t.usage, usage[t.id])
-		}
-	}
-	queued := 0
-	for _, j := range o.m.jobs {
-		if j.queued {
-			queued++
-		}
-		if j.state.Ended() && (j.item.Queued() || j.queued) {
-			w.breach("ended job %s is queued", j.spec.ID)
-		}
-	}
-	if queued != o.m.Stats().Queued {
-		w.breach("%d queued, counted %d", queued, o.m.Stats().Queued)
-	}
-}
-
-// drain lets everything on its way arrive and every task end, then expects
-// that each job is answered.
-func (w *world) drain() {
-	for range 4000 {
-		busy := false
-		for _, o := range w.owners {
-			for len(o.flight) > 0 {
-				busy = true
-				w.deliver(o)
-			}
-		}
-		for _, wk := range w.workers {
-			for len(wk.running) > 0 {
-				busy = true
-				w.endAt(wk, 0, EndSucceeded)
-			}
-		}
-		w.now += 100 * time.Millisecond
-		for _, o := range w.owners {
-			w.step(o, Tick{})
-		}
-		if !busy && w.idle() {
-			return
-		}
-		w.cancelStanding()
-	}
-	for _, a := range w.newest().m.tasks {
-		w.breach("task %s on %s is still counted", a.id, a.up.vm)
-	}
-	for _, id := range w.openIDs(w.newest()) {
-		v, _ := w.newest().m.Job(id)
-		w.breach("the newest owner did not come to rest: %+v", v)
-	}
-}
-
-func (w *world) idle() bool { return len(w.openIDs(w.newest())) == 0 }
-
-func (w *world) cancelStanding() {
-	o := w.newest()
-	for _, id := range w.openIDs(o) {
-		if w.sent[id].Class == state.ClassStanding {
-			w.stepAbout(o, id, CancelJob{Job: id, Team: w.sent[id].Team})
-		}
-	}
-}
--- /dev/null
+++ b/internal/state/queue/queue_test.go
@@ -0,0 +1,117 @@
+package queue_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/samphirerail/samphirerail/internal/state"
+	"github.com/samphirerail/samphirerail/internal/state/queue"
+)
+
+var one = state.Vector{CPUMilli: 1000, MemoryMB: 1000, Slots: 1}
+
+func item(id string, team state.TeamID, j state.Job, arrived state.Time) *queue.Item {
+	return &queue.Item{
+		Job: state.JobID(id), Team: team, Service: "fitting", Each: one, Together: 1,
+		Urgent: j.Urgent, Arrived: arrived, Rank: queue.Rank(&j, arrived),
+	}
+}
+
+func order(q *queue.Queue) string {
+	ids := ""
+	for it := q.Next(); it != nil; it = q.Next() {
+		ids += string(it.Job) + " "
+		q.Remove(it)
+	}
+	return ids
+}
+
+func TestOrderWithinTeam(t *testing.T) {
+	batch := state.Job{Class: state.ClassBatch}
+	urgent := state.Job{Class: state.ClassBatch, Urgent: true}
+	soon := state.Job{Class: state.ClassRequest, Deadline: 2 * time.Second}
+	later := state.Job{Class: state.ClassRequest, Deadline: 5 * time.Second}
+	tests := []struct {
+		name  string
+		items []*queue.Item
+		want  string
+	}{
+		{name: "urgent first", items: []*queue.Item{item("a", "t", soon, 0), item("b", "t", urgent, 1)}, want: "b a "},
+		{name: "earliest deadline", items: []*queue.Item{item("a", "t", later, 0), item("b", "t", soon, 1), item("c", "t", batch, 0)}, want: "b a c "},
+		{name: "arrival", items: []*queue.Item{item("a", "t", batch, 5), item("b", "t", batch, 5), item("c", "t", batch, 4)}, want: "c a b "},
+		{name: "old batch before new urgent", items: []*queue.Item{item("a", "t", batch, 0), item("b", "t", urgent, time.Hour)}, want: "a b "},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			q := queue.New(queue.Share)
+			for _, it := range tt.items {
+				q.Push(it)
+			}
+			is.New(t).Equal(order(q), tt.want)
+		})
+	}
+}
+
+func TestOrderBetweenTeams(t *testing.T) {
+	tests := []struct {
+		name      string
+		objective queue.Objective
+		entitled  bool
+		want      string
+	}{
+		{name: "share", objective: queue.Share, entitled: true, want: "low high "},
+		{name: "waiting", objective: queue.Waiting, entitled: true, want: "high low "},
+		{name: "urgent above its share", objective: queue.Waiting, entitled: false, want: "low high "},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			q := queue.New(tt.objective)
+			q.SetShare("alder", 0.1, true)
+			q.SetShare("birch", 0.3, tt.entitled)
+			q.Push(item("low", "alder", state.Job{Class: state.ClassBatch}, 0))
+			q.Push(item("high", "birch", state.Job{Class: state.ClassBatch, Urgent: true}, 1))
+			is.New(t).Equal(order(q), tt.want)
+		})
+	}
+}
+
+func TestBlocked(t *testing.T) {
+	is := is.New(t)
+	q := queue.New(queue.Share)
+	first := item("a", "alder", state.Job{Class: state.ClassBatch}, 0)
+	q.Push(first)
+	q.Push(item("b", "birch", state.Job{Class: state.ClassBatch}, 1))
+	q.Block(first, queue.Room)
+	is.Equal(q.Next(), nil) // what needs as much is blocked too
+	q.Freed("fitting", state.Vector{CPUMilli: 500, MemoryMB: 5000, Slots: 1})
+	is.Equal(q.Next(), nil)
+	q.Freed("fitting", one)
+	is.Equal(q.Next(), first)
+	q.Block(first, queue.Limit)
+	is.Equal(q.Blocked(first), queue.Limit)
+	is.Equal(q.Next().Job, state.JobID("b"))
+	q.TeamFreed("alder")
+	is.Equal(q.Next(), first)
+}
+
+// TestManySizes blocks more sizes than are remembered one by one.
+func TestManySizes(t *testing.T) {
+	is := is.New(t)
+	q := queue.New(queue.Share)
+	for i := range 200 {
+		it := item(fmt.Sprint(i), "alder", state.Job{Class: state.ClassBatch}, 0)
+		it.Each = state.Vector{CPUMilli: int64(1000 + i), MemoryMB: int64(100000 - 300*i), Slots: 1}
+		q.Push(it)
+	}
+	tries := 0
+	for it := q.Next(); it != nil; it = q.Next() {
+		q.Block(it, queue.Room)
+		tries++
+	}
+	is.True(tries <= 200)
+	q.Freed("fitting", state.Vector{CPUMilli: 1 << 40, MemoryMB: 1 << 40, Slots: 8})
+	is.True(q.Next() != nil)
+}
