--- a/internal/state/refusal.go
+++ b/internal/state/refusal.go
@@ -47,12 +47,17 @@
 	ReasonRetriesExhausted Reason = "retries_exhausted"
 	// ReasonConflict: the ID is in use for other content.
 	ReasonConflict Reason = "conflict"
+	// ReasonInvalid: the ID is not one that an entry issues.
+	ReasonInvalid Reason = "invalid"
 	// ReasonCancelled: the caller cancelled the job before it started.
 	ReasonCancelled Reason = "cancelled"
 	// ReasonStorage: the job could not be recorded in the log service.
 	ReasonStorage Reason = "storage_unavailable"
 	// ReasonOutcomeUnknown: the job may or may not have run.
 	ReasonOutcomeUnknown Reason = "outcome_unknown"
+	// ReasonNotFound: the team has no job with this ID here. It says nothing
+	// about whether the job ran.
+	ReasonNotFound Reason = "not_found"
 	// ReasonTaskFailed: the job ran and failed.
 	ReasonTaskFailed Reason = "task_failed"
 )
