--- a/internal/agent/parts.go
+++ b/internal/agent/parts.go
@@ -20,6 +20,7 @@
 	"github.com/samphirerail/samphirerail/internal/state"
 	"github.com/samphirerail/samphirerail/internal/state/machine"
 	"github.com/samphirerail/samphirerail/internal/state/queue"
+	"github.com/samphirerail/samphirerail/internal/transport/netcount"
 	"github.com/samphirerail/samphirerail/internal/transport/platformclient"
 	"github.com/samphirerail/samphirerail/internal/transport/rpc"
 	"github.com/samphirerail/samphirerail/platform"
@@ -31,24 +32,29 @@
 // clients are the connections to the platform and to other entries.
 type clients struct {
 	log   *contactLog
-	vms   *platformclient.VMList
+	vms   *contactVMs
 	peers *rpc.Client
 	dial  owner.Dialer
 }
 
 func newClients(s settings.Settings, logger hclog.Logger, registry metrics.Registry) *clients {
-	options := platformclient.Options{Timeout: s.Platform.Timeout.Std()}
+	source := s.Listen.Source()
+	logOptions := platformclient.Options{Timeout: s.Platform.Timeout.Std(), LocalAddress: source, Traffic: netcount.New(registry, "log")}
+	listOptions := platformclient.Options{Timeout: s.Platform.Timeout.Std(), LocalAddress: source, Traffic: netcount.New(registry, "vms")}
 	cfg := rpc.DefaultClientConfig()
+	cfg.LocalAddress = source
 	cfg.Logger = logger
 	cfg.Registry = registry
 	cfg.Tracer = otel.GetTracerProvider()
 	workers := newWorkerPool(platformclient.Options{
 		Timeout:        s.Upstream.Timeout.Std(),
 		MaxConnections: s.Upstream.Connections,
+		LocalAddress:   source,
+		Traffic:        netcount.New(registry, "workers"),
 	})
 	return &clients{
-		log:   newContactLog(platformclient.NewLog(s.Platform.Log, options)),
-		vms:   platformclient.NewVMList(s.Platform.VMList, options),
+		log:   newContactLog(platformclient.NewLog(s.Platform.Log, logOptions)),
+		vms:   &contactVMs{VMList: platformclient.NewVMList(s.Platform.VMList, listOptions)},
 		peers: rpc.NewClient(cfg),
 		dial:  workers.dial,
 	}
@@ -70,7 +76,7 @@
 	return membership.New(membership.Config{
 		Self:           id.entry,
 		Domain:         id.domain,
-		Address:        s.Listen.Internal,
+		Address:        s.Listen.Advertised(),
 		Seeds:          s.Peers.Seeds,
 		Interval:       s.Peers.Heartbeat.Std(),
 		RemoteInterval: s.Peers.RemoteHeartbeat.Std(),
@@ -93,17 +99,20 @@
 // rebalanceInterval is how often unused allotments are offered to other domains.
 const rebalanceInterval = 2 * time.Second
 
-func newOwner(s settings.Settings, id identity, c *clients, follower *configlog.Follower, members *membership.Service, logger hclog.Logger, status *statusBoard) *owning {
+func newOwner(s settings.Settings, id identity, c *clients, follower *configlog.Follower, members *membership.Service, logger hclog.Logger, registry metrics.Registry, status *statusBoard) *owning {
 	o := &owning{}
+	absences := inventory.NewAbsences(inventory.DefaultListLag, c.vms.lastRead)
 	o.manager = owner.NewManager(owner.ManagerConfig{
 		Config: owner.Config{
 			Shard:      id.shard,
 			Machine:    machineConfig(s),
 			Timing:     timing(s),
-			Source:     inventory.NewSource(id.domain, follower.View, members.Snapshot),
+			Source:     inventory.NewSource(id.domain, follower.View, members.Snapshot, absences),
 			Dial:       c.dial,
+			Log:        c.log,
 			OnReturned: func(list []coordination.Submission) { go o.resubmit(list, logger) },
 			Logger:     logger,
+			Registry:   registry,
 		},
 		Retry:   retryAfter,
 		Changed: members.Announce,
@@ -112,7 +121,7 @@
 	o.manager.OnFenced(o.runner.Fenced)
 	o.joiner = &inventory.Joiner{
 		Domain: id.domain, Config: follower, Listed: members.Snapshot,
-		Owns: func() bool { return o.manager.Owns(id.shard) }, Interval: time.Second, Logger: logger,
+		Owns: func() bool { return o.manager.Owns(id.shard) }, Interval: time.Second, Absences: absences, Logger: logger,
 	}
 	o.limits = &limits.Rebalancer{
 		Domain: id.domain, Config: follower, Members: members.Snapshot,
@@ -166,25 +175,16 @@
 	return t
 }
 
-func newRouter(o *owning, follower *configlog.Follower, c *clients, members *membership.Service, id identity) coordination.JobService {
+func newRouter(o *owning, follower *configlog.Follower, c *clients, members *membership.Service) coordination.JobService {
 	return &admission.Service{
 		JobService: o.router,
 		View:       follower.View,
-		Cut:        func() bool { return c.log.silentFor() > cutAfter && !reachesOtherDomain(members.Snapshot(), id.domain) },
+		Cut:        func() bool { return c.log.silentFor() > cutAfter && members.Snapshot().RemoteSilence > cutAfter },
 	}
 }
 
-// cutAfter is how long the log must be out of reach before the domain may count
-// as cut off.
+// cutAfter is how long the log and every entry of another domain must be out of
+// reach before the domain counts as cut off.
 const cutAfter = 10 * time.Second
 
-func reachesOtherDomain(snapshot *membership.Snapshot, domain state.DomainID) bool {
-	for i := range snapshot.Entries {
-		if e := &snapshot.Entries[i]; e.Domain != domain && e.Live() {
-			return true
-		}
-	}
-	return false
-}
-
 var _ platform.Log = (*contactLog)(nil)
--- a/internal/coordination/owner/config.go
+++ b/internal/coordination/owner/config.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	metrics "github.com/rcrowley/go-metrics"
 
 	"github.com/samphirerail/samphirerail/internal/coordination"
 	"github.com/samphirerail/samphirerail/internal/state"
@@ -84,10 +85,16 @@
 	Timing  Timing
 	Source  Source
 	Dial    Dialer
+	// Log keeps the accepted jobs; when nil they live in memory only.
+	Log platform.Log
 	// OnFenced is called when a worker obeys a newer owner.
 	OnFenced func(*platform.FencedError)
+	// OnReady is called once the shard takes work.
+	OnReady func()
 	// OnReturned receives the jobs that waited when the shard resigned and
 	// that no caller waits for: none of their tasks ran.
 	OnReturned func([]coordination.Submission)
 	Logger     hclog.Logger
+	// Registry receives the shard's metrics; nil means that none are shown.
+	Registry metrics.Registry
 }
