--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -6,7 +6,7 @@
 #   TEAMS           contracts
 #   LIST            1 puts the others' upstreams on the VM list too
 # ENTRIES=N starts N-1 more entries in the same domain; REMOTE=1 puts them in other domains.
-# RUNNING=N starts N standing tasks; PATH_LOAD=1 measures the path.
+# DOMAINS=N sets the number of failure domains. RUNNING=N starts N standing tasks; PATH_LOAD=1 measures the path.
 set -euo pipefail
 binary=$1 label=$2 fleet=$3 fill=$4 teams=$5 seconds=${6:-20} list=${7:-0} extra=${8:-}
 dir=$(mktemp -d)
@@ -29,12 +29,12 @@
 }
 
 # Below the range that the system picks ports from.
-port=$((11000 + RANDOM % 20000))
+port=${PORT:-$((11000 + RANDOM % 20000))}
 "$binary" dev platform >"$dir/platform" 2>&1 & pids+=($!)
 platform=$(address "$dir/platform")
 if ((fill > 0 || teams > 0)); then
 	flags=(); if ((list)); then flags=(--list); fi
-	"$binary" measure fill --platform "$platform" --upstreams "$fill" --teams "$teams" "${flags[@]}"
+	"$binary" measure fill --platform "$platform" --domains "${DOMAINS:-14}" --upstreams "$fill" --teams "$teams" "${flags[@]}"
 fi
 if ((fleet > 0)); then
 	"$binary" dev fleet --platform "$platform" --domain d00 --count "$fleet" >"$dir/fleet" 2>&1 & pids+=($!)
