--- a/internal/coordination/owner/reconcile.go
+++ b/internal/coordination/owner/reconcile.go
@@ -10,13 +10,14 @@
 // reconcile brings the machine's upstreams and quotas in line with the source.
 func (s *Shard) reconcile(ctx context.Context) {
 	version := s.cfg.Source.Version()
-	if version == s.version || s.resigned {
+	if version == s.version || s.resigned || s.awaitsJournal() {
 		return
 	}
 	inventory := s.cfg.Source.Load()
 	if !inventory.Known {
 		return
 	}
+	first := s.configVersion < 0
 	s.version = version
 	s.configVersion = inventory.ConfigVersion
 	list := inventory.Upstreams
@@ -35,6 +36,17 @@
 	for vm, u := range s.upstreams {
 		u.probed.Store(chosen[vm])
 	}
+	s.resume(ctx)
+	if first {
+		s.summarize()
+		s.becameReady()
+	}
+}
+
+func (s *Shard) becameReady() {
+	if s.cfg.OnReady != nil {
+		s.spawn(s.cfg.OnReady)
+	}
 }
 
 // probed returns the workers whose newest epoch other entries ask for.
--- a/internal/coordination/owner/upstream.go
+++ b/internal/coordination/owner/upstream.go
@@ -123,18 +123,10 @@
 }
 
 func (u *upstream) sync(ctx context.Context) bool {
-	timing := u.shard.cfg.Timing
-	hold := u.syncWait()
-	callCtx, cancel := context.WithTimeout(ctx, hold+timing.Call)
+	req := u.syncRequest()
+	callCtx, cancel := context.WithTimeout(ctx, req.Wait+u.shard.cfg.Timing.Call)
 	defer cancel()
-	reply, err := u.worker.Sync(callCtx, platform.SyncRequest{
-		Epoch:       u.shard.cfg.Epoch,
-		Incarnation: u.currentIncarnation(),
-		LeaseUntil:  u.clock.extend(timing.Lease, time.Now()),
-		AckEvent:    u.ackEvent,
-		Wait:        hold,
-		SkipUsage:   time.Since(u.usageAt) < usageInterval,
-	})
+	reply, err := u.worker.Sync(callCtx, req)
 	if err != nil {
 		u.failed(ctx, err)
 		return false
@@ -162,6 +154,26 @@
 	return longest
 }
 
+// syncRequest renews the lease of a worker that answers. One that does not is
+// only asked for a sign of life: a renewal whose answer is lost may have
+// arrived, so that its lease would never be known to have lapsed.
+func (u *upstream) syncRequest() platform.SyncRequest {
+	timing := u.shard.cfg.Timing
+	req := platform.SyncRequest{
+		Epoch:       u.shard.cfg.Epoch,
+		Incarnation: u.currentIncarnation(),
+		AckEvent:    u.ackEvent,
+		SkipUsage:   time.Since(u.usageAt) < usageInterval,
+	}
+	if u.failures > 0 {
+		req.LeaseUntil = u.clock.unchanged()
+		return req
+	}
+	req.LeaseUntil = u.clock.extend(timing.Lease, time.Now())
+	req.Wait = u.syncWait()
+	return req
+}
+
 func (u *upstream) deliver(reply platform.SyncReply) {
 	for _, ev := range reply.Events {
 		u.ackEvent = max(u.ackEvent, ev.Sequence)
--- a/internal/state/machine/bench_test.go
+++ b/internal/state/machine/bench_test.go
@@ -8,69 +8,100 @@
 	"github.com/samphirerail/samphirerail/internal/state"
 )
 
-// benchRackSize is the number of upstreams in a rack.
-const benchRackSize = 20
+const (
+	benchUpstreams = 2600
+	benchRunning   = 21000
+)
+
+var benchSize = state.Vector{CPUMilli: 3000, MemoryMB: 4000, Slots: 1}
 
-// benchMachine has upstreams of 8 slots, six of them taken.
-func benchMachine(b *testing.B, upstreams int) *Machine {
+// benchMachine returns a machine whose upstreams are fenced, with tasks running.
+func benchMachine(b *testing.B, upstreams, running int) (*Machine, []state.TaskID) {
 	b.Helper()
-	cfg := DefaultConfig()
-	cfg.Retention, cfg.RetentionNotIdempotent = time.Millisecond, time.Millisecond
-	m := New(cfg)
-	large := state.Vector{CPUMilli: 1 << 40, MemoryMB: 1 << 40, Slots: 1 << 30}
-	m.Step(1, QuotasChanged{Quotas: []Quota{{Team: "t", Limit: large, Weight: 1, MaxQueued: 1 << 20}}})
-	size := state.Vector{CPUMilli: 32000, MemoryMB: 65536, Slots: 8}
+	m := New(DefaultConfig())
+	var quotas []Quota
+	for i := range 6 {
+		quotas = append(quotas, Quota{Team: benchTeam(i), Weight: 1 + i%3, MaxQueued: 100000, Limit: state.Vector{CPUMilli: 1 << 40, MemoryMB: 1 << 40, Accelerators: 1 << 20, Slots: 1 << 20}})
+	}
+	m.Step(0, QuotasChanged{Quotas: quotas})
 	for i := range upstreams {
-		vm := state.VMID(fmt.Sprintf("u%06d", i))
-		m.Step(1, UpstreamJoined{VM: vm, Rack: fmt.Sprint("r", i/benchRackSize), Service: "fitting", Capacity: size})
-		m.Step(1, Fenced{VM: vm, Incarnation: "i", Capacity: size})
+		vm := state.VMID(fmt.Sprintf("vm%05d", i))
+		size := state.Vector{CPUMilli: 32000, MemoryMB: 64000, Slots: 8}
+		m.Step(0, UpstreamJoined{VM: vm, Rack: fmt.Sprintf("r%d", i/40), Service: "fitting", Capacity: size})
+		m.Step(0, Fenced{VM: vm, Incarnation: "1", Capacity: size})
 	}
-	for i := range 6 * upstreams {
-		if !started(m.Step(2, Submit{Job: benchJob(fmt.Sprint("held", i))}), func(Start) {}) {
-			b.Fatal("a job did not start")
-		}
+	var tasks []state.TaskID
+	for i := range running {
+		tasks = append(tasks, benchSubmit(m, i)...)
 	}
-	return m
+	return m, tasks
 }
 
-func benchJob(id string) state.Job {
-	return state.Job{
-		ID: state.JobID(id), Team: "t", Class: state.ClassRequest, Service: "fitting", Tasks: 1, Idempotent: true,
-		Each: state.Vector{CPUMilli: 100, MemoryMB: 64, Slots: 1},
-	}
-}
+func benchTeam(i int) state.TeamID { return state.TeamID(fmt.Sprintf("team%d", i%6)) }
 
-// started calls f for the start among the actions.
-func started(actions []Action, f func(Start)) bool {
-	for _, a := range actions {
-		if start, ok := a.(Start); ok {
-			f(start)
-			return true
+func benchSubmit(m *Machine, i int) []state.TaskID {
+	var started []state.TaskID
+	for _, a := range m.Step(state.Time(i)*time.Microsecond, Submit{Job: state.Job{
+		ID: state.JobID(fmt.Sprintf("home.%08d", i)), Team: benchTeam(i), Class: state.ClassRequest, Service: "fitting",
+		Tasks: 1, Each: benchSize, Idempotent: true,
+	}}) {
+		if s, ok := a.(Start); ok {
+			started = append(started, s.Task)
 		}
 	}
-	return false
+	return started
 }
 
-// BenchmarkDecision brings one request, places it and ends it.
-func BenchmarkDecision(b *testing.B) {
-	for _, upstreams := range []int{260, 2600, 26000} {
-		b.Run(fmt.Sprint(upstreams), func(b *testing.B) {
-			m := benchMachine(b, upstreams)
-			now, n := state.Time(time.Second), 0
+// BenchmarkCycle submits a job and lets an earlier one end.
+func BenchmarkCycle(b *testing.B) {
+	for _, upstreams := range []int{260, benchUpstreams, 10 * benchUpstreams} {
+		b.Run(fmt.Sprintf("upstreams=%d", upstreams), func(b *testing.B) {
+			// More jobs than slots wait, so that each end makes room.
+			running := upstreams * benchRunning / benchUpstreams
+			m, tasks := benchMachine(b, upstreams, running)
 			b.ReportAllocs()
+			next := running
 			for b.Loop() {
-				n++
-				now += state.Time(50 * time.Microsecond)
-				ok := started(m.Step(now, Submit{Job: benchJob(fmt.Sprint("j", n))}), func(s Start) {
-					m.Step(now, Ended{Task: s.Task, End: EndSucceeded})
-				})
-				if !ok {
-					b.Fatal("a job did not start")
-				}
-				if n%1000 == 0 {
-					m.Step(now, Tick{})
+				tasks = append(tasks, benchSubmit(m, next)...)
+				next++
+				for _, a := range m.Step(state.Time(next)*time.Microsecond, Ended{Task: tasks[0], End: EndSucceeded}) {
+					if s, ok := a.(Start); ok {
+						tasks = append(tasks, s.Task)
+					}
 				}
+				tasks = tasks[1:]
 			}
 		})
 	}
 }
+
+// BenchmarkFullCycle does the same while the shard is full and jobs wait.
+func BenchmarkFullCycle(b *testing.B) {
+	m, tasks := benchMachine(b, benchUpstreams, 8*benchUpstreams+5000)
+	b.ReportAllocs()
+	next := 8*benchUpstreams + 5000
+	for b.Loop() {
+		tasks = append(tasks, benchSubmit(m, next)...)
+		next++
+		for _, a := range m.Step(state.Time(next)*time.Microsecond, Ended{Task: tasks[0], End: EndSucceeded}) {
+			if s, ok := a.(Start); ok {
+				tasks = append(tasks, s.Task)
+			}
+		}
+		tasks = tasks[1:]
+	}
+}
+
+// BenchmarkCancelWave cancels 10,000 waiting jobs.
+func BenchmarkCancelWave(b *testing.B) {
+	const wave = 10000
+	for b.Loop() {
+		b.StopTimer()
+		full := 8 * benchUpstreams
+		m, _ := benchMachine(b, benchUpstreams, full+wave)
+		b.StartTimer()
+		for i := range wave {
+			m.Step(time.Second, CancelJob{Job: state.JobID(fmt.Sprintf("home.%08d", full+i)), Team: benchTeam(full + i)})
+		}
+	}
+}
