Close gaps in what an owner accounts for

Cause (named by the state machine's developer, found by reading): a reported task with unreadable labels was dropped and so not counted; an ID issued after a takeover, but accepted by the old owner on a worker that the new one had not yet fenced, was taken for new when it was repeated; a repeat after ended jobs were forgotten (10 min) was taken for new; a worker that restarts forgets the newest epoch, so an old owner that resumes could fence it again. Ruled out: counting any reported task as unknown capacity (the report says what it takes), and making each restart of a worker a confirmed log record (a dead process on a live VM would keep restarted workers out of use). Change: such tasks count with what the report says; IDs are old until all workers were heard, and beyond the memory of ended jobs; an owner that was refused anywhere, or whose entry was paused a moment ago, fences no more. The last gap is narrower, not closed: see docs/PROOFS.md. Also: a measuring loop makes at least one call per caller (its test failed once in a full run because a caller started after the period was over).

--- a/internal/agent/parts.go
+++ b/internal/agent/parts.go
@@ -109,6 +109,7 @@
 			Timing:     timing(s),
 			Source:     inventory.NewSource(id.domain, follower.View, members.Snapshot, absences),
 			Dial:       c.dial,
+			MayFence:   func() bool { return !members.Stale() },
 			Log:        c.log,
 			OnReturned: func(list []coordination.Submission) { go o.resubmit(list, logger) },
 			Logger:     logger,
--- a/internal/coordination/owner/config.go
+++ b/internal/coordination/owner/config.go
@@ -87,6 +87,9 @@
 	Dial    Dialer
 	// Log keeps the accepted jobs; when nil they live in memory only.
 	Log platform.Log
+	// MayFence reports whether the entry's knowledge of the other entries may be
+	// acted on; nil means always.
+	MayFence func() bool
 	// OnFenced is called when a worker obeys a newer owner.
 	OnFenced func(*platform.FencedError)
 	// OnReady is called once the shard takes work.
--- a/internal/coordination/owner/jobs.go
+++ b/internal/coordination/owner/jobs.go
@@ -153,16 +153,22 @@
 	if sub.DeadlineIn > 0 {
 		job.Deadline = s.now() + sub.DeadlineIn
 	}
-	job.IssuedBeforeTakeover = !sub.Fresh && s.issuedBeforeTakeover(sub.ID)
+	job.IssuedBeforeTakeover = !sub.Fresh && s.old(sub.ID)
 	return job
 }
 
-func (s *Shard) issuedBeforeTakeover(id state.JobID) bool {
+// old reports whether an ID is older than what this owner can account for: an
+// earlier owner, or this one before it forgot ended jobs, may have run the job.
+// While workers are missing, an earlier owner may still start jobs there.
+func (s *Shard) old(id state.JobID) bool {
 	parsed, err := jobid.Parse(id)
 	if err != nil {
 		return true
 	}
-	return parsed.Issued.Before(s.takeover.Add(s.cfg.Timing.ClockMargin))
+	margin := s.cfg.Timing.ClockMargin
+	known := s.unaccounted.Add(margin)
+	kept := time.Now().Add(margin - s.cfg.Machine.RetentionNotIdempotent)
+	return parsed.Issued.Before(known) || parsed.Issued.Before(kept)
 }
 
 // Get returns the status of a job after waiting for its end. An empty team
--- a/internal/coordination/owner/labels.go
+++ b/internal/coordination/owner/labels.go
@@ -50,11 +50,18 @@
 	return l.Job, nil
 }
 
-// adopt turns a worker's record of a task into the machine's.
+// adopt turns a worker's record of a task into the machine's. A task whose
+// labels can't be read still counts with what it takes; the error says so.
 func adopt(status platform.TaskStatus, now state.Time, wall time.Time) (machine.AdoptedTask, error) {
 	job, err := decodeLabels(status.Spec.Labels, now, wall)
 	if err != nil {
-		return machine.AdoptedTask{}, err
+		job = state.Job{
+			ID:    state.JobID(status.Spec.JobID),
+			Team:  state.TeamID(status.Spec.Team),
+			Class: state.Class(status.Spec.Class),
+			Tasks: 1,
+			Each:  usageVector(status.Spec.Resources),
+		}
 	}
 	return machine.AdoptedTask{
 		Task:   state.TaskID(status.Spec.TaskID),
@@ -62,7 +69,7 @@
 		Ended:  status.State.Ended(),
 		End:    endOf(status.State),
 		Output: status.Output,
-	}, nil
+	}, err
 }
 
 func endOf(s platform.TaskState) machine.TaskEnd {
--- a/internal/coordination/owner/shard.go
+++ b/internal/coordination/owner/shard.go
@@ -26,7 +26,7 @@
 	log    hclog.Logger
 	meters *meters
 	start  time.Time
-	// takeover is the wall-clock time of the claim, for the age of job IDs.
+	// takeover is the time of the claim.
 	takeover time.Time
 
 	messages chan message
@@ -43,7 +43,9 @@
 	waiters   map[state.JobID][]chan<- coordination.JobStatus
 	traces    map[state.JobID]context.Context
 	// waiting holds the submissions of jobs of which no task has started.
-	waiting       map[state.JobID]waitingJob
+	waiting map[state.JobID]waitingJob
+	// unaccounted is when workers that may hold unknown jobs were last missing.
+	unaccounted   time.Time
 	version       uint64
 	configVersion int64
 	resigned      bool
@@ -104,6 +106,9 @@
 
 func (s *Shard) summarize() {
 	stats := s.machine.Stats()
+	if s.configVersion < 0 || stats.Fenced < stats.Upstreams {
+		s.unaccounted = time.Now()
+	}
 	if !s.resigned {
 		s.meters.show(stats)
 	}
@@ -267,6 +272,12 @@
 	return platform.VerbCancel
 }
 
+// mayFence reports whether workers may be fenced under this claim: it was not
+// refused anywhere, and the entry was not paused a moment ago.
+func (s *Shard) mayFence() bool {
+	return s.fencedAt.Load() == nil && (s.cfg.MayFence == nil || s.cfg.MayFence())
+}
+
 // fencedBy takes in that a worker obeys a newer owner.
 func (s *Shard) fencedBy(err *platform.FencedError) {
 	if s.fencedAt.CompareAndSwap(nil, err) {
--- a/internal/coordination/owner/upstream.go
+++ b/internal/coordination/owner/upstream.go
@@ -88,7 +88,13 @@
 	return u.sync(ctx)
 }
 
+// fence raises the worker's epoch. A worker that was restarted has forgotten the
+// epochs that it saw, so an owner that was fenced elsewhere, or that has been
+// paused, must not fence again.
 func (u *upstream) fence(ctx context.Context) bool {
+	if !u.shard.mayFence() {
+		return false
+	}
 	callCtx, cancel := context.WithTimeout(ctx, u.shard.cfg.Timing.Call)
 	defer cancel()
 	reply, err := u.worker.Fence(callCtx, platform.FenceRequest{Epoch: u.shard.cfg.Epoch})
@@ -114,8 +120,7 @@
 	for _, status := range reply.Tasks {
 		task, err := adopt(status, now, wall)
 		if err != nil {
-			u.shard.log.Error("can't adopt a task", "vm", u.info.VM, "task", status.Spec.TaskID, "error", err)
-			continue
+			u.shard.log.Error("can't read a task's labels", "vm", u.info.VM, "task", status.Spec.TaskID, "error", err)
 		}
 		ev.Tasks = append(ev.Tasks, task)
 	}
--- a/internal/measure/path.go
+++ b/internal/measure/path.go
@@ -40,7 +40,8 @@
 	PerSecond float64
 }
 
-// Run has callers make calls one after the other for a time, and measures each.
+// Run has callers make calls one after the other for a time, at least one each,
+// and measures each.
 func Run(ctx context.Context, callers int, period time.Duration, call Call) Latency {
 	start := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, period)
@@ -53,7 +54,7 @@
 	)
 	for i := range callers {
 		workers.Go(func() {
-			for n := int64(i); ctx.Err() == nil; n += int64(callers) {
+			for n := int64(i); n < int64(callers) || ctx.Err() == nil; n += int64(callers) {
 				begin := time.Now()
 				err := call(context.WithoutCancel(ctx), n)
 				took := time.Since(begin)
--- a/internal/state/machine/decision_bench_test.go
+++ b/internal/state/machine/decision_bench_test.go
@@ -56,11 +56,11 @@
 	for _, upstreams := range []int{260, 2600, 26000} {
 		b.Run(fmt.Sprint(upstreams), func(b *testing.B) {
 			m := decisionMachine(b, upstreams)
-			now, n := state.Time(time.Second), 0
+			now, n := time.Second, 0
 			b.ReportAllocs()
 			for b.Loop() {
 				n++
-				now += state.Time(50 * time.Microsecond)
+				now += 50 * time.Microsecond
 				ok := started(m.Step(now, Submit{Job: benchJob(fmt.Sprint("j", n))}), func(s Start) {
 					m.Step(now, Ended{Task: s.Task, End: EndSucceeded})
 				})
