--- a/internal/e2e/checker_test.go
+++ b/internal/e2e/checker_test.go
@@ -194,6 +194,9 @@
 		if t.refusal != nil && t.refusal.NotRun == state.NotRun && ran > 0 && t.id != "" {
 			faults = append(faults, fmt.Sprintf("job %s was said not to have run (%s) and ran %d times", t.id, t.refusal.Reason, ran))
 		}
+		if t.job != nil && t.job.Refusal != nil && t.job.Refusal.NotRun == state.NotRun && ran > 0 {
+			faults = append(faults, fmt.Sprintf("job %s was %s as not run and ran %d times", t.id, t.job.State, ran))
+		}
 		if !t.request.Idempotent && t.request.Class == state.ClassRequest && ran > 1 {
 			faults = append(faults, fmt.Sprintf("non-idempotent job %s ran %d times", t.id, ran))
 		}
--- a/internal/e2e/cluster_test.go
+++ b/internal/e2e/cluster_test.go
@@ -36,6 +36,8 @@
 	t         *testing.T
 	platform  string
 	upstreams map[string]string
+	// processes are those of the upstreams.
+	processes map[string]*process
 	entries   []*entryProcess
 	http      *http.Client
 	teamKey   string
@@ -60,7 +62,7 @@
 // startCluster starts a platform, upstreams and entries, and grants a key.
 func startCluster(t *testing.T, s shape) *cluster {
 	t.Helper()
-	c := &cluster{t: t, upstreams: map[string]string{}, http: &http.Client{Timeout: patience}, subnets: map[string]netip.Prefix{}}
+	c := &cluster{t: t, upstreams: map[string]string{}, processes: map[string]*process{}, http: &http.Client{Timeout: patience}, subnets: map[string]netip.Prefix{}}
 	if s.separate {
 		c.partition = newPartition()
 		for i, domain := range s.domains {
@@ -82,10 +84,16 @@
 	return c
 }
 
-func (c *cluster) startUpstream(vm, domain string) *process {
-	p := start(c.t, vm, "samphirerail", "dev", "upstream", "--platform", c.platform, "--vm", vm, "--domain", domain, "--service", "fitting")
+func (c *cluster) startUpstream(vm, domain string) {
+	c.t.Helper()
+	c.startUpstreamAt(vm, domain, "127.0.0.1:0")
+}
+
+func (c *cluster) startUpstreamAt(vm, domain, address string) {
+	c.t.Helper()
+	p := start(c.t, vm, "samphirerail", "dev", "upstream", "--listen", address, "--platform", c.platform, "--vm", vm, "--domain", domain, "--service", "fitting")
 	c.upstreams[vm] = p.listening()
-	return p
+	c.processes[vm] = p
 }
 
 func freeAddress(t *testing.T, ip string) string {
