--- a/internal/coordination/owner/shard.go
+++ b/internal/coordination/owner/shard.go
@@ -9,6 +9,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/samphirerail/samphirerail/internal/coordination"
+	"github.com/samphirerail/samphirerail/internal/coordination/journal"
 	"github.com/samphirerail/samphirerail/internal/state"
 	"github.com/samphirerail/samphirerail/internal/state/machine"
 	"github.com/samphirerail/samphirerail/platform"
@@ -21,9 +22,10 @@
 // last job that it started. Its control goroutine (Run) owns the state machine;
 // everything else reaches the machine through messages.
 type Shard struct {
-	cfg   Config
-	log   hclog.Logger
-	start time.Time
+	cfg    Config
+	log    hclog.Logger
+	meters *meters
+	start  time.Time
 	// takeover is the wall-clock time of the claim, for the age of job IDs.
 	takeover time.Time
 
@@ -45,6 +47,10 @@
 	version       uint64
 	configVersion int64
 	resigned      bool
+	recovery      recovery
+
+	// journal is nil when accepted jobs are not kept.
+	journal *journal.Journal
 }
 
 // Summary is what a shard tells of itself.
@@ -68,6 +74,7 @@
 	s := &Shard{
 		cfg:       cfg,
 		log:       cfg.Logger.With("shard", cfg.Shard, "epoch", cfg.Epoch.Number),
+		meters:    newMeters(cfg.Registry),
 		start:     time.Now(),
 		takeover:  time.Now(),
 		messages:  make(chan message, eventBuffer),
@@ -82,6 +89,7 @@
 		configVersion: -1,
 	}
 	s.summary.Store(&Summary{ConfigVersion: -1})
+	s.openJournal()
 	return s
 }
 
@@ -95,8 +103,12 @@
 func (s *Shard) Summary() Summary { return *s.summary.Load() }
 
 func (s *Shard) summarize() {
+	stats := s.machine.Stats()
+	if !s.resigned {
+		s.meters.show(stats)
+	}
 	s.summary.Store(&Summary{
-		Stats:         s.machine.Stats(),
+		Stats:         stats,
 		ConfigVersion: s.configVersion,
 		Ready:         s.configVersion >= 0 && !s.resigned,
 	})
@@ -114,6 +126,7 @@
 		s.work.Wait()
 		s.failWaiters()
 	}()
+	s.runJournal(ctx)
 	s.reconcile(ctx)
 	s.summarize()
 	for {
@@ -127,6 +140,7 @@
 		case <-ticker.C:
 			s.reconcile(ctx)
 			s.step(ctx, machine.Tick{})
+			s.resume(ctx)
 			s.summarize()
 		}
 	}
@@ -185,11 +199,15 @@
 
 // step applies an event and carries out the actions.
 func (s *Shard) step(ctx context.Context, ev machine.Event) {
-	s.perform(ctx, s.machine.Step(s.now(), ev))
+	begin := time.Now()
+	actions := s.machine.Step(s.now(), ev)
+	s.meters.decided(begin)
+	s.perform(ctx, actions)
 }
 
 func (s *Shard) perform(ctx context.Context, actions []machine.Action) {
 	for _, action := range actions {
+		s.meters.count(action)
 		switch a := action.(type) {
 		case machine.Start:
 			s.performStart(ctx, a)
--- a/internal/coordination/owner/upstream.go
+++ b/internal/coordination/owner/upstream.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -17,6 +18,11 @@
 // upstream counts as silent.
 const silentAfter = 2
 
+// probedSyncWait is the longest time that a probed worker may hold a Sync. It is
+// shorter than ownership's ContactBound, so that a probe by another entry finds
+// a recent contact while the owner lives.
+const probedSyncWait = time.Second
+
 // upstream is the owner's link to one worker: it fences it, renews its lease
 // and brings its news. One goroutine runs it; others start and stop tasks
 // through it.
@@ -32,6 +38,9 @@
 	pending     []control
 	controlling bool
 
+	// probed workers are those that other entries ask for the newest epoch.
+	probed atomic.Bool
+
 	// The fields below belong to the goroutine of run.
 	fenced   bool
 	silent   bool
@@ -131,6 +140,15 @@
 	return true
 }
 
+// syncWait is how long the worker may hold the next Sync.
+func (u *upstream) syncWait() time.Duration {
+	longest := u.shard.cfg.Timing.SyncWait
+	if u.probed.Load() {
+		return min(longest, probedSyncWait)
+	}
+	return longest
+}
+
 // syncRequest renews the lease of a worker that answers. One that does not is
 // only asked for a sign of life: a renewal whose answer is lost may have
 // arrived, so that its lease would never be known to have lapsed.
@@ -146,7 +164,7 @@
 		return req
 	}
 	req.LeaseUntil = u.clock.extend(timing.Lease, time.Now())
-	req.Wait = timing.SyncWait
+	req.Wait = u.syncWait()
 	return req
 }
 
