Keep new work off upstreams that leave also after a takeover; undrain

An owner that took over while an upstream was already leaving joined it as one in use: the machine learnt of the leaving only as a change. TestLeavingUpstreams failed with 1 run instead of 0 and passes now. The end of a drain was never told to the machine at all, so an undrained upstream stayed out of use until the next owner; it now gets UpstreamStays. Ruled out: dropping and joining the upstream again, which would give up what runs there.

--- a/internal/coordination/owner/contrast_test.go
+++ b/internal/coordination/owner/contrast_test.go
@@ -6,6 +6,7 @@
 	"math"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -105,10 +106,19 @@
 	t       *testing.T
 	workers []*worker.Worker
 	links   []*link
+	// leaving says that every upstream leaves.
+	leaving atomic.Bool
+	version atomic.Uint64
 }
 
 // Version implements Source.
-func (s *stage) Version() uint64 { return 1 }
+func (s *stage) Version() uint64 { return s.version.Load() }
+
+// leave changes whether every upstream leaves.
+func (s *stage) leave(leaving bool) {
+	s.leaving.Store(leaving)
+	s.version.Add(1)
+}
 
 // Load implements Source.
 func (s *stage) Load() Inventory {
@@ -120,6 +130,7 @@
 		inventory.Upstreams = append(inventory.Upstreams, Upstream{
 			VM: state.VMID(w.History().VMID), Address: fmt.Sprint(i), Incarnation: w.History().Incarnation,
 			Rack: "r1", Service: "fitting", Capacity: CapacityVector(w.History().Capacity),
+			Leaving: s.leaving.Load(),
 		})
 	}
 	return inventory
@@ -128,6 +139,7 @@
 // newStage makes workers that ignore parts of their protocol.
 func newStage(t *testing.T, workers int, ignore worker.Ignore) *stage {
 	s := &stage{t: t}
+	s.version.Store(1)
 	for i := range workers {
 		w := worker.New(worker.Config{
 			VMID: fmt.Sprintf("up%d", i), Domain: "north", Rack: "r1", Service: "fitting",
@@ -276,3 +288,38 @@
 		}
 	}
 }
+
+// TestLeavingUpstreams shows that an owner gives no new work to upstreams that
+// leave, also when it took over after they began to, and uses them again when
+// they stay.
+func TestLeavingUpstreams(t *testing.T) {
+	tests := []struct {
+		name string
+		play func(s *stage)
+		runs int
+	}{
+		{name: "already leaving when the owner took over", play: func(*stage) {}, runs: 0},
+		{name: "staying after all", play: func(s *stage) { s.leave(false) }, runs: 1},
+		{name: "leaving again", play: func(s *stage) {
+			s.leave(false)
+			time.Sleep(time.Second)
+			s.leave(true)
+		}, runs: 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newStage(t, 1, worker.Ignore{})
+				s.leave(true)
+				shard, end := s.own(1)
+				defer end()
+				time.Sleep(time.Second)
+				tt.play(s)
+				time.Sleep(time.Second)
+				s.submit(shard)
+				time.Sleep(5 * time.Second)
+				is.New(t).Equal(len(s.runs()), tt.runs)
+			})
+		})
+	}
+}
--- a/internal/coordination/owner/reconcile.go
+++ b/internal/coordination/owner/reconcile.go
@@ -87,14 +87,20 @@
 	if !ok {
 		s.step(ctx, machine.UpstreamJoined{VM: info.VM, Rack: info.Rack, Service: info.Service, Capacity: info.Capacity})
 		s.link(ctx, info, probed)
+		if info.Leaving {
+			s.step(ctx, machine.UpstreamLeaving{VM: info.VM})
+		}
 		return
 	}
 	if u.info.Address != info.Address || u.info.Incarnation != info.Incarnation {
 		u.cancel()
 		s.link(ctx, info, probed)
 	}
-	if info.Leaving && !u.info.Leaving {
+	switch {
+	case info.Leaving && !u.info.Leaving:
 		s.step(ctx, machine.UpstreamLeaving{VM: info.VM})
+	case !info.Leaving && u.info.Leaving:
+		s.step(ctx, machine.UpstreamStays{VM: info.VM})
 	}
 	s.upstreams[info.VM].info.Leaving = info.Leaving
 }
--- a/internal/e2e/replace_test.go
+++ b/internal/e2e/replace_test.go
@@ -88,7 +88,7 @@
 func TestUpstreamLost(t *testing.T) {
 	c := startCluster(t, oneDomain)
 	cs := &callers{c: c}
-	l := startLoad(cs, 8, true, func(n int64) *entryProcess { return c.entries[n%2] })
+	l := startLoad(cs, 14, true, func(n int64) *entryProcess { return c.entries[n%2] })
 	cs.after(100)
 	c.loseUpstream("north-up1")
 	c.drop("north-up1")
--- a/internal/e2e/work_test.go
+++ b/internal/e2e/work_test.go
@@ -131,7 +131,8 @@
 func contractWithdrawn(t *testing.T, c *cluster, cs *callers) {
 	is := is.New(t)
 	const leaving = state.TeamID("leaving")
-	c.putContractOf(c.entries[0].callers, leaving, contract(2))
+	granted := c.putContractOf(c.entries[0].callers, leaving, contract(2))
+	c.waitInForce(c.entries[0], granted.Version)
 	key := c.grant(c.entries[0].callers, "leaving-key", leaving)
 	for _, e := range c.entries {
 		c.waitKey(e, key, true)
@@ -140,6 +141,7 @@
 	for range 6 {
 		got := c.submitAs(c.entries[0], key, batch(10*time.Minute))
 		is.NoErr(got.err)
+		is.Equal(got.status, http.StatusAccepted)
 		submitted = append(submitted, got)
 	}
 	eventually(t, "two tasks run", func() error {
@@ -149,7 +151,8 @@
 		return nil
 	})
 	begin := time.Now()
-	c.must(http.MethodDelete, c.entries[0].callers, "/v1/contracts/"+string(leaving), bootstrapKey, nil, nil)
+	base := v1.AnyVersion
+	c.must(http.MethodDelete, c.entries[0].callers, "/v1/contracts/"+string(leaving), bootstrapKey, v1.Write{BaseVersion: &base}, nil)
 	c.settle()
 	t.Logf("running work of a withdrawn contract stopped after %s", time.Since(begin).Round(time.Millisecond))
 	notRun := 0
@@ -192,7 +195,11 @@
 	c.t.Helper()
 	eventually(c.t, vm+" gets no new work", func() error {
 		begin := time.Now()
-		parallel(50, 5, func(i int) { cs.submit(c.entries[i%2], request(0, "probe", true)) })
+		parallel(50, 5, func(i int) {
+			probe := request(0, "probe", true)
+			probe.DeadlineMS = 1000
+			cs.submit(c.entries[i%2], probe)
+		})
 		if n := c.startsSince(vm, begin); n > 0 {
 			return fmt.Errorf("%d starts", n)
 		}
@@ -200,23 +207,27 @@
 	})
 }
 
-// startOn submits work until some of it runs on an upstream, and returns that
-// run's job.
-func startOn(c *cluster, cs *callers, vm string) state.JobID {
+// startSomewhere submits work that runs for some seconds and returns its job and
+// the upstream that runs it.
+func startSomewhere(c *cluster, cs *callers) (id state.JobID, vm string) {
 	c.t.Helper()
-	begin := time.Now()
-	var id state.JobID
-	eventually(c.t, "work runs on "+vm, func() error {
-		cs.submit(c.entries[0], batch(4*time.Second))
-		for _, r := range c.history(vm).Runs {
-			if r.StartUnixNano > begin.UnixNano() && r.EndUnixNano == 0 {
-				id = state.JobID(r.JobID)
+	submitted := cs.submit(c.entries[0], batch(4*time.Second))
+	eventually(c.t, "the work runs", func() error {
+		for _, r := range c.runs() {
+			if r.JobID == string(submitted.id) && r.EndUnixNano == 0 {
+				id, vm = submitted.id, r.vm
 				return nil
 			}
 		}
 		return errNotYet
 	})
-	return id
+	return id, vm
+}
+
+// drain sets or clears the drain of an upstream.
+func (c *cluster) drain(method, vm string) {
+	c.t.Helper()
+	c.must(method, c.entries[0].callers, "/v1/upstreams/"+vm+"/drain", bootstrapKey, v1.Write{}, nil)
 }
 
 // finishesOnce checks that running work came to its own end in one run.
@@ -235,16 +246,32 @@
 }
 
 func upstreamDrained(t *testing.T, c *cluster, cs *callers) {
-	const vm = "north-up1"
-	id := startOn(c, cs, vm)
+	id, vm := startSomewhere(c, cs)
 	begin := time.Now()
-	c.must(http.MethodPost, c.entries[0].callers, "/v1/upstreams/"+vm+"/drain", bootstrapKey, v1.Write{}, nil)
+	c.drain(http.MethodPost, vm)
 	waitIdleUpstream(c, cs, vm)
 	t.Logf("a drained upstream got its last start %s after the drain", lastStart(c, vm).Sub(begin).Round(time.Millisecond))
 	finishesOnce(t, c, id)
-	c.must(http.MethodDelete, c.entries[0].callers, "/v1/upstreams/"+vm+"/drain", bootstrapKey, v1.Write{}, nil)
-	startOn(c, cs, vm)
-	c.settle()
+	for other := range c.upstreams {
+		if other != vm {
+			c.drain(http.MethodPost, other)
+			waitIdleUpstream(c, cs, other)
+		}
+	}
+	c.drain(http.MethodDelete, vm)
+	eventually(t, "the upstream is in use again", func() error {
+		begin := time.Now()
+		probe := request(0, "undrained", true)
+		probe.DeadlineMS = 1000
+		cs.submit(c.entries[0], probe)
+		if c.startsSince(vm, begin) == 0 {
+			return errNotYet
+		}
+		return nil
+	})
+	for other := range c.upstreams {
+		c.drain(http.MethodDelete, other)
+	}
 }
 
 func lastStart(c *cluster, vm string) time.Time {
@@ -257,8 +284,7 @@
 }
 
 func upstreamLeaves(t *testing.T, c *cluster, cs *callers) {
-	const vm = "north-up2"
-	id := startOn(c, cs, vm)
+	id, vm := startSomewhere(c, cs)
 	row := c.row(vm)
 	row.State = platform.VMLeaving
 	begin := time.Now()
--- a/internal/state/machine/event.go
+++ b/internal/state/machine/event.go
@@ -93,9 +93,12 @@
 // certain: its tasks were stopped. The worker must be fenced again before use.
 type LeaseLapsed struct{ VM state.VMID }
 
-// UpstreamLeaving says that a worker takes no new work.
+// UpstreamLeaving says that a worker takes no new work. UpstreamStays ends that.
 type UpstreamLeaving struct{ VM state.VMID }
 
+// UpstreamStays says that a worker that was leaving takes work again.
+type UpstreamStays struct{ VM state.VMID }
+
 // UpstreamGone says that the VM no longer exists, so nothing runs on it.
 type UpstreamGone struct{ VM state.VMID }
 
@@ -145,6 +148,7 @@
 func (UpstreamBack) event()    {}
 func (LeaseLapsed) event()     {}
 func (UpstreamLeaving) event() {}
+func (UpstreamStays) event()   {}
 func (UpstreamGone) event()    {}
 func (Usage) event()           {}
 func (QuotasChanged) event()   {}
--- a/internal/state/machine/machine.go
+++ b/internal/state/machine/machine.go
@@ -105,7 +105,9 @@
 	case LeaseLapsed:
 		m.leaseLapsed(ev.VM)
 	case UpstreamLeaving:
-		m.leaving(ev.VM)
+		m.setLeaving(ev.VM, true)
+	case UpstreamStays:
+		m.setLeaving(ev.VM, false)
 	case UpstreamGone:
 		m.gone(ev.VM)
 	case Usage:
--- a/internal/state/machine/upstream.go
+++ b/internal/state/machine/upstream.go
@@ -137,9 +137,9 @@
 	}
 }
 
-func (m *Machine) leaving(vm state.VMID) {
+func (m *Machine) setLeaving(vm state.VMID, leaving bool) {
 	if u, ok := m.upstreams[vm]; ok {
-		u.leaving = true
+		u.leaving = leaving
 		m.refreshReadiness(u)
 	}
 }
