--- a/internal/e2e/load_test.go
+++ b/internal/e2e/load_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -88,3 +89,20 @@
 	}
 	return n
 }
+
+// longestGap returns the longest time between two answers of jobs that
+// succeeded.
+func (cs *callers) longestGap() time.Duration {
+	var times []time.Time
+	for _, t := range cs.all() {
+		if t.job != nil && t.job.State == state.JobSucceeded {
+			times = append(times, t.at)
+		}
+	}
+	slices.SortFunc(times, time.Time.Compare)
+	var longest time.Duration
+	for i := 1; i < len(times); i++ {
+		longest = max(longest, times[i].Sub(times[i-1]))
+	}
+	return longest
+}
--- a/internal/e2e/path_test.go
+++ b/internal/e2e/path_test.go
@@ -60,10 +60,13 @@
 	for _, e := range c.entries {
 		c.waitKey(e, c.teamKey, true)
 	}
+	begin := time.Now()
 	c.must(http.MethodDelete, c.entries[0].callers, "/v1/keys/team-key", bootstrapKey, nil, nil)
 	for _, e := range c.entries {
 		c.waitKey(e, c.teamKey, false)
 	}
+	t.Logf("withdrawn key refused everywhere after %s", time.Since(begin).Round(time.Millisecond))
+	begin = time.Now()
 	result := c.putContract(c.entries[3].callers, contract(4))
 	eventually(t, "the contract is in force everywhere", func() error {
 		var status v1.VersionStatus
@@ -73,6 +76,7 @@
 		}
 		return nil
 	})
+	t.Logf("contract in force everywhere after %s", time.Since(begin).Round(time.Millisecond))
 	for _, e := range c.entries {
 		var got v1.VersionedContract
 		c.must(http.MethodGet, e.callers, "/v1/contracts/"+string(team), bootstrapKey, nil, &got)
@@ -114,7 +118,9 @@
 	is.Equal(owner.exitCode(), 0)
 	cs.after(50)
 	l.end()
+	t.Logf("longest time without an answer around the handover: %s", cs.longestGap().Round(time.Millisecond))
 	c.settle()
+	is.Equal(lostAndDoubled(c.runs(), cs.all()), nil)
 	for _, told := range cs.all() {
 		is.NoErr(told.err)
 		if told.refusal != nil {
