--- a/internal/e2e/replace_test.go
+++ b/internal/e2e/replace_test.go
@@ -1,6 +1,7 @@
 package e2e
 
 import (
+	"errors"
 	"fmt"
 	"net/http"
 	"testing"
@@ -65,7 +66,7 @@
 				want = state.JobRunning
 			}
 			if err != nil || status.State != want {
-				return fmt.Errorf("job %s: status %d, state %s, error %v", job.id, code, status.State, err)
+				return fmt.Errorf("job %s: status %d, state %s, error %w", job.id, code, status.State, errors.Join(err, errNotYet))
 			}
 			return nil
 		})
