--- a/internal/e2e/work_test.go
+++ b/internal/e2e/work_test.go
@@ -330,6 +330,7 @@
 		is.NoErr(got.err)
 		is.True(got.refusal != nil)
 		is.Equal(got.refusal.NotRun, state.NotRun)
+		is.True(got.refusal.RetryAfterMS > 0)
 	}
 	is.Equal(len(c.runs()), before)
 	t.Logf("first refusal: %s, retry after %d ms", refused[0].refusal.Error(), refused[0].refusal.RetryAfterMS)
--- a/internal/state/machine/refusals.go
+++ b/internal/state/machine/refusals.go
@@ -37,7 +37,7 @@
 func refusalDeadline(verdict state.Verdict, detail string) *state.Refusal {
 	return &state.Refusal{
 		Reason: state.ReasonDeadline, Verdict: verdict, Detail: detail,
-		Remedy: "submit again with a later deadline",
+		Remedy: "submit again with a later deadline", RetryAfter: defaultRetryAfter,
 	}
 }
 
