--- a/internal/coordination/retry/retry_test.go
+++ b/internal/coordination/retry/retry_test.go
@@ -3,9 +3,6 @@
 import (
 	"context"
 	"errors"
-	"flag"
-	"fmt"
-	"os"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -13,23 +10,12 @@
 	"github.com/matryer/is"
 	"go.uber.org/goleak"
 	"pgregory.net/rapid"
-)
 
-const defaultSeed = "20261203"
+	"github.com/samphirerail/samphirerail/internal/testseed"
+)
 
 func TestMain(m *testing.M) {
-	flag.Parse()
-	seed := os.Getenv("SAMPHIRERAIL_RAPID_SEED")
-	if seed == "" {
-		seed = defaultSeed
-	}
-	if err := flag.Set("rapid.seed", seed); err != nil {
-		panic(err)
-	}
-	if err := flag.Set("rapid.nofailfile", "true"); err != nil {
-		panic(err)
-	}
-	fmt.Println("rapid seed", seed)
+	testseed.Set()
 	goleak.VerifyTestMain(m)
 }
 
--- a/internal/coordination/routing/main_test.go
+++ b/internal/coordination/routing/main_test.go
@@ -1,28 +1,14 @@
 package routing
 
 import (
-	"flag"
-	"fmt"
-	"os"
 	"testing"
 
 	"go.uber.org/goleak"
-)
 
-const defaultSeed = "20261203"
+	"github.com/samphirerail/samphirerail/internal/testseed"
+)
 
 func TestMain(m *testing.M) {
-	flag.Parse()
-	seed := os.Getenv("SAMPHIRERAIL_RAPID_SEED")
-	if seed == "" {
-		seed = defaultSeed
-	}
-	if err := flag.Set("rapid.seed", seed); err != nil {
-		panic(err)
-	}
-	if err := flag.Set("rapid.nofailfile", "true"); err != nil {
-		panic(err)
-	}
-	fmt.Println("rapid seed", seed)
+	testseed.Set()
 	goleak.VerifyTestMain(m)
 }
--- a/internal/transport/apiclient/property_test.go
+++ b/internal/transport/apiclient/property_test.go
@@ -4,12 +4,10 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"flag"
 	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
-	"os"
 	"strings"
 	"sync"
 	"testing"
@@ -22,22 +20,13 @@
 
 	v1 "github.com/samphirerail/samphirerail/internal/protocol/v1"
 	"github.com/samphirerail/samphirerail/internal/state"
+	"github.com/samphirerail/samphirerail/internal/testseed"
 )
 
-const defaultSeed = "20261203"
-
 // TestMain fixes the seed of the property tests, unless
 // SAMPHIRERAIL_RAPID_SEED has another, and prints it.
 func TestMain(m *testing.M) {
-	flag.Parse()
-	seed := os.Getenv("SAMPHIRERAIL_RAPID_SEED")
-	if seed == "" {
-		seed = defaultSeed
-	}
-	fmt.Println("rapid seed", seed)
-	if err := flag.Set("rapid.seed", seed); err != nil {
-		panic(err)
-	}
+	testseed.Set()
 	goleak.VerifyTestMain(m)
 }
 
