--- a/internal/coordination/journal/carry.go
+++ b/internal/coordination/journal/carry.go
@@ -1,6 +1,8 @@
 package journal
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/samphirerail/samphirerail/internal/state"
@@ -32,6 +34,7 @@
 			c.jobs = append(c.jobs, id)
 		}
 	}
+	slices.SortFunc(c.jobs, func(a, b state.JobID) int { return cmp.Compare(j.open[a].order, j.open[b].order) })
 	if len(c.jobs) == 0 {
 		w.base, w.baseAt, w.sinceBase = c.from, c.begun, 0
 		return
@@ -39,6 +42,16 @@
 	w.carry = c
 }
 
+// nextCarried returns the size of the next job of the pass; 0 when there is none.
+func (j *Journal) nextCarried() int {
+	if c := j.writer.carry; c != nil && len(c.jobs) > 0 {
+		if o, ok := j.open[c.jobs[0]]; ok {
+			return o.job.size()
+		}
+	}
+	return 0
+}
+
 // carried returns the next jobs of the pass that are still open, within the room
 // of a record.
 func (j *Journal) carried(room int) []entry {
--- a/internal/coordination/journal/fold.go
+++ b/internal/coordination/journal/fold.go
@@ -56,13 +56,15 @@
 }
 
 // unfinished returns the jobs that have not ended, in the order in which they
-// were first read.
+// were accepted.
 func (f *fold) unfinished() []Job {
 	list := make([]*foldedJob, 0, len(f.open))
 	for _, j := range f.open {
 		list = append(list, j)
 	}
-	slices.SortFunc(list, func(a, b *foldedJob) int { return cmp.Compare(a.order, b.order) })
+	slices.SortFunc(list, func(a, b *foldedJob) int {
+		return cmp.Or(cmp.Compare(a.job.AcceptedUnixMS, b.job.AcceptedUnixMS), cmp.Compare(a.order, b.order))
+	})
 	jobs := make([]Job, len(list))
 	for i, j := range list {
 		jobs[i] = j.job
--- a/internal/coordination/journal/journal.go
+++ b/internal/coordination/journal/journal.go
@@ -22,10 +22,10 @@
 const (
 	streamPrefix = "jobs."
 	// maxGroupBytes bounds the entries of one append that were added since
-	// the last one. What is carried forward may double it.
-	maxGroupBytes = 256 << 10
+	// the last one, but for a single larger job.
+	maxGroupBytes = 448 << 10
 	// maxJobBytes is the largest encoded job that the journal takes.
-	maxJobBytes = platform.MaxRecordBytes - maxGroupBytes - batchOverhead
+	maxJobBytes = platform.MaxRecordBytes - batchOverhead
 	// batchOverhead bounds the encoded size of a batch without its entries.
 	batchOverhead = 4 << 10
 )
@@ -91,6 +91,8 @@
 	// written says that a record with the job may be in the log.
 	written bool
 	ended   state.JobState
+	// order rises from job to job.
+	order int
 }
 
 // op is an entry to write: the acceptance of the job, or its end.
@@ -123,6 +125,7 @@
 	pending int
 	// openBytes is the size of the open jobs.
 	openBytes int
+	order     int
 	// ending are the ends of idempotent jobs that are not in the log yet.
 	ending map[state.JobID]*Commit
 	fenced bool
@@ -153,12 +156,19 @@
 		return settled(false)
 	}
 	o := &openJob{job: job}
-	j.open[job.ID] = o
-	j.openBytes += size
+	j.insert(o)
 	o.commit = j.add(op{job: o}, size)
 	return o.commit
 }
 
+// insert makes a job known.
+func (j *Journal) insert(o *openJob) {
+	j.order++
+	o.order = j.order
+	j.open[o.job.ID] = o
+	j.openBytes += o.job.size()
+}
+
 // End adds the end of a job. A job that the journal does not know is left out.
 func (j *Journal) End(id state.JobID, s state.JobState) *Commit {
 	j.mu.Lock()
--- a/internal/coordination/journal/journal_test.go
+++ b/internal/coordination/journal/journal_test.go
@@ -68,6 +68,11 @@
 // settleTime is virtual time in which everything possible is written.
 const settleTime = 20 * time.Second
 
+func settle() {
+	time.Sleep(settleTime)
+	synctest.Wait()
+}
+
 func TestSubmissionRoundTrip(t *testing.T) {
 	is := is.New(t)
 	wall := time.UnixMilli(1_000_000)
@@ -100,7 +105,7 @@
 			time.AfterFunc(5*time.Second, func() { l.set(func(l *fakeLog) { l.down = false }) })
 		}},
 		{name: "old records forgotten after they were carried forward", config: func(c *Config) { c.CarryAfter = 5 * time.Second },
-			meanwhile: func(l *fakeLog) { time.Sleep(settleTime); l.forget(2) }},
+			meanwhile: func(l *fakeLog) { settle(); l.forget(2) }},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -114,17 +119,17 @@
 				for n := range 5 {
 					first.Accept(testJob(n))
 				}
-				time.Sleep(settleTime)
+				settle()
 				is.True(first.Accepted("north.1").Stored())
 				first.End("north.0", state.JobSucceeded)
-				time.Sleep(settleTime)
+				settle()
 				is.Equal(first.Ending("north.0"), nil)
 				if tt.meanwhile != nil {
 					tt.meanwhile(log)
 				}
 				first.kill()
 				second := startOwner(log, 2, nil)
-				time.Sleep(settleTime)
+				settle()
 				is.Equal(ids(second.recovered), []state.JobID{"north.1", "north.2", "north.3", "north.4"})
 				is.True(second.Accept(testJob(1)).Stored()) // known already
 				second.kill()
@@ -151,9 +156,9 @@
 				set := func(c *Config) { c.unconditional = tt.unconditional }
 				old := startOwner(log, 1, set)
 				old.Accept(testJob(1))
-				time.Sleep(settleTime)
+				settle()
 				newer := startOwner(log, 2, set)
-				time.Sleep(settleTime)
+				settle()
 				is.Equal(ids(newer.recovered), []state.JobID{"north.1"})
 				told := old.Accept(testJob(2)).Wait(t.Context(), settleTime)
 				is.Equal(told, tt.lost)
@@ -167,7 +172,7 @@
 				old.kill()
 				newer.kill()
 				third := startOwner(log, 3, set)
-				time.Sleep(settleTime)
+				settle()
 				is.Equal(ids(third.recovered), []state.JobID{"north.1"})
 				third.kill()
 			})
@@ -192,7 +197,7 @@
 		is.True(o.Accepted(testJob(1).ID) != nil)
 		is.True(o.Accepted(testJob(3).ID) == nil) // the buffer is full
 		log.set(func(l *fakeLog) { l.down = false })
-		time.Sleep(settleTime)
+		settle()
 		is.True(o.Accepted(testJob(0).ID).Stored())
 		is.True(o.Accept(large).Wait(t.Context(), settleTime)) // room again
 		o.kill()
@@ -204,11 +209,11 @@
 		is := is.New(t)
 		log := &fakeLog{}
 		o := startOwner(log, 1, nil)
-		time.Sleep(settleTime)
+		settle()
 		before, _ := log.count()
 		o.Accept(testJob(1))
 		is.True(o.End(testJob(1).ID, state.JobCancelled).Stored())
-		time.Sleep(settleTime)
+		settle()
 		after, _ := log.count()
 		is.Equal(after, before)
 		o.kill()
@@ -230,11 +235,11 @@
 				o.End(testJob(n-10).ID, state.JobSucceeded)
 			}
 		}
-		time.Sleep(settleTime)
+		settle()
 		o.kill()
 		_, written := log.count()
 		next := startOwner(log, 2, nil)
-		time.Sleep(settleTime)
+		settle()
 		is.Equal(len(next.recovered), 11)
 		next.kill()
 		read := next.writer.sinceBase
--- a/internal/coordination/journal/property_test.go
+++ b/internal/coordination/journal/property_test.go
@@ -135,9 +135,9 @@
 	for _, o := range w.owners {
 		o.port.resume()
 	}
-	time.Sleep(settleTime)
+	settle()
 	last := w.succeed()
-	time.Sleep(settleTime)
+	settle()
 	found := ids(last.recovered)
 	for _, o := range w.owners {
 		o.kill()
--- a/internal/coordination/journal/recover.go
+++ b/internal/coordination/journal/recover.go
@@ -154,7 +154,6 @@
 			o.written = true
 			continue
 		}
-		j.open[jobs[i].ID] = &openJob{job: jobs[i], commit: stored, written: true}
-		j.openBytes += jobs[i].size()
+		j.insert(&openJob{job: jobs[i], commit: stored, written: true})
 	}
 }
--- a/internal/coordination/journal/writer.go
+++ b/internal/coordination/journal/writer.go
@@ -106,12 +106,13 @@
 	b := batch{Epoch: j.cfg.Epoch, Base: w.base, BaseUnixMS: w.baseAt.UnixMilli()}
 	var g *group
 	used := 0
-	if len(j.groups) > 0 {
+	room := platform.MaxRecordBytes - batchOverhead
+	if len(j.groups) > 0 && j.nextCarried()+j.groups[0].bytes <= room {
 		g = j.groups[0]
 		g.sent = true
 		used = g.bytes
 	}
-	b.Entries = j.carried(platform.MaxRecordBytes - batchOverhead - used)
+	b.Entries = j.carried(room - used)
 	if g != nil {
 		for _, o := range g.ops {
 			b.Entries = appendEntry(b.Entries, o)
