--- a/internal/coordination/owner/jobs.go
+++ b/internal/coordination/owner/jobs.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"slices"
 	"time"
 
@@ -19,6 +20,13 @@
 
 func sortVMs(vms []state.VMID) { slices.Sort(vms) }
 
+// takeoverRetry is when to ask again for a job after a takeover.
+const takeoverRetry = time.Second
+
+// takeoverGrace is how long after a takeover a job that is not on record may
+// still be reported by a worker that has not been heard.
+const takeoverGrace = 10 * time.Second
+
 // Submit hands a job to the machine and waits for its end as the submission
 // asks. It fails with ErrEnded when the shard ends first: the outcome is then
 // the new owner's to tell.
@@ -145,16 +153,22 @@
 	if sub.DeadlineIn > 0 {
 		job.Deadline = s.now() + sub.DeadlineIn
 	}
-	job.IssuedBeforeTakeover = !sub.Fresh && s.issuedBeforeTakeover(sub.ID)
+	job.IssuedBeforeTakeover = !sub.Fresh && s.old(sub.ID)
 	return job
 }
 
-func (s *Shard) issuedBeforeTakeover(id state.JobID) bool {
+// old reports whether an ID is older than what this owner can account for: an
+// earlier owner, or this one before it forgot ended jobs, may have run the job.
+// While workers are missing, an earlier owner may still start jobs there.
+func (s *Shard) old(id state.JobID) bool {
 	parsed, err := jobid.Parse(id)
 	if err != nil {
 		return true
 	}
-	return parsed.Issued.Before(s.takeover.Add(s.cfg.Timing.ClockMargin))
+	margin := s.cfg.Timing.ClockMargin
+	known := s.unaccounted.Add(margin)
+	kept := time.Now().Add(margin - s.cfg.Machine.RetentionNotIdempotent)
+	return parsed.Issued.Before(known) || parsed.Issued.Before(kept)
 }
 
 // Get returns the status of a job after waiting for its end. An empty team
@@ -177,7 +191,7 @@
 	case !ok:
 		return coordination.JobStatus{}, ErrEnded
 	case !found:
-		return coordination.JobStatus{}, unknownJob(id)
+		return coordination.JobStatus{}, s.noRecord(id)
 	}
 	answer, err := s.await(ctx, id, wait, status)
 	return s.confirmEnded(ctx, answer), err
@@ -200,12 +214,28 @@
 	case !ok:
 		return coordination.JobStatus{}, ErrEnded
 	case !found:
-		return coordination.JobStatus{}, unknownJob(id)
+		return coordination.JobStatus{}, s.noRecord(id)
 	}
 	answer, err := s.await(ctx, id, 0, status)
 	return s.confirmEnded(ctx, answer), err
 }
 
+// noRecord refuses a call about a job that is not on record. While workers have
+// not been heard since the takeover, one of them may hold it.
+func (s *Shard) noRecord(id state.JobID) *state.Refusal {
+	missing := s.Summary().Upstreams - s.Summary().Fenced
+	if missing == 0 && s.Summary().Ready || time.Since(s.takeover) > takeoverGrace {
+		return unknownJob(id)
+	}
+	return &state.Refusal{
+		Reason:     state.ReasonNoOwner,
+		Verdict:    state.Unknown,
+		Detail:     fmt.Sprintf("the owner has just taken over and not yet heard from %d upstreams", missing),
+		Remedy:     "ask again",
+		RetryAfter: takeoverRetry,
+	}
+}
+
 // answer wakes those who wait for the job.
 func (s *Shard) answer(a machine.Answer) {
 	delete(s.traces, a.Job)
--- a/internal/coordination/owner/shard.go
+++ b/internal/coordination/owner/shard.go
@@ -22,10 +22,11 @@
 // last job that it started. Its control goroutine (Run) owns the state machine;
 // everything else reaches the machine through messages.
 type Shard struct {
-	cfg   Config
-	log   hclog.Logger
-	start time.Time
-	// takeover is the wall-clock time of the claim, for the age of job IDs.
+	cfg    Config
+	log    hclog.Logger
+	meters *meters
+	start  time.Time
+	// takeover is the time of the claim.
 	takeover time.Time
 
 	messages chan message
@@ -42,7 +43,9 @@
 	waiters   map[state.JobID][]chan<- coordination.JobStatus
 	traces    map[state.JobID]context.Context
 	// waiting holds the submissions of jobs of which no task has started.
-	waiting       map[state.JobID]waitingJob
+	waiting map[state.JobID]waitingJob
+	// unaccounted is when workers that may hold unknown jobs were last missing.
+	unaccounted   time.Time
 	version       uint64
 	configVersion int64
 	resigned      bool
@@ -73,6 +76,7 @@
 	s := &Shard{
 		cfg:       cfg,
 		log:       cfg.Logger.With("shard", cfg.Shard, "epoch", cfg.Epoch.Number),
+		meters:    newMeters(cfg.Registry),
 		start:     time.Now(),
 		takeover:  time.Now(),
 		messages:  make(chan message, eventBuffer),
@@ -101,8 +105,15 @@
 func (s *Shard) Summary() Summary { return *s.summary.Load() }
 
 func (s *Shard) summarize() {
+	stats := s.machine.Stats()
+	if s.configVersion < 0 || stats.Fenced < stats.Upstreams {
+		s.unaccounted = time.Now()
+	}
+	if !s.resigned {
+		s.meters.show(stats)
+	}
 	s.summary.Store(&Summary{
-		Stats:         s.machine.Stats(),
+		Stats:         stats,
 		ConfigVersion: s.configVersion,
 		Ready:         s.configVersion >= 0 && !s.resigned,
 	})
@@ -193,11 +204,15 @@
 
 // step applies an event and carries out the actions.
 func (s *Shard) step(ctx context.Context, ev machine.Event) {
-	s.perform(ctx, s.machine.Step(s.now(), ev))
+	begin := time.Now()
+	actions := s.machine.Step(s.now(), ev)
+	s.meters.decided(begin)
+	s.perform(ctx, actions)
 }
 
 func (s *Shard) perform(ctx context.Context, actions []machine.Action) {
 	for _, action := range actions {
+		s.meters.count(action)
 		switch a := action.(type) {
 		case machine.Start:
 			s.performStart(ctx, a)
@@ -257,6 +272,12 @@
 	return platform.VerbCancel
 }
 
+// mayFence reports whether workers may be fenced under this claim: it was not
+// refused anywhere, and the entry was not paused a moment ago.
+func (s *Shard) mayFence() bool {
+	return s.fencedAt.Load() == nil && (s.cfg.MayFence == nil || s.cfg.MayFence())
+}
+
 // fencedBy takes in that a worker obeys a newer owner.
 func (s *Shard) fencedBy(err *platform.FencedError) {
 	if s.fencedAt.CompareAndSwap(nil, err) {
--- a/internal/coordination/owner/upstream.go
+++ b/internal/coordination/owner/upstream.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -17,6 +18,14 @@
 // upstream counts as silent.
 const silentAfter = 2
 
+// probedSyncWait is the longest time that a probed worker may hold a Sync. It is
+// shorter than ownership's ContactBound, so that a probe by another entry finds
+// a recent contact while the owner lives.
+const probedSyncWait = time.Second
+
+// usageInterval is the least time between two reports of usage by one worker.
+const usageInterval = 30 * time.Second
+
 // upstream is the owner's link to one worker: it fences it, renews its lease
 // and brings its news. One goroutine runs it; others start and stop tasks
 // through it.
@@ -32,6 +41,9 @@
 	pending     []control
 	controlling bool
 
+	// probed workers are those that other entries ask for the newest epoch.
+	probed atomic.Bool
+
 	// The fields below belong to the goroutine of run.
 	fenced   bool
 	silent   bool
@@ -39,6 +51,8 @@
 	leaving  bool
 	failures int
 	ackEvent int64
+	// usageAt is when the worker last reported usage; zero when it never did.
+	usageAt time.Time
 }
 
 func newUpstream(s *Shard, info Upstream) *upstream {
@@ -74,7 +88,13 @@
 	return u.sync(ctx)
 }
 
+// fence raises the worker's epoch. A worker that was restarted has forgotten the
+// epochs that it saw, so an owner that was fenced elsewhere, or that has been
+// paused, must not fence again.
 func (u *upstream) fence(ctx context.Context) bool {
+	if !u.shard.mayFence() {
+		return false
+	}
 	callCtx, cancel := context.WithTimeout(ctx, u.shard.cfg.Timing.Call)
 	defer cancel()
 	reply, err := u.worker.Fence(callCtx, platform.FenceRequest{Epoch: u.shard.cfg.Epoch})
@@ -100,8 +120,7 @@
 	for _, status := range reply.Tasks {
 		task, err := adopt(status, now, wall)
 		if err != nil {
-			u.shard.log.Error("can't adopt a task", "vm", u.info.VM, "task", status.Spec.TaskID, "error", err)
-			continue
+			u.shard.log.Error("can't read a task's labels", "vm", u.info.VM, "task", status.Spec.TaskID, "error", err)
 		}
 		ev.Tasks = append(ev.Tasks, task)
 	}
@@ -109,16 +128,10 @@
 }
 
 func (u *upstream) sync(ctx context.Context) bool {
-	timing := u.shard.cfg.Timing
-	callCtx, cancel := context.WithTimeout(ctx, timing.SyncWait+timing.Call)
+	req := u.syncRequest()
+	callCtx, cancel := context.WithTimeout(ctx, req.Wait+u.shard.cfg.Timing.Call)
 	defer cancel()
-	reply, err := u.worker.Sync(callCtx, platform.SyncRequest{
-		Epoch:       u.shard.cfg.Epoch,
-		Incarnation: u.currentIncarnation(),
-		LeaseUntil:  u.clock.extend(timing.Lease, time.Now()),
-		AckEvent:    u.ackEvent,
-		Wait:        timing.SyncWait,
-	})
+	reply, err := u.worker.Sync(callCtx, req)
 	if err != nil {
 		u.failed(ctx, err)
 		return false
@@ -137,12 +150,42 @@
 	return true
 }
 
+// syncWait is how long the worker may hold the next Sync.
+func (u *upstream) syncWait() time.Duration {
+	longest := u.shard.cfg.Timing.SyncWait
+	if u.probed.Load() {
+		return min(longest, probedSyncWait)
+	}
+	return longest
+}
+
+// syncRequest renews the lease of a worker that answers. One that does not is
+// only asked for a sign of life: a renewal whose answer is lost may have
+// arrived, so that its lease would never be known to have lapsed.
+func (u *upstream) syncRequest() platform.SyncRequest {
+	timing := u.shard.cfg.Timing
+	req := platform.SyncRequest{
+		Epoch:       u.shard.cfg.Epoch,
+		Incarnation: u.currentIncarnation(),
+		AckEvent:    u.ackEvent,
+		SkipUsage:   time.Since(u.usageAt) < usageInterval,
+	}
+	if u.failures > 0 {
+		req.LeaseUntil = u.clock.unchanged()
+		return req
+	}
+	req.LeaseUntil = u.clock.extend(timing.Lease, time.Now())
+	req.Wait = u.syncWait()
+	return req
+}
+
 func (u *upstream) deliver(reply platform.SyncReply) {
 	for _, ev := range reply.Events {
 		u.ackEvent = max(u.ackEvent, ev.Sequence)
 		u.shard.send(endedEvent(ev.Status))
 	}
 	if len(reply.Usage) > 0 {
+		u.usageAt = time.Now()
 		u.shard.send(usageEvent(u.info.VM, reply.Usage))
 	}
 	if reply.Leaving && !u.leaving {
--- a/internal/transport/platformclient/options.go
+++ b/internal/transport/platformclient/options.go
@@ -12,6 +12,8 @@
 
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/trace"
+
+	"github.com/samphirerail/samphirerail/internal/transport/netcount"
 )
 
 const (
@@ -20,6 +22,9 @@
 	dialTimeout          = 2 * time.Second
 	idleTimeout          = 90 * time.Second
 	keepAliveInterval    = 15 * time.Second
+	// bufferBytes is the size of each of a connection's two buffers. Most calls
+	// and replies of a worker fit into it.
+	bufferBytes = 1 << 10
 	// maxIdleConnections is kept per address when there is no limit.
 	maxIdleConnections = 64
 	tracerName         = "github.com/samphirerail/samphirerail/internal/transport/platformclient"
@@ -40,6 +45,8 @@
 	MaxReplyBytes int64
 	// TracerProvider makes the span of each call; the global one when nil.
 	TracerProvider trace.TracerProvider
+	// Traffic counts the bytes of all connections; nil counts none.
+	Traffic *netcount.Counter
 }
 
 func (o Options) withDefaults() Options {
