--- a/internal/coordination/owner/durable_test.go
+++ b/internal/coordination/owner/durable_test.go
@@ -68,11 +68,11 @@
 	l.down, l.lose = down, lose
 }
 
-// fixedSource is an inventory that does not change.
-type fixedSource struct{ inventory Inventory }
+// stillInventory is a Source that does not change.
+type stillInventory struct{ inventory Inventory }
 
-func (fixedSource) Version() uint64   { return 1 }
-func (s fixedSource) Load() Inventory { return s.inventory }
+func (stillInventory) Version() uint64   { return 1 }
+func (s stillInventory) Load() Inventory { return s.inventory }
 
 // shardWorld is a shard whose owners follow each other.
 type shardWorld struct {
@@ -97,7 +97,7 @@
 func newShardWorld(t *testing.T) *shardWorld {
 	w := &shardWorld{t: t, log: &faultyLog{Service: logservice.New(logservice.Config{})}, workers: map[string]*worker.Worker{}}
 	each := platform.Capacity{Resources: platform.Resources{CPUMilli: 4000, MemoryMB: 4096}, Slots: 2, Connections: 64}
-	source := fixedSource{inventory: Inventory{Known: true, ConfigVersion: 1, Quotas: []machine.Quota{
+	source := stillInventory{inventory: Inventory{Known: true, ConfigVersion: 1, Quotas: []machine.Quota{
 		{Team: testTeam, Limit: state.Vector{CPUMilli: 4000, MemoryMB: 4096, Slots: 3}, Weight: 1, MaxQueued: 1000},
 	}}}
 	for n := range 2 {
