--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -70,12 +70,17 @@
 
 entry 0 d00; pid=$started
 base=$port ops=127.0.0.1:$((port + 2))
+ready() {
+	local i
+	for i in $(seq 600); do curl -sf "http://$ops/readyz" >/dev/null && return; sleep 0.1; done
+	tail -5 "$dir/e0.log" >&2; return 1
+}
+# The first entry is alone until it owns the shard.
+ready
 for n in $(seq 1 $((${ENTRIES:-1} - 1))); do
 	domain=d00; if ((${REMOTE:-0})); then domain=$(printf 'd%02d' $((n % 14))); fi
 	entry "$n" "$domain"
 done
-for _ in $(seq 600); do curl -sf "http://$ops/readyz" >/dev/null && break; sleep 0.1; done
-curl -sf "http://$ops/readyz" >/dev/null || { tail -5 "$dir/e0.log" >&2; exit 1; }
 sleep $((12 + fleet / 300))
 if ((${RUNNING:-0} > 0 || ${PATH_LOAD:-0})); then
 	key=$(api -X POST "http://127.0.0.1:$base/v1/keys" -d '{"base_version":-2,"id":"t1","team":"team001","role":"caller"}' | sed -n 's/.*"bearer":"\([^"]*\)".*/\1/p')
