--- a/internal/command/app.go
+++ b/internal/command/app.go
@@ -35,7 +35,9 @@
 		Writer:                out,
 		ErrWriter:             errOut,
 		ExitErrHandler:        func(context.Context, *cli.Command, error) {},
-		Commands:              []*cli.Command{runCommand(), checkCommand(), devCommand(), replayCommand(), measureCommand()},
+		Commands: []*cli.Command{
+			runCommand(), checkCommand(), devCommand(), replayCommand(), loadCommand(), measureCommand(),
+		},
 	}
 	err := app.Run(ctx, args)
 	if err == nil {
@@ -80,15 +82,21 @@
 	if err := a.Start(startCtx); err != nil {
 		return err
 	}
+	var replaced error
 	select {
 	case <-signals:
+	case <-a.Replaced():
+		replaced = errReplaced
 	case <-ctx.Done():
 	}
 	stopCtx, cancelStop := context.WithTimeout(context.WithoutCancel(ctx), s.Shutdown.Timeout.Std())
 	defer cancelStop()
-	return a.Stop(stopCtx)
+	return errors.Join(replaced, a.Stop(stopCtx))
 }
 
+// errReplaced says that the process may not go on as this entry.
+var errReplaced = errors.New("command: another process registered for this VM, or the VM is off the platform's list; start the entry again if it is still wanted")
+
 // notifyStop returns a channel that receives the signals that ask for a stop.
 // The signals stay caught for the life of the process.
 func notifyStop() <-chan os.Signal {
