--- a/internal/devmode/configure.go
+++ b/internal/devmode/configure.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -54,7 +55,32 @@
 		return err
 	}
 	s.OperatorKey = granted.Bearer
-	return nil
+	return s.waitUpstreams(ctx)
+}
+
+// waitUpstreams waits until the first entry knows that every upstream may be
+// used.
+func (s *System) waitUpstreams(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	for {
+		var status v1.Status
+		if err := s.call(ctx, http.MethodGet, "/v1/status", nil, &status); err != nil {
+			return err
+		}
+		fenced := 0
+		for _, shard := range status.Shards {
+			fenced += shard.Fenced
+		}
+		if fenced == len(s.workers) {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return eris.Wrap(ctx.Err(), "devmode: the upstreams did not get into use")
+		case <-time.After(readyPoll):
+		}
+	}
 }
 
 func (s *System) call(ctx context.Context, method, path string, message, reply any) error {
@@ -66,7 +92,11 @@
 	if err != nil {
 		return eris.Wrap(err, "devmode: can't make a call")
 	}
-	req.Header.Set("Authorization", "Bearer "+bootstrapKey)
+	key := bootstrapKey
+	if s.OperatorKey != "" {
+		key = s.OperatorKey
+	}
+	req.Header.Set("Authorization", "Bearer "+key)
 	req.Header.Set("Content-Type", "application/json")
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
