Keep upstreams packed in the fold

Cause: an entry keeps the upstreams of every domain, 123 bytes held each, and with 36,000 of them its resident memory misses 32 MB (docs/CAPACITY.md). Most of it is three string headers, four numbers and an ID per upstream that differ in little. Change: a list holds the IDs in one string and the few distinct kinds (rack, service, capacity) once; the own domain's is unpacked when it is first asked for.

--- a/internal/state/config/snapshot.go
+++ b/internal/state/config/snapshot.go
@@ -25,23 +25,27 @@
 
 // image is the encoded form of a view.
 type image struct {
-	Format         int                       `json:"v"`
-	Version        int64                     `json:"version"`
-	Contracts      []Contract                `json:"contracts"`
-	Keys           []Key                     `json:"keys"`
-	Queues         []Queue                   `json:"queues"`
-	Domains        []Domain                  `json:"domains"`
-	DomainsVersion int64                     `json:"domains_version"`
-	Entries        []Entry                   `json:"entries"`
-	Shards         map[state.DomainID]*shard `json:"shards"`
-	Claims         []Claim                   `json:"claims"`
-	Ledgers        map[state.TeamID]*ledger  `json:"ledgers"`
-	Settled        map[state.DomainID]int64  `json:"settled"`
-	Writes         []item[write]             `json:"writes"`
-	Ended          []item[int64]             `json:"ended"`
+	Format         int                            `json:"v"`
+	Version        int64                          `json:"version"`
+	Contracts      []Contract                     `json:"contracts"`
+	Keys           []Key                          `json:"keys"`
+	Queues         []Queue                        `json:"queues"`
+	Domains        []Domain                       `json:"domains"`
+	DomainsVersion int64                          `json:"domains_version"`
+	Entries        []Entry                        `json:"entries"`
+	Shards         map[state.DomainID]*shardImage `json:"shards"`
+	Claims         []Claim                        `json:"claims"`
+	Ledgers        map[state.TeamID]*ledger       `json:"ledgers"`
+	Settled        map[state.DomainID]int64       `json:"settled"`
+	Writes         []item[write]                  `json:"writes"`
+	Ended          []item[int64]                  `json:"ended"`
 }
 
 func (v *View) image() image {
+	shards := make(map[state.DomainID]*shardImage, len(v.shards))
+	for domain, s := range v.shards {
+		shards[domain] = s.image()
+	}
 	return image{
 		Format:         FormatVersion,
 		Version:        v.version,
@@ -51,7 +55,7 @@
 		Domains:        v.domains,
 		DomainsVersion: v.domainsVersion,
 		Entries:        v.Entries(),
-		Shards:         v.shards,
+		Shards:         shards,
 		Claims:         sortedRows(v.claims),
 		Ledgers:        v.ledgers,
 		Settled:        v.settled,
@@ -129,7 +133,7 @@
 	}
 	for domain, s := range img.Shards {
 		if s != nil {
-			f.shards.put(domain, s.intern())
+			f.shards.put(domain, s.shard())
 		}
 	}
 	for team, l := range img.Ledgers {
--- a/internal/state/config/upstreams.go
+++ b/internal/state/config/upstreams.go
@@ -18,9 +18,27 @@
 // of a view: each change makes a new one.
 type shard struct {
 	// InForce are the upstreams in use, by ID.
-	InForce []Upstream `json:"in_force"`
+	InForce *upstreamList
 	// Joins are not yet in use, in the order of their offsets.
-	Joins []join `json:"joins,omitempty"`
+	Joins []join
+}
+
+// shardImage is the encoded form of a shard.
+type shardImage struct {
+	InForce []Upstream `json:"in_force"`
+	Joins   []join     `json:"joins,omitempty"`
+}
+
+func (s *shard) image() *shardImage {
+	return &shardImage{InForce: s.InForce.unpack(), Joins: s.Joins}
+}
+
+func (i *shardImage) shard() *shard {
+	s := &shard{InForce: packUpstreams(i.InForce), Joins: slices.Clone(i.Joins)}
+	for _, j := range s.Joins {
+		internStrings(j.Upstreams)
+	}
+	return s
 }
 
 func compareUpstream(a, b Upstream) int { return cmp.Compare(a.ID, b.ID) }
@@ -32,7 +50,7 @@
 	if s == nil {
 		return false
 	}
-	if _, ok := slices.BinarySearchFunc(s.InForce, id, compareUpstreamID); ok {
+	if s.InForce.has(id) {
 		return true
 	}
 	for _, j := range s.Joins {
@@ -44,13 +62,13 @@
 }
 
 func (s *shard) empty() bool {
-	return s == nil || len(s.InForce) == 0 && len(s.Joins) == 0
+	return s == nil || s.InForce.len() == 0 && len(s.Joins) == 0
 }
 
 // edit returns a shard in which every known upstream is replaced by what change
 // returns, or left out when that is false.
 func (s *shard) edit(change func(Upstream) (Upstream, bool)) *shard {
-	out := &shard{InForce: editAll(s.InForce, change)}
+	out := &shard{InForce: packUpstreams(editAll(s.InForce.unpack(), change))}
 	for _, j := range s.Joins {
 		if left := editAll(j.Upstreams, change); len(left) > 0 {
 			out.Joins = append(out.Joins, join{Offset: j.Offset, Upstreams: left})
@@ -105,7 +123,7 @@
 
 // admit returns a shard in which the joins up to an offset are in force.
 func (s *shard) admit(upTo int64) *shard {
-	merged := slices.Clone(s.InForce)
+	merged := s.InForce.unpack()
 	out := &shard{}
 	for _, j := range s.Joins {
 		if j.Offset > upTo {
@@ -115,15 +133,14 @@
 		merged = append(merged, j.Upstreams...)
 	}
 	slices.SortFunc(merged, compareUpstream)
-	out.InForce = slices.Clip(merged)
+	out.InForce = packUpstreams(merged)
 	return out
 }
 
-// intern lets upstreams share the strings that many of them have.
-func (s *shard) intern() *shard {
-	return s.edit(func(u Upstream) (Upstream, bool) {
-		u.Rack = unique.Make(u.Rack).Value()
-		u.Service = unique.Make(u.Service).Value()
-		return u, true
-	})
+// internStrings lets upstreams share the strings that many of them have.
+func internStrings(list []Upstream) {
+	for i := range list {
+		list[i].Rack = unique.Make(list[i].Rack).Value()
+		list[i].Service = unique.Make(list[i].Service).Value()
+	}
 }
--- a/internal/state/config/view.go
+++ b/internal/state/config/view.go
@@ -167,7 +167,7 @@
 // Upstreams returns the upstreams of a domain that are in force, by ID.
 func (v *View) Upstreams(domain state.DomainID) []Upstream {
 	if s, ok := v.shards[domain]; ok {
-		return s.InForce
+		return s.InForce.all()
 	}
 	return nil
 }
