--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -7,6 +7,7 @@
 #   LIST            1 puts the others' upstreams on the VM list too
 # ENTRIES=N starts N-1 more entries in the same domain; REMOTE=1 puts them in other domains.
 # DOMAINS=N sets the number of failure domains. RUNNING=N starts N standing tasks; PATH_LOAD=1 measures the path.
+# CHANGES=N puts N contracts a second.
 set -euo pipefail
 binary=$1 label=$2 fleet=$3 fill=$4 teams=$5 seconds=${6:-20} list=${7:-0} extra=${8:-}
 dir=$(mktemp -d)
@@ -94,6 +95,13 @@
 	sleep 6
 fi
 if ((${SHOW_STATUS:-0})); then api "http://127.0.0.1:$base/v1/status"; echo; fi
+change() { # NUMBER: puts a contract
+	api -o /dev/null -X PUT "http://127.0.0.1:$base/v1/contracts/team$(printf %03d $(($1 % 90)))" -d "{\"base_version\":-2,\"services\":[\"fitting\"],\"classes\":[\"request\"],\"submit_rate\":1000,\"submit_burst\":1000,\"max_queued\":$((1000 + $1)),\"weight\":1,\"limit\":{\"cpu_milli\":16000000,\"memory_mb\":32000000,\"accelerators\":0,\"slots\":4000}}" || echo "change failed" >&2
+}
+if ((${CHANGES:-0} > 0)); then
+	(for i in $(seq $((CHANGES * (seconds + 3)))); do change "$i" & sleep "$(echo "scale=3; 1/$CHANGES" | bc)"; done; wait) & pids+=($!)
+	sleep 2
+fi
 "$binary" measure process --pid "$pid" --operators "$ops" --for "${seconds}s" --label "$label"
 if [[ -n ${PROFILE:-} ]]; then
 	curl -sf "http://$ops/debug/pprof/heap" >"$PROFILE.heap"
