--- a/internal/coordination/owner/durable_test.go
+++ b/internal/coordination/owner/durable_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
 	"github.com/samphirerail/samphirerail/internal/coordination"
@@ -68,12 +69,6 @@
 	l.down, l.lose = down, lose
 }
 
-// stillInventory is a Source that does not change.
-type stillInventory struct{ inventory Inventory }
-
-func (stillInventory) Version() uint64   { return 1 }
-func (s stillInventory) Load() Inventory { return s.inventory }
-
 // shardWorld is a shard whose owners follow each other.
 type shardWorld struct {
 	t       *testing.T
@@ -97,7 +92,7 @@
 func newShardWorld(t *testing.T) *shardWorld {
 	w := &shardWorld{t: t, log: &faultyLog{Service: logservice.New(logservice.Config{})}, workers: map[string]*worker.Worker{}}
 	each := platform.Capacity{Resources: platform.Resources{CPUMilli: 4000, MemoryMB: 4096}, Slots: 2, Connections: 64}
-	source := stillInventory{inventory: Inventory{Known: true, ConfigVersion: 1, Quotas: []machine.Quota{
+	source := fixedSource{inventory: Inventory{Known: true, ConfigVersion: 1, Quotas: []machine.Quota{
 		{Team: testTeam, Limit: state.Vector{CPUMilli: 4000, MemoryMB: 4096, Slots: 3}, Weight: 1, MaxQueued: 1000},
 	}}}
 	for n := range 2 {
@@ -121,8 +116,30 @@
 		w.kill()
 		<-w.ended
 	}
+	w.start()
+}
+
+// handOver starts the next owner and then lets the old one go in order.
+func (w *shardWorld) handOver() {
+	old, kill, ended := w.shard, w.kill, w.ended
+	w.start()
+	time.Sleep(500 * time.Millisecond)
+	old.Resign(context.Background())
+	time.Sleep(idlePoll)
+	kill()
+	<-ended
+}
+
+// start starts an owner under the next epoch.
+func (w *shardWorld) start() {
 	w.epoch++
 	cfg := w.cfg
+	cfg.OnReturned = func(list []coordination.Submission) {
+		next := w.shard
+		for _, sub := range list {
+			go func() { _, _ = next.Submit(context.Background(), sub) }()
+		}
+	}
 	cfg.Epoch = platform.Epoch{Number: w.epoch, Owner: fmt.Sprint("e", w.epoch)}
 	cfg.Machine.FirstAttempt = firstAttempt(cfg.Epoch)
 	w.shard = NewShard(cfg)
@@ -214,6 +231,7 @@
 	submitIdempotent shardStep = "submit idempotent"
 	submitOnce       shardStep = "submit once"
 	killOwner        shardStep = "kill owner"
+	handOverOwner    shardStep = "hand over"
 	logDown          shardStep = "log down"
 	logUp            shardStep = "log up"
 	loseAnswers      shardStep = "lose answers"
@@ -222,7 +240,7 @@
 )
 
 var shardSteps = rapid.SliceOfN(rapid.SampledFrom([]shardStep{
-	submitIdempotent, submitIdempotent, submitOnce, killOwner, logDown, logUp, loseAnswers, waitShort, waitLong,
+	submitIdempotent, submitIdempotent, submitOnce, killOwner, handOverOwner, logDown, logUp, loseAnswers, waitShort, waitLong,
 }), 1, 40)
 
 func (w *shardWorld) apply(step shardStep) {
@@ -231,6 +249,8 @@
 		w.submit(step == submitIdempotent)
 	case killOwner:
 		w.succeed()
+	case handOverOwner:
+		w.handOver()
 	case logDown, logUp:
 		w.log.set(step == logDown, 0)
 	case loseAnswers:
@@ -265,6 +285,31 @@
 	return errors.Join(errs...)
 }
 
+// TestHandOverLosesNothing has every accepted job run, also those that must not
+// run twice and of which only the old owner knows that they never started.
+func TestHandOverLosesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newShardWorld(t)
+		defer w.close()
+		w.succeed()
+		time.Sleep(time.Second)
+		for n := range 12 {
+			w.submit(n%2 == 0)
+		}
+		time.Sleep(taskTime / 2)
+		w.handOver()
+		time.Sleep(healTime)
+		synctest.Wait()
+		for _, told := range w.jobs {
+			all, succeeded := w.runs(told.submission.ID)
+			is.True(told.durable)
+			is.Equal(all, 1)
+			is.Equal(succeeded, 1)
+		}
+	})
+}
+
 func TestDurableJobsOutliveTheirOwners(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		if err := runShardSteps(t, shardSteps.Draw(rt, "steps"), nil); err != nil {
