Let a contract hold from its fold on, not from the owner's next tick

Cause: TestChangesUnderWork failed once in a full run and once in three alone: a new team's job was refused as withdrawn (403) up to 100 ms after its contract was in force everywhere, since the owner took over new quotas at its tick only. Ruled out: the entries' folds (the test waits for the version) and the key. Change: the owner compares the version with each submission. Operators' look-up of an upstream's domain no longer unpacks the lists of all domains. Measured: TestNewContractHoldsAtOnce fails without (refused, not queued) and passes with the change.

--- a/internal/agent/operations.go
+++ b/internal/agent/operations.go
@@ -204,12 +204,8 @@
 func (o *operations) domainOf(vm state.VMID) (state.DomainID, error) {
 	view := o.follower.View()
 	for _, d := range view.Domains() {
-		for _, list := range [][]config.Upstream{view.Upstreams(d.ID), view.JoiningUpstreams(d.ID)} {
-			for _, u := range list {
-				if u.ID == vm {
-					return d.ID, nil
-				}
-			}
+		if view.HasUpstream(d.ID, vm) {
+			return d.ID, nil
 		}
 	}
 	return "", notFound(fmt.Sprintf("no upstream %s is configured", vm), "look at the platform's VM list and at the status")
--- a/internal/coordination/owner/jobs.go
+++ b/internal/coordination/owner/jobs.go
@@ -41,8 +41,10 @@
 	return s.confirmAccepted(ctx, answer), err
 }
 
-// submit runs on the control goroutine.
+// submit runs on the control goroutine. It looks at the configuration first, so
+// that a contract holds from its fold on and not from the next tick.
 func (s *Shard) submit(ctx context.Context, sub coordination.Submission, traced trace.SpanContext, status chan<- coordination.JobStatus) {
+	s.reconcile(ctx)
 	job := s.job(sub)
 	if traced.IsValid() {
 		s.traces[job.ID] = trace.ContextWithRemoteSpanContext(ctx, traced)
--- /dev/null
+++ b/internal/coordination/owner/quota_test.go
@@ -0,0 +1,72 @@
+package owner
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/matryer/is"
+
+	"github.com/samphirerail/samphirerail/internal/coordination"
+	"github.com/samphirerail/samphirerail/internal/state"
+	"github.com/samphirerail/samphirerail/internal/state/machine"
+	"github.com/samphirerail/samphirerail/platform"
+)
+
+// changingSource is a Source whose quotas change.
+type changingSource struct {
+	mu        sync.Mutex
+	version   uint64
+	inventory Inventory
+}
+
+func (s *changingSource) Version() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.version
+}
+
+func (s *changingSource) Load() Inventory {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.inventory
+}
+
+func (s *changingSource) grant(team state.TeamID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	s.inventory.ConfigVersion++
+	s.inventory.Quotas = []machine.Quota{{Team: team, Weight: 1, MaxQueued: 1, Limit: state.Vector{CPUMilli: 1000, Slots: 1}}}
+}
+
+// TestNewContractHoldsAtOnce submits work of a team whose contract was folded a
+// moment ago, between two ticks of the owner.
+func TestNewContractHoldsAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		up := Upstream{VM: "up", Service: "fitting", Capacity: state.Vector{CPUMilli: 1000, Slots: 1}}
+		source := &changingSource{version: 1, inventory: Inventory{Known: true, Upstreams: []Upstream{up}}}
+		timing := DefaultTiming()
+		timing.Tick = time.Hour
+		shard := NewShard(Config{
+			Shard: "north/0", Machine: machine.DefaultConfig(), Timing: timing, Source: source, Logger: hclog.NewNullLogger(),
+			Dial: func(string) platform.Worker { return nil },
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		go shard.Run(ctx)
+		synctest.Wait()
+		source.grant("band")
+		status, err := shard.Submit(ctx, coordination.Submission{
+			ID: "north.01980000-0000-7000-8000-000000000001", Team: "band", Class: state.ClassBatch, Service: "fitting",
+			Tasks: 1, Each: state.Vector{CPUMilli: 1, Slots: 1}, Fresh: true,
+		})
+		is.NoErr(err)
+		is.Equal(status.State, state.JobQueued)
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/internal/state/config/view.go
+++ b/internal/state/config/view.go
@@ -172,6 +172,11 @@
 	return nil
 }
 
+// HasUpstream reports whether an upstream of a domain is known, in force or not.
+func (v *View) HasUpstream(domain state.DomainID, id state.VMID) bool {
+	return v.shards[domain].has(id)
+}
+
 // JoiningUpstreams returns the upstreams of a domain that not every entry
 // registered there has confirmed.
 func (v *View) JoiningUpstreams(domain state.DomainID) []Upstream {
