Order work by rank, not by exact share, where waiting counts most

Cause: batch work of teams above the lowest share waited for every newer job of a team with a lower one. Change: objective Waiting serves teams within their share first, as before for urgent work, and orders teams on the same side by rank. Between teams above their share the lead of urgent work does not count. Objective Share is as before.

--- a/internal/state/queue/queue.go
+++ b/internal/state/queue/queue.go
@@ -15,7 +15,8 @@
 // The objectives.
 const (
 	// Waiting lets urgent work of teams within their share go first, oldest
-	// first, and orders the rest by share.
+	// first, then other work of teams within their share, then the rest,
+	// each by rank.
 	Waiting Objective = "waiting"
 	// Share serves the team with the lowest weighted dominant share first.
 	Share Objective = "share"
@@ -215,17 +216,29 @@
 // before reports whether item a of team ta goes before item b of team tb.
 func (q *Queue) before(a *Item, ta *team, b *Item, tb *team) bool {
 	if q.objective == Waiting {
-		urgentA := a.Urgent && ta.entitled
-		urgentB := b.Urgent && tb.entitled
-		if urgentA != urgentB {
-			return urgentA
-		}
-		if urgentA && a.Arrived != b.Arrived {
-			return a.Arrived < b.Arrived
-		}
+		return beforeInTime(a, ta, b, tb)
 	}
 	if c := cmp.Compare(ta.share, tb.share); c != 0 {
 		return c < 0
 	}
 	return a.before(b)
 }
+
+// beforeInTime is the order of the objective Waiting. Between teams above
+// their share the lead of urgent work does not count.
+func beforeInTime(a *Item, ta *team, b *Item, tb *team) bool {
+	if ta.entitled != tb.entitled {
+		return ta.entitled
+	}
+	if !ta.entitled {
+		c := cmp.Compare(a.rankWithoutLead(), b.rankWithoutLead())
+		return cmp.Or(c, cmp.Compare(a.sequence, b.sequence)) < 0
+	}
+	if a.Urgent != b.Urgent {
+		return a.Urgent
+	}
+	if a.Urgent && a.Arrived != b.Arrived {
+		return a.Arrived < b.Arrived
+	}
+	return a.before(b)
+}
--- a/internal/state/queue/queue_test.go
+++ b/internal/state/queue/queue_test.go
@@ -78,6 +78,35 @@
 	}
 }
 
+// TestWaitingOrdersByRank gives the team with the lower share the newer work.
+func TestWaitingOrdersByRank(t *testing.T) {
+	batch := state.Job{Class: state.ClassBatch}
+	urgent := state.Job{Class: state.ClassBatch, Urgent: true}
+	tests := []struct {
+		name       string
+		objective  queue.Objective
+		low, high  bool
+		lowerShare state.Job
+		want       string
+	}{
+		{name: "share", objective: queue.Share, low: true, high: true, lowerShare: batch, want: "new old "},
+		{name: "both within their share", objective: queue.Waiting, low: true, high: true, lowerShare: batch, want: "old new "},
+		{name: "one above its share", objective: queue.Waiting, low: true, high: false, lowerShare: batch, want: "new old "},
+		{name: "both above their share", objective: queue.Waiting, low: false, high: false, lowerShare: batch, want: "old new "},
+		{name: "urgent above its share", objective: queue.Waiting, low: false, high: false, lowerShare: urgent, want: "old new "},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			q := queue.New(tt.objective)
+			q.SetShare("alder", 0.1, tt.low)
+			q.SetShare("birch", 0.3, tt.high)
+			q.Push(item("new", "alder", tt.lowerShare, 1))
+			q.Push(item("old", "birch", batch, 0))
+			is.New(t).Equal(order(q), tt.want)
+		})
+	}
+}
+
 func TestBlocked(t *testing.T) {
 	is := is.New(t)
 	q := queue.New(queue.Share)
--- a/internal/state/queue/rank.go
+++ b/internal/state/queue/rank.go
@@ -35,3 +35,11 @@
 	}
 	return rank
 }
+
+// rankWithoutLead is the item's rank as if it were not urgent.
+func (it *Item) rankWithoutLead() state.Time {
+	if it.Urgent {
+		return it.Rank + UrgentLead
+	}
+	return it.Rank
+}
