Place short work on upstreams held for a gang

Cause: upstreams held for a gang took no other work until the gang started, so that requests of 40 ms waited behind them. Change: the owner learns run times by team, class and service; a declared one is corrected by the observed ratio. Requests and batch work expected to run for at most 1 s may use held upstreams, if they end before the gang is expected to start and before the hold ends. The gang's start is estimated as if backfilled tasks had ended, so once only those are in its way no more are placed. Marks and blocks in the queue carry the run time, so that a block of longer work does not hide room for shorter.

--- a/internal/state/machine/accounts.go
+++ b/internal/state/machine/accounts.go
@@ -114,6 +114,7 @@
 // track counts an attempt whose room on the upstream is taken.
 func (m *Machine) track(a *attempt) {
 	m.tasks[a.id] = a
+	a.placedAt = m.now
 	a.position = len(a.up.tasks)
 	a.up.tasks = append(a.up.tasks, a)
 	a.job.active++
@@ -166,6 +167,7 @@
 	}
 	if u.holder != nil {
 		m.heldGangs = append(m.heldGangs, u.holder)
+		m.queue.FreedFor(u.service, rec.Free, m.service(u.service).backfillEnds-m.now)
 		return
 	}
 	if u.readiness() == cell.Ready {
--- a/internal/state/machine/gang.go
+++ b/internal/state/machine/gang.go
@@ -109,11 +109,14 @@
 		return
 	}
 	s.reserved = j
+	s.holdEnds = m.now + m.cfg.GangHold
+	s.backfillEnds = m.now
 	for _, c := range candidates[:count] {
 		c.up.holder = j
 		s.held = append(s.held, c.up)
 		m.refreshReadiness(c.up)
 	}
+	m.allowBackfill(s)
 }
 
 // drained is what the upstream has free once its tasks have ended, other than
@@ -143,7 +146,7 @@
 	var vms []state.VMID
 	for _, u := range s.held {
 		rec, ok := m.cell.Get(u.vm)
-		if !ok || !u.fenced || u.silent || u.leaving || u.faulted {
+		if !ok || !u.takesHeldWork() {
 			continue
 		}
 		for range min(fitCount(j.amount, rec.Free), len(j.pending)-len(vms)) {
@@ -151,6 +154,7 @@
 		}
 	}
 	if len(vms) < len(j.pending) {
+		m.allowBackfill(s)
 		return
 	}
 	m.startAll(j, vms)
--- a/internal/state/machine/model.go
+++ b/internal/state/machine/model.go
@@ -123,6 +123,11 @@
 	beneficiary *job
 	probe       bool
 	released    bool
+	// placedAt is when the attempt was placed or taken over.
+	placedAt state.Time
+	// backfill says that the upstream was held for a gang when the attempt was
+	// placed there.
+	backfill bool
 	// yields says that the attempt may be stopped for urgent work.
 	yields bool
 }
--- a/internal/state/machine/place.go
+++ b/internal/state/machine/place.go
@@ -61,6 +61,9 @@
 		req.Avoid = nil
 		vm, ok = m.pick(j, req)
 	}
+	if !ok {
+		vm, ok = m.pickHeld(j)
+	}
 	if !ok {
 		m.queue.Block(&j.item, queue.Room)
 		return
@@ -133,12 +136,13 @@
 	u := m.upstreams[vm]
 	s := &j.slots[index]
 	a := &attempt{
-		id:     taskID(j.spec.ID, index, s.attempt+1),
-		job:    j,
-		index:  index,
-		up:     u,
-		amount: j.amount,
-		phase:  phaseStarting,
+		id:       taskID(j.spec.ID, index, s.attempt+1),
+		job:      j,
+		index:    index,
+		up:       u,
+		amount:   j.amount,
+		phase:    phaseStarting,
+		backfill: u.holder != nil && u.holder != j,
 	}
 	if !m.commit(a) {
 		return false
--- a/internal/state/machine/service.go
+++ b/internal/state/machine/service.go
@@ -18,6 +18,10 @@
 	// reserved is the gang that upstreams are held for, and held are these.
 	reserved *job
 	held     []*upstream
+	// holdEnds is when the hold ends at the latest; backfillEnds is when the
+	// work that is placed on held upstreams meanwhile has to have ended.
+	holdEnds     state.Time
+	backfillEnds state.Time
 	// preemptAt is the next time at which tasks may be stopped for others.
 	preemptAt state.Time
 	// preemptible counts running tasks that may be stopped for others.
--- a/internal/state/machine/submit.go
+++ b/internal/state/machine/submit.go
@@ -171,6 +171,7 @@
 	j.item.Each = j.amount
 	j.item.Together = together
 	j.item.Urgent = j.spec.Urgent
+	j.item.Run = m.runFor(j.spec)
 	j.item.Arrived = j.arrived
 	j.item.Rank = queue.Rank(j.spec, j.arrived)
 	m.queue.Push(&j.item)
--- a/internal/state/machine/tasks.go
+++ b/internal/state/machine/tasks.go
@@ -68,6 +68,7 @@
 		j.ran = ranCertainly
 	}
 	m.observe(a, ev)
+	m.observeRun(a, ev)
 	m.release(a)
 	s := &j.slots[a.index]
 	if s.current != a {
--- a/internal/state/machine/usage.go
+++ b/internal/state/machine/usage.go
@@ -16,6 +16,10 @@
 	class  state.Class
 	cpu    float64
 	memory float64
+	// run is the average run time of succeeded tasks; ratio is that of those
+	// that declared one, to what they declared.
+	run   average
+	ratio average
 }
 
 // measured takes in what tasks really use. Nothing that is committed changes.
--- a/internal/state/queue/bucket.go
+++ b/internal/state/queue/bucket.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"container/heap"
 	"math/bits"
+	"time"
 
 	"github.com/samphirerail/samphirerail/internal/state"
 )
@@ -16,6 +17,8 @@
 	cpu          int
 	memory       int
 	accelerators int
+	// bounded says that the run time is known.
+	bounded bool
 }
 
 func shapeOf(it *Item) shape {
@@ -25,6 +28,7 @@
 		cpu:          bits.Len64(uint64(it.Each.CPUMilli)),
 		memory:       bits.Len64(uint64(it.Each.MemoryMB)),
 		accelerators: bits.Len64(uint64(it.Each.Accelerators)),
+		bounded:      it.Run < UnknownRun,
 	}
 }
 
@@ -37,14 +41,16 @@
 	blocked  Cause
 	// blockedNeed is the amount that the block was found for.
 	blockedNeed state.Vector
+	blockedRun  time.Duration
 }
 
 func (b *bucket) head() *Item { return b.items[0] }
 
-// refresh lifts the block when the first item needs less than the one that was
-// found blocked.
+// refresh lifts the block when the first item needs less, or for less time, than
+// the one that was found blocked.
 func (b *bucket) refresh() {
-	if b.blocked != None && !b.blockedNeed.Fits(b.head().need()) {
+	covered := b.blockedNeed.Fits(b.head().need()) && b.blockedRun <= b.head().Run
+	if b.blocked != None && !covered {
 		b.blocked = None
 	}
 }
--- a/internal/state/queue/queue.go
+++ b/internal/state/queue/queue.go
@@ -5,6 +5,8 @@
 
 import (
 	"cmp"
+	"math"
+	"time"
 
 	"github.com/samphirerail/samphirerail/internal/state"
 )
@@ -25,6 +27,10 @@
 // Valid reports whether o is a known objective.
 func (o Objective) Valid() bool { return o == Waiting || o == Share }
 
+// UnknownRun is the Run of an item of which nothing is known. It exceeds every
+// other.
+const UnknownRun time.Duration = math.MaxInt64
+
 // Cause tells why an item can't be placed now.
 type Cause int
 
@@ -47,7 +53,10 @@
 	// Together is the number of tasks to be placed at once, 1 or more.
 	Together int
 	Urgent   bool
-	Arrived  state.Time
+	// Run is how long a task is expected to run. Work of up to some length may
+	// use room that is free for that long only.
+	Run     time.Duration
+	Arrived state.Time
 	// Rank orders the items of a team; see the function Rank.
 	Rank state.Time
 
@@ -77,7 +86,7 @@
 	return &Queue{
 		objective: objective,
 		teams:     map[state.TeamID]*team{},
-		marks:     marks{byService: map[state.Service][]state.Vector{}},
+		marks:     marks{byService: map[state.Service][]mark{}},
 	}
 }
 
@@ -154,13 +163,14 @@
 
 // Block says that an item, the first of its kind, can't be placed now. A block
 // for Room of an item with Together 1 covers all that need as much of the
-// service.
+// service for as long.
 func (q *Queue) Block(it *Item, cause Cause) {
-	if cause == Room && it.Together == 1 && q.marks.add(it.Service, it.Each) {
+	if cause == Room && it.Together == 1 && q.marks.add(it.Service, mark{each: it.Each, run: it.Run}) {
 		return
 	}
 	it.bucket.blocked = cause
 	it.bucket.blockedNeed = it.need()
+	it.bucket.blockedRun = it.Run
 }
 
 // Blocked returns why an item is known to be blocked.
@@ -179,11 +189,17 @@
 
 // Freed says that an upstream of the service has this much free.
 func (q *Queue) Freed(service state.Service, free state.Vector) {
+	q.FreedFor(service, free, UnknownRun)
+}
+
+// FreedFor says that an upstream of the service has this much free for work
+// that runs no longer than the limit.
+func (q *Queue) FreedFor(service state.Service, free state.Vector, limit time.Duration) {
 	q.settled = false
-	q.marks.freed(service, free)
+	q.marks.freed(service, free, limit)
 	for _, t := range q.active {
 		for _, b := range t.buckets {
-			if b.blocked == Room && b.shape.service == service && b.head().Each.Fits(free) {
+			if b.blocked == Room && b.shape.service == service && b.head().Run <= limit && b.head().Each.Fits(free) {
 				b.blocked = None
 			}
 		}
