Rank work without an earlier deadline two minutes behind its arrival

Cause: batch work and gangs were ranked 10 min behind their arrival, so a request that arrived up to 9.5 min later still went first; first come, first served keeps none waiting so long. Change: LongHorizon and UrgentLead are 2 min instead of 10.

--- a/internal/state/queue/rank.go
+++ b/internal/state/queue/rank.go
@@ -11,11 +11,11 @@
 	// RequestHorizon applies to requests.
 	RequestHorizon = 30 * time.Second
 	// LongHorizon applies to every other class.
-	LongHorizon = 10 * time.Minute
+	LongHorizon = 2 * time.Minute
 	// UrgentLead is by how much urgent work is ranked earlier. It is not
 	// below LongHorizon, so that urgent work goes before anything that
 	// arrived at the same time.
-	UrgentLead = 10 * time.Minute
+	UrgentLead = 2 * time.Minute
 )
 
 // Rank returns the place of a job in its team's order: the lower goes first.
