Look at a gang once per step when many of its held upstreams' tasks end

Cause (found by reading): each freed task on a held upstream added its gang to the list again, and each entry estimates the gang's start anew. Change: the list holds a gang once.

--- a/internal/state/machine/accounts.go
+++ b/internal/state/machine/accounts.go
@@ -166,7 +166,9 @@
 		return
 	}
 	if u.holder != nil {
-		m.heldGangs = append(m.heldGangs, u.holder)
+		if !slices.Contains(m.heldGangs, u.holder) {
+			m.heldGangs = append(m.heldGangs, u.holder)
+		}
 		m.queue.FreedFor(u.service, rec.Free, m.service(u.service).backfillEnds-m.now)
 		return
 	}
