--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -13,6 +13,7 @@
 	"go.uber.org/fx"
 	"go.uber.org/fx/fxevent"
 
+	"github.com/samphirerail/samphirerail/internal/coordination"
 	"github.com/samphirerail/samphirerail/internal/settings"
 	"github.com/samphirerail/samphirerail/internal/state"
 	"github.com/samphirerail/samphirerail/internal/telemetry"
@@ -30,7 +31,7 @@
 	return identity{
 		entry:  state.EntryID(s.Entry.VM + "/" + uuid.NewString()[:8]),
 		domain: domain,
-		shard:  state.ShardID(s.Entry.Domain + "/0"),
+		shard:  coordination.DomainShard(domain, 0),
 	}
 }
 
--- a/internal/agent/report.go
+++ b/internal/agent/report.go
@@ -145,7 +145,7 @@
 	if err != nil {
 		return v1.Explanation{}, err
 	}
-	explanation := v1.Explanation{Job: v1.NewJobStatus(status), Home: parts.Home, Shard: coordination.ShardID(parts.Home + "/0")}
+	explanation := v1.Explanation{Job: v1.NewJobStatus(status), Home: parts.Home, Shard: coordination.DomainShard(parts.Home, 0)}
 	if owner, ok := o.members.Snapshot().Owner(explanation.Shard); ok {
 		explanation.Owner = owner.Entry
 	}
--- a/internal/protocol/v1/refusal.go
+++ b/internal/protocol/v1/refusal.go
@@ -12,7 +12,7 @@
 // The reasons of refusals that the interface itself gives.
 const (
 	// ReasonInvalid: a field of the message is not acceptable.
-	ReasonInvalid state.Reason = "invalid"
+	ReasonInvalid = state.ReasonInvalid
 	// ReasonTooLarge: the body exceeds the size limit.
 	ReasonTooLarge state.Reason = "too_large"
 	// ReasonUnauthenticated: there is no key, or it is not valid.
--- a/internal/protocol/v1/submit.go
+++ b/internal/protocol/v1/submit.go
@@ -1,13 +1,11 @@
 package v1
 
 import (
-	"strings"
 	"time"
 
-	"github.com/google/uuid"
-
 	"github.com/samphirerail/samphirerail/internal/coordination"
 	"github.com/samphirerail/samphirerail/internal/state"
+	"github.com/samphirerail/samphirerail/internal/state/jobid"
 )
 
 // The limits of a submission.
@@ -127,18 +125,13 @@
 
 // CheckJobID accepts "<home domain>.<UUIDv7>". It fails with a *FieldError.
 func CheckJobID(id state.JobID) error {
-	at := strings.LastIndexByte(string(id), '.')
-	if at > 0 && len(id) <= 2*MaxNameLength && namePattern.MatchString(string(id[:at])) && isUUIDv7(string(id[at+1:])) {
+	parts, err := jobid.Parse(id)
+	if err == nil && len(id) <= 2*MaxNameLength && namePattern.MatchString(string(parts.Home)) {
 		return nil
 	}
 	return &FieldError{Field: "id", Problem: `is not "<home domain>.<UUIDv7>"`, Remedy: "use an ID from POST /v1/ids"}
 }
 
-func isUUIDv7(text string) bool {
-	id, err := uuid.Parse(text)
-	return err == nil && id.Version() == 7 && id.String() == text
-}
-
 func milliseconds(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
 
 // IDRequest is the body of POST /v1/ids.
--- a/internal/state/refusal.go
+++ b/internal/state/refusal.go
@@ -47,7 +47,7 @@
 	ReasonRetriesExhausted Reason = "retries_exhausted"
 	// ReasonConflict: the ID is in use for other content.
 	ReasonConflict Reason = "conflict"
-	// ReasonInvalid: the ID is not one that an entry issues.
+	// ReasonInvalid: a field of the message, or the ID, is not acceptable.
 	ReasonInvalid Reason = "invalid"
 	// ReasonCancelled: the caller cancelled the job before it started.
 	ReasonCancelled Reason = "cancelled"
