Keep the unpacked list without a lock in the state layer

Ruled out: unpacking at each call (the owner reads its domain's list at each change of configuration). Change: the fold is told its home domain and unpacks that one before it publishes a view; other domains are unpacked when asked for.

--- a/internal/coordination/configlog/control.go
+++ b/internal/coordination/configlog/control.go
@@ -29,7 +29,9 @@
 }
 
 func newControl(f *Follower) *control {
-	return &control{f: f, fold: config.NewFold(), waiters: map[string]chan writeOutcome{}}
+	c := &control{f: f, fold: config.NewFold(), waiters: map[string]chan writeOutcome{}}
+	c.fold.SetHome(f.opts.Domain)
+	return c
 }
 
 func (c *control) run(ctx context.Context) error {
@@ -201,6 +203,7 @@
 	moved := false
 	if offered.fold != nil && (offered.fold.Version() > c.fold.Version() || c.f.adoptOlder) {
 		c.fold = offered.fold
+		c.fold.SetHome(c.f.opts.Domain)
 		c.history = history{}
 		c.confirming = ""
 		c.snapshots.noteAdopted()
--- a/internal/state/config/fold.go
+++ b/internal/state/config/fold.go
@@ -44,6 +44,8 @@
 	// ended are entries that were unregistered, with the offset.
 	ended  recent[int64]
 	counts Counts
+	// home is the domain whose upstreams are read often.
+	home state.DomainID
 	// recheck says that what waits for confirmations must be looked at.
 	recheck bool
 	view    *View
@@ -70,6 +72,13 @@
 	}
 }
 
+// SetHome names the domain whose upstreams views have at hand; those of other
+// domains are unpacked at each call. It changes nothing else.
+func (f *Fold) SetHome(domain state.DomainID) {
+	f.home = domain
+	f.view = nil
+}
+
 // Version returns the offset of the last folded record, or NoVersion.
 func (f *Fold) Version() int64 { return f.version }
 
--- a/internal/state/config/upstreamlist.go
+++ b/internal/state/config/upstreamlist.go
@@ -3,7 +3,6 @@
 import (
 	"sort"
 	"strings"
-	"sync/atomic"
 
 	"github.com/samphirerail/samphirerail/internal/state"
 )
@@ -26,8 +25,8 @@
 	// kinds are the places of the upstreams' kinds in table.
 	kinds []uint32
 	table []upstreamKind
-	// unpacked is the list as callers want it, once one has asked.
-	unpacked atomic.Pointer[[]Upstream]
+	// kept is the list as callers want it; nil unless it is asked for often.
+	kept []Upstream
 }
 
 // packUpstreams returns the list of upstreams that are sorted by ID.
@@ -89,15 +88,20 @@
 	return list
 }
 
-// all returns the upstreams by ID and keeps them for the next call.
+// all returns the upstreams by ID; the slice must not be modified.
 func (l *upstreamList) all() []Upstream {
 	if l.len() == 0 {
 		return nil
 	}
-	if list := l.unpacked.Load(); list != nil {
-		return *list
+	if l.kept != nil {
+		return l.kept
 	}
-	list := l.unpack()
-	l.unpacked.Store(&list)
-	return list
+	return l.unpack()
+}
+
+// keep returns a list that has the upstreams at hand unpacked.
+func (l *upstreamList) keep() *upstreamList {
+	kept := *l
+	kept.kept = l.unpack()
+	return &kept
 }
--- a/internal/state/config/view.go
+++ b/internal/state/config/view.go
@@ -58,6 +58,7 @@
 // are shared with earlier views.
 func (f *Fold) View() *View {
 	if f.view == nil {
+		f.keepHome()
 		f.view = &View{
 			version:        f.version,
 			contracts:      f.contracts.share(),
@@ -77,6 +78,15 @@
 	return f.view
 }
 
+// keepHome unpacks the upstreams of the home domain.
+func (f *Fold) keepHome() {
+	s, ok := f.shards.rows[f.home]
+	if !ok || s.InForce.len() == 0 || s.InForce.kept != nil {
+		return
+	}
+	f.shards.put(f.home, &shard{InForce: s.InForce.keep(), Joins: s.Joins})
+}
+
 // Version returns the offset of the last folded record, or NoVersion.
 func (v *View) Version() int64 { return v.version }
 
