Give each owner room for a million attempts of a task

Cause (found by reading): attempt numbers start at 1,000 for each epoch. A standing job that was started again more often than that reached into the next owner's numbers, which took its running task for one of its own and stopped it. Ruled out: counting per job from what workers report, which a lost worker forgets. Change: 1,000,000 a claim.

--- a/internal/coordination/owner/manager.go
+++ b/internal/coordination/owner/manager.go
@@ -23,8 +23,9 @@
 const idlePoll = 50 * time.Millisecond
 
 // attemptsPerEpoch is the room for attempt numbers of one owner, so that the
-// task IDs of two owners never meet.
-const attemptsPerEpoch = 1000
+// task IDs of two owners never meet: a standing job that is started again each
+// second uses it up in eleven days.
+const attemptsPerEpoch = 1_000_000
 
 // ManagerConfig is what a Manager is made of. Shard, Epoch and OnFenced of the
 // embedded Config are set for each claim.
@@ -86,10 +87,9 @@
 	m.changed()
 }
 
-// firstAttempt returns a number above those of all earlier owners. It wraps
-// after 2,000,000 epochs.
+// firstAttempt returns a number above those of all earlier owners.
 func firstAttempt(epoch platform.Epoch) int {
-	return int(epoch.Number%(math.MaxInt32/attemptsPerEpoch))*attemptsPerEpoch + 1
+	return int(epoch.Number%(math.MaxInt64/attemptsPerEpoch))*attemptsPerEpoch + 1
 }
 
 // Drop implements ownership.Shard.
