Stay ready while the shard changes hands

Cause (found by reading): readiness asked for an owner each time, so every entry of a domain turned unready between an owner's death and its successor, and a balancer would have taken the whole domain out, though callers are let wait at the entry. Ruled out: a delay before turning unready, which only hides short takeovers. Change: the owner is waited for once, at the start.

--- a/internal/agent/entry.go
+++ b/internal/agent/entry.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -35,8 +36,9 @@
 	listeners *listeners
 	status    *statusBoard
 
-	cancel context.CancelFunc
-	work   sync.WaitGroup
+	cancel   context.CancelFunc
+	work     sync.WaitGroup
+	wasReady atomic.Bool
 	// replaced is closed when another process has taken this entry's place.
 	replaced chan struct{}
 }
@@ -53,14 +55,20 @@
 	errNoOwner  = errors.New("agent: no entry owns the domain's upstreams yet; wait for an owner or look at the log of the domain's entries")
 )
 
-// ready returns nil when the entry can serve callers.
+// ready returns nil when the entry can serve callers. It waits for an owner once:
+// later, while the shard changes hands, callers wait at the entry for the next
+// owner, and the balancer need not take the whole domain out.
 func (e *entry) ready() error {
+	if e.wasReady.Load() {
+		return nil
+	}
 	if !e.follower.IsReady() {
 		return errNoConfig
 	}
 	if owner, ok := e.members.Snapshot().Owner(e.id.shard); !ok || !owner.Ready {
 		return errNoOwner
 	}
+	e.wasReady.Store(true)
 	return nil
 }
 
--- a/internal/e2e/cluster_test.go
+++ b/internal/e2e/cluster_test.go
@@ -223,6 +223,32 @@
 	})
 }
 
+// watchReadiness asks for an entry's readiness all the time. The function
+// returned ends that and tells how often the entry was not ready.
+func (c *cluster) watchReadiness(e *entryProcess) func() int {
+	stop := make(chan struct{})
+	unready := make(chan int)
+	go func() {
+		n := 0
+		for {
+			select {
+			case <-stop:
+				unready <- n
+				return
+			case <-time.After(time.Millisecond):
+			}
+			status, _, err := c.call(http.MethodGet, e.operators, "/readyz", "", nil)
+			if err != nil || status != http.StatusOK {
+				n++
+			}
+		}
+	}()
+	return func() int {
+		close(stop)
+		return <-unready
+	}
+}
+
 // waitUpstreams waits until the domain's owner, as the entry sees it, has
 // fenced n upstreams.
 func (c *cluster) waitUpstreams(e *entryProcess, n int) {
