Wait for the handover of waiting jobs before a stop goes on

Cause (found by reading): the jobs that waited at a stopping owner were handed to the next one by a goroutine that nobody waited for, one after the other.

--- a/internal/agent/entry.go
+++ b/internal/agent/entry.go
@@ -180,6 +180,7 @@
 	e.handOver(ctx)
 	err := <-served
 	e.owning.manager.Settle(ctx)
+	e.owning.awaitReturned(ctx)
 	err = errors.Join(err, e.listeners.stopPeers(ctx))
 	e.leave(ctx)
 	e.cancel()
--- a/internal/agent/parts.go
+++ b/internal/agent/parts.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"sync"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -91,6 +92,8 @@
 	joiner  *inventory.Joiner
 	limits  *limits.Rebalancer
 	router  *routing.Router
+	// returning counts handovers of waiting jobs that go on.
+	returning sync.WaitGroup
 }
 
 // maxShort is the most teams named as short in a heartbeat.
@@ -111,7 +114,7 @@
 			Dial:       c.dial,
 			MayFence:   func() bool { return !members.Stale() },
 			Log:        c.log,
-			OnReturned: func(list []coordination.Submission) { go o.resubmit(list, logger) },
+			OnReturned: func(list []coordination.Submission) { o.returned(list, logger) },
 			Logger:     logger,
 			Registry:   registry,
 		},
--- a/internal/e2e/journal_test.go
+++ b/internal/e2e/journal_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"syscall"
 	"testing"
 	"time"
 
@@ -148,3 +149,29 @@
 	})
 	verify(t, c, cs)
 }
+
+// TestPlannedStopHandsTheQueueOver stops the owner of a long queue while the log
+// is down, so that nothing but the owner itself can bring the jobs to the next.
+func TestPlannedStopHandsTheQueueOver(t *testing.T) {
+	is := is.New(t)
+	const waiting = 600
+	c := startCluster(t, oneDomain)
+	cs := &callers{c: c}
+	owner := c.owner("north")
+	c.putContract(owner.callers, contract(queueSlots))
+	for range queueSlots {
+		cs.submit(owner, batchJob(6*time.Second, "running", false))
+	}
+	c.faults(c.platform, standin.Faults{Log: logservice.Faults{Switches: faults.Switches{Down: faults.Drop}}})
+	parallel(waiting, 64, func(n int) { cs.submit(owner, batchJob(0, fmt.Sprint("waits ", n), false)) })
+	owner.signal(syscall.SIGTERM)
+	is.Equal(owner.exitCode(), 0)
+	eventually(t, "every job has run once", func() error {
+		succeeded, all := c.completions()
+		if len(succeeded) != waiting+queueSlots || len(all) != len(succeeded) {
+			return fmt.Errorf("%d of %d, %d ran", len(succeeded), waiting+queueSlots, len(all))
+		}
+		return nil
+	})
+	is.Equal(c.check(cs, queueSlots), nil)
+}
