Give test entries ports that no outgoing connection takes

The port had been free when it was chosen, but lay in the range from which the system takes the ports of outgoing connections, and another run of the end-to-end tests was going on beside it. Ruled out: a fault of the entry (its message names the port and the remedy). Change: ports below that range, in the tests and in the development mode; stand-in workers of the tests too, of which one reuses the address of another.

--- a/internal/devmode/system.go
+++ b/internal/devmode/system.go
@@ -5,7 +5,9 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
+	"strconv"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -139,15 +141,25 @@
 	})
 }
 
-// freeAddress returns a loopback address with a port that was free a moment
-// ago; entries must know their internal address before they start.
+// The ports that freeAddress tries lie below the range from which systems take
+// the ports of outgoing connections.
+const (
+	firstPort = 12000
+	lastPort  = 32000
+)
+
+// freeAddress returns a loopback address that nothing listens on; entries must
+// know their internal address before they start.
 func freeAddress() (string, error) {
-	listener, err := net.Listen("tcp", loopback)
-	if err != nil {
-		return "", eris.Wrap(err, "devmode: no free port")
+	first := rand.IntN(lastPort - firstPort)
+	for i := range lastPort - firstPort {
+		port := firstPort + (first+i)%(lastPort-firstPort)
+		listener, err := net.Listen("tcp", net.JoinHostPort("127.0.0.1", strconv.Itoa(port)))
+		if err == nil {
+			return listener.Addr().String(), listener.Close()
+		}
 	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String(), nil
+	return "", eris.New("devmode: no free port; end other programs")
 }
 
 // waitReady waits until every entry is ready.
--- a/internal/e2e/cluster_test.go
+++ b/internal/e2e/cluster_test.go
@@ -5,11 +5,13 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
 	"os"
 	"path/filepath"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -86,7 +88,7 @@
 
 func (c *cluster) startUpstream(vm, domain string) {
 	c.t.Helper()
-	c.startUpstreamAt(vm, domain, "127.0.0.1:0")
+	c.startUpstreamAt(vm, domain, freeAddress(c.t, "127.0.0.1"))
 }
 
 func (c *cluster) startUpstreamAt(vm, domain, address string) {
@@ -96,13 +98,32 @@
 	c.processes[vm] = p
 }
 
+// The ports of entries lie below the range from which the system takes the ports
+// of outgoing connections, so that none is taken between its choice and its use.
+const (
+	firstPort = 12000
+	lastPort  = 32000
+)
+
+// nextPort is the port that is tried next.
+var nextPort atomic.Int64
+
+func init() { nextPort.Store(firstPort + rand.Int64N(lastPort-firstPort)) }
+
+// freeAddress returns an address that nothing listens on.
 func freeAddress(t *testing.T, ip string) string {
-	listener, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
-	if err != nil {
-		t.Fatal(err)
+	t.Helper()
+	for range lastPort - firstPort {
+		port := firstPort + nextPort.Add(1)%(lastPort-firstPort)
+		address := net.JoinHostPort(ip, itoa(port))
+		listener, err := net.Listen("tcp", address)
+		if err == nil {
+			listener.Close()
+			return address
+		}
 	}
-	defer listener.Close()
-	return listener.Addr().String()
+	t.Fatal("no free port")
+	return ""
 }
 
 func (c *cluster) startEntry(vm, domain, extra string) *entryProcess {
