Keep a trace only for a new job

Cause (found by reading): a submission that conflicts with an ended job left its trace context in the owner's memory for good. Change: the trace is kept only when the job is new, and goes with its answer. Measured: the owner's tests and TestChangesUnderWork, which follows a trace through a forwarding entry, pass.

--- a/internal/coordination/owner/jobs.go
+++ b/internal/coordination/owner/jobs.go
@@ -18,8 +18,6 @@
 // ErrEnded says that the shard ended before the outcome of a call was known.
 var ErrEnded = errors.New("owner: this entry no longer owns the shard; ask the new owner for the job")
 
-func sortVMs(vms []state.VMID) { slices.Sort(vms) }
-
 // takeoverRetry is when to ask again for a job after a takeover.
 const takeoverRetry = time.Second
 
@@ -46,11 +44,9 @@
 func (s *Shard) submit(ctx context.Context, sub coordination.Submission, traced trace.SpanContext, status chan<- coordination.JobStatus) {
 	s.reconcile(ctx)
 	job := s.job(sub)
-	if traced.IsValid() {
-		s.traces[job.ID] = trace.ContextWithRemoteSpanContext(ctx, traced)
-	}
 	if _, known := s.machine.Job(job.ID); !known {
 		s.waiting[job.ID] = waitingJob{submission: sub, received: s.now()}
+		s.remember(ctx, job.ID, traced)
 	}
 	actions := s.machine.Step(s.now(), machine.Submit{Job: job})
 	own, rest := splitConflict(actions, job.ID)
@@ -66,6 +62,13 @@
 	s.waitFor(job.ID, sub.Wait > 0, status)
 }
 
+// remember keeps the trace of a new job until its answer.
+func (s *Shard) remember(ctx context.Context, id state.JobID, traced trace.SpanContext) {
+	if traced.IsValid() {
+		s.traces[id] = trace.ContextWithRemoteSpanContext(ctx, traced)
+	}
+}
+
 // answerIn returns the answer to a job that was refused at once, and nil when
 // there is none.
 func answerIn(actions []machine.Action, id state.JobID) *machine.Answer {
--- a/internal/coordination/owner/reconcile.go
+++ b/internal/coordination/owner/reconcile.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"github.com/samphirerail/samphirerail/internal/state"
 	"github.com/samphirerail/samphirerail/internal/state/machine"
@@ -78,7 +79,7 @@
 			gone = append(gone, vm)
 		}
 	}
-	sortVMs(gone)
+	slices.Sort(gone)
 	return gone
 }
 
