--- a/internal/e2e/cluster_test.go
+++ b/internal/e2e/cluster_test.go
@@ -71,7 +71,7 @@
 			c.subnets[domain] = netip.PrefixFrom(netip.AddrFrom4([4]byte{127, 0, byte(i + 1), 0}), 24)
 		}
 	}
-	c.platform = start(t, "platform", "samphirerail", "dev", "platform").listening()
+	c.platform = start(t, "platform", "dev", "platform").listening()
 	for _, domain := range s.domains {
 		for i := range s.upstreams {
 			c.startUpstream(fmt.Sprintf("%s-up%d", domain, i+1), domain)
@@ -93,7 +93,7 @@
 
 func (c *cluster) startUpstreamAt(vm, domain, address string) {
 	c.t.Helper()
-	p := start(c.t, vm, "samphirerail", "dev", "upstream", "--listen", address, "--platform", c.platform, "--vm", vm, "--domain", domain, "--service", "fitting")
+	p := start(c.t, vm, "dev", "upstream", "--listen", address, "--platform", c.platform, "--vm", vm, "--domain", domain, "--service", "fitting")
 	c.upstreams[vm] = p.listening()
 	c.processes[vm] = p
 }
@@ -157,7 +157,7 @@
 	c.list(platform.VM{
 		ID: vm, Incarnation: "1", Role: platform.RoleEntry, State: platform.VMLive, Region: "test", Domain: domain, Address: advertise,
 	})
-	e.process = start(c.t, vm, "samphirerail", "run", "--config", e.config)
+	e.process = start(c.t, vm, "run", "--config", e.config)
 	return e
 }
 
@@ -303,8 +303,9 @@
 	return status
 }
 
-// owner returns the entry process that owns a domain's shard.
-func (c *cluster) owner(domain string) *entryProcess {
+// owner returns the entry process that owns the shard of the domain north.
+func (c *cluster) owner() *entryProcess {
+	const domain = "north"
 	c.t.Helper()
 	var found *entryProcess
 	eventually(c.t, "owner of "+domain, func() error {
--- a/internal/e2e/ctl_test.go
+++ b/internal/e2e/ctl_test.go
@@ -25,7 +25,7 @@
 // TestCommandLine drives the system the way operators and callers do.
 func TestCommandLine(t *testing.T) {
 	c := startCluster(t, twoDomains)
-	owner := c.owner("north")
+	owner := c.owner()
 	other := c.other(owner)
 	tests := []struct {
 		name string
@@ -60,7 +60,7 @@
 func TestCommandLineFollowsAJob(t *testing.T) {
 	is := is.New(t)
 	c := startCluster(t, oneDomain)
-	entry := c.other(c.owner("north"))
+	entry := c.other(c.owner())
 	out, code := c.ctl(entry, c.teamKey, "--output", "json", "submit", "--service", "fitting", "--class", "standing", "--cpu", "100m", "--payload", `{"run_ms":600000}`)
 	is.Equal(code, 0)
 	var job v1.JobStatus
--- a/internal/e2e/dev_test.go
+++ b/internal/e2e/dev_test.go
@@ -31,7 +31,7 @@
 // commands that it prints work, and a signal stops it.
 func TestDevelopmentMode(t *testing.T) {
 	is := is.New(t)
-	p := start(t, "dev", "samphirerail", "dev")
+	p := start(t, "dev", "dev")
 	address := strings.TrimPrefix(p.printed("callers:"), "http://")
 	for _, tt := range []struct {
 		name string
--- a/internal/e2e/failure_test.go
+++ b/internal/e2e/failure_test.go
@@ -69,7 +69,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			c := startCluster(t, oneDomain)
 			cs := &callers{c: c}
-			owner := c.owner("north")
+			owner := c.owner()
 			survivor := c.other(owner)
 			l := startLoad(cs, 8, tt.idempotent, func(int64) *entryProcess { return survivor })
 			cs.after(100)
@@ -90,7 +90,7 @@
 func TestOwnerPausedPastItsLease(t *testing.T) {
 	c := startCluster(t, oneDomain)
 	cs := &callers{c: c}
-	owner := c.owner("north")
+	owner := c.owner()
 	survivor := c.other(owner)
 	l := startLoad(cs, 8, true, func(int64) *entryProcess { return survivor })
 	cs.after(100)
@@ -120,7 +120,7 @@
 	down := standin.Faults{Log: logservice.Faults{Switches: faults.Switches{Down: faults.Drop}}}
 	down.VMs.Down = faults.Drop
 	c.faults(c.platform, down)
-	owner := c.owner("north")
+	owner := c.owner()
 	survivor := c.other(owner)
 	l := startLoad(cs, 4, true, func(int64) *entryProcess { return survivor })
 	cs.after(100)
--- a/internal/e2e/journal_test.go
+++ b/internal/e2e/journal_test.go
@@ -80,7 +80,7 @@
 	is := is.New(t)
 	c := startCluster(t, oneDomain)
 	cs := &callers{c: c}
-	owner := c.owner("north")
+	owner := c.owner()
 	survivor := c.other(owner)
 	list := fillQueue(c, cs, survivor, true, true)
 	owner.kill()
@@ -108,7 +108,7 @@
 	is := is.New(t)
 	c := startCluster(t, oneDomain)
 	cs := &callers{c: c}
-	owner := c.owner("north")
+	owner := c.owner()
 	survivor := c.other(owner)
 	list := fillQueue(c, cs, survivor, false, true)
 	owner.kill()
@@ -132,7 +132,7 @@
 func TestQueueWithoutTheLog(t *testing.T) {
 	c := startCluster(t, oneDomain)
 	cs := &callers{c: c}
-	owner := c.owner("north")
+	owner := c.owner()
 	down := standin.Faults{Log: logservice.Faults{Switches: faults.Switches{Down: faults.Drop}}}
 	c.faults(c.platform, down)
 	is := is.New(t)
@@ -157,7 +157,7 @@
 	const waiting = 600
 	c := startCluster(t, oneDomain)
 	cs := &callers{c: c}
-	owner := c.owner("north")
+	owner := c.owner()
 	c.putContract(owner.callers, contract(queueSlots))
 	for range queueSlots {
 		cs.submit(owner, batchJob(6*time.Second, "running", false))
--- a/internal/e2e/limits_test.go
+++ b/internal/e2e/limits_test.go
@@ -19,7 +19,7 @@
 	c := startCluster(t, twoDomains)
 	cs := &callers{c: c}
 	c.putContract(c.entries[0].callers, contract(limit))
-	north := c.owner("north")
+	north := c.owner()
 	eventually(t, "the contract is in force", func() error {
 		if c.allotment(north) != limit/2 {
 			return errNotYet
@@ -33,7 +33,7 @@
 		})
 	}
 	eventually(t, "the allotment of north grows", func() error {
-		if got := c.allotment(c.owner("north")); got <= limit/2 {
+		if got := c.allotment(c.owner()); got <= limit/2 {
 			return fmt.Errorf("%d", got)
 		}
 		return nil
--- a/internal/e2e/path_test.go
+++ b/internal/e2e/path_test.go
@@ -18,7 +18,7 @@
 	is := is.New(t)
 	c := startCluster(t, twoDomains)
 	cs := &callers{c: c}
-	entry := c.other(c.owner("north"))
+	entry := c.other(c.owner())
 	tests := []struct {
 		name    string
 		request v1.SubmitRequest
@@ -90,7 +90,7 @@
 	is := is.New(t)
 	c := startCluster(t, twoDomains)
 	cs := &callers{c: c}
-	owner := c.owner("north")
+	owner := c.owner()
 	other := c.other(owner)
 	stopped := make(chan struct{})
 	l := startLoad(cs, 4, false, func(n int64) *entryProcess {
--- a/internal/e2e/process_test.go
+++ b/internal/e2e/process_test.go
@@ -52,10 +52,10 @@
 	lines []string
 }
 
-// start runs a binary until the end of the test.
-func start(t *testing.T, name, binary string, args ...string) *process {
+// start runs samphirerail until the end of the test.
+func start(t *testing.T, name string, args ...string) *process {
 	t.Helper()
-	p := &process{t: t, name: name, cmd: exec.Command(filepath.Join(binaries, binary), args...), done: make(chan struct{})}
+	p := &process{t: t, name: name, cmd: exec.Command(filepath.Join(binaries, "samphirerail"), args...), done: make(chan struct{})}
 	out, err := p.cmd.StdoutPipe()
 	if err != nil {
 		t.Fatal(err)
--- a/internal/e2e/work_test.go
+++ b/internal/e2e/work_test.go
@@ -87,7 +87,7 @@
 func traceCrosses(t *testing.T, c *cluster, cs *callers) {
 	is := is.New(t)
 	const traceID = "4bf92f3577b34da6a3ce929d0e0e4736"
-	forwarding := c.other(c.owner("north"))
+	forwarding := c.other(c.owner())
 	body, err := json.Marshal(request(0, "traced", true))
 	is.NoErr(err)
 	req, err := http.NewRequest(http.MethodPost, "http://"+forwarding.callers+"/v1/jobs", strings.NewReader(string(body)))
