--- a/internal/agent/contact.go
+++ b/internal/agent/contact.go
@@ -7,29 +7,29 @@
 	"time"
 
 	"github.com/samphirerail/samphirerail/internal/transport/platformclient"
-	"github.com/samphirerail/samphirerail/platform"
+	"github.com/samphirerail/samphirerail/standin/devplatform"
 )
 
-// contactLog is a platform.Log that notes when the service last answered.
+// contactLog is a devplatform.Log that notes when the service last answered.
 type contactLog struct {
-	platform.Log
+	devplatform.Log
 	start time.Time
 	last  atomic.Int64
 }
 
-func newContactLog(log platform.Log) *contactLog {
+func newContactLog(log devplatform.Log) *contactLog {
 	return &contactLog{Log: log, start: time.Now()}
 }
 
-// Append implements platform.Log.
-func (l *contactLog) Append(ctx context.Context, req platform.AppendRequest) (int64, error) {
+// Append implements devplatform.Log.
+func (l *contactLog) Append(ctx context.Context, req devplatform.AppendRequest) (int64, error) {
 	offset, err := l.Log.Append(ctx, req)
 	l.note(err)
 	return offset, err
 }
 
-// Read implements platform.Log.
-func (l *contactLog) Read(ctx context.Context, req platform.ReadRequest) (platform.ReadReply, error) {
+// Read implements devplatform.Log.
+func (l *contactLog) Read(ctx context.Context, req devplatform.ReadRequest) (devplatform.ReadReply, error) {
 	reply, err := l.Log.Read(ctx, req)
 	l.note(err)
 	return reply, err
@@ -46,14 +46,14 @@
 	return time.Since(l.start) - time.Duration(l.last.Load())
 }
 
-// contactVMs is a platform.VMList that notes when its last successful read began.
+// contactVMs is a devplatform.VMList that notes when its last successful read began.
 type contactVMs struct {
-	platform.VMList
+	devplatform.VMList
 	last atomic.Pointer[time.Time]
 }
 
-// List implements platform.VMList.
-func (l *contactVMs) List(ctx context.Context, req platform.ListRequest) (platform.VMListReply, error) {
+// List implements devplatform.VMList.
+func (l *contactVMs) List(ctx context.Context, req devplatform.ListRequest) (devplatform.VMListReply, error) {
 	begin := time.Now()
 	reply, err := l.VMList.List(ctx, req)
 	if err == nil {
@@ -75,14 +75,14 @@
 type workerPool struct {
 	options platformclient.Options
 	mu      sync.Mutex
-	clients map[string]platform.Worker
+	clients map[string]devplatform.Worker
 }
 
 func newWorkerPool(options platformclient.Options) *workerPool {
-	return &workerPool{options: options, clients: map[string]platform.Worker{}}
+	return &workerPool{options: options, clients: map[string]devplatform.Worker{}}
 }
 
-func (p *workerPool) dial(address string) platform.Worker {
+func (p *workerPool) dial(address string) devplatform.Worker {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	client, ok := p.clients[address]
--- a/internal/agent/parts.go
+++ b/internal/agent/parts.go
@@ -16,7 +16,7 @@
 	"github.com/samphirerail/samphirerail/internal/transport/netcount"
 	"github.com/samphirerail/samphirerail/internal/transport/platformclient"
 	"github.com/samphirerail/samphirerail/internal/transport/rpc"
-	"github.com/samphirerail/samphirerail/platform"
+	"github.com/samphirerail/samphirerail/standin/devplatform"
 )
 
 // retryAfter is told to callers whose domain has no owner for the moment.
@@ -89,4 +89,4 @@
 // reach before the domain counts as cut off.
 const cutAfter = 10 * time.Second
 
-var _ platform.Log = (*contactLog)(nil)
+var _ devplatform.Log = (*contactLog)(nil)
--- a/internal/coordination/api.go
+++ b/internal/coordination/api.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"github.com/samphirerail/samphirerail/internal/state"
-	"github.com/samphirerail/samphirerail/platform"
+	"github.com/samphirerail/samphirerail/standin/devplatform"
 )
 
 // EntryID names one run of an entry process: "<VM ID>/<incarnation>".
@@ -51,7 +51,7 @@
 type TaskPlace struct {
 	Task  state.TaskID
 	VM    state.VMID
-	State platform.TaskState
+	State devplatform.TaskState
 }
 
 // JobStatus is what a caller is told of its job.
@@ -89,7 +89,7 @@
 // ShardLoad is what an owner tells of its shard.
 type ShardLoad struct {
 	Shard     ShardID
-	Epoch     platform.Epoch
+	Epoch     devplatform.Epoch
 	Ready     bool
 	Queued    int
 	Running   int
@@ -150,7 +150,7 @@
 	// Snapshot, when not nil, replaces the state up to SnapshotVersion.
 	Snapshot        []byte
 	SnapshotVersion int64
-	Records         []platform.StoredRecord
+	Records         []devplatform.StoredRecord
 }
 
 // PeerServer is the receiving side of Peers, without the address.
--- a/internal/coordination/configlog/control.go
+++ b/internal/coordination/configlog/control.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/samphirerail/samphirerail/internal/state/config"
-	"github.com/samphirerail/samphirerail/platform"
+	"github.com/samphirerail/samphirerail/standin/devplatform"
 )
 
 // control owns the fold. Only its run method's goroutine uses it.
@@ -103,7 +103,7 @@
 }
 
 // applyAll folds records that continue the fold and skips those that it has.
-func (c *control) applyAll(records []platform.StoredRecord) bool {
+func (c *control) applyAll(records []devplatform.StoredRecord) bool {
 	moved := false
 	for _, stored := range records {
 		if stored.Offset <= c.fold.Version() {
@@ -119,7 +119,7 @@
 	return moved
 }
 
-func (c *control) apply(stored platform.StoredRecord) {
+func (c *control) apply(stored devplatform.StoredRecord) {
 	records, err := config.Decode(stored.Data)
 	if len(stored.Data) > 0 && err != nil {
 		c.f.meters.malformed.Inc(1)
--- a/internal/coordination/configlog/event.go
+++ b/internal/coordination/configlog/event.go
@@ -2,7 +2,7 @@
 
 import (
 	"github.com/samphirerail/samphirerail/internal/state/config"
-	"github.com/samphirerail/samphirerail/platform"
+	"github.com/samphirerail/samphirerail/standin/devplatform"
 )
 
 // event is something that the goroutine owning the fold must handle.
@@ -10,7 +10,7 @@
 
 // recordsRead brings consecutive records. done is closed once they are folded.
 type recordsRead struct {
-	records []platform.StoredRecord
+	records []devplatform.StoredRecord
 	// ready says that the follower is ready after these records.
 	ready bool
 	done  chan struct{}
@@ -20,7 +20,7 @@
 // receives whether it moved the version.
 type foldOffered struct {
 	fold    *config.Fold
-	records []platform.StoredRecord
+	records []devplatform.StoredRecord
 	// ready says that the follower is ready once something was taken.
 	ready bool
 	taken chan bool
--- a/internal/coordination/configlog/fakelog_test.go
+++ b/internal/coordination/configlog/fakelog_test.go
@@ -5,13 +5,13 @@
 	"sync"
 	"time"
 
-	"github.com/samphirerail/samphirerail/platform"
+	"github.com/samphirerail/samphirerail/standin/devplatform"
 )
 
 // fakeLog is a log stream in memory with switches to fail.
 type fakeLog struct {
 	mu      sync.Mutex
-	records []platform.StoredRecord
+	records []devplatform.StoredRecord
 	tail    int64
 	grown   chan struct{}
 	// loseAnswers is how many appends take effect without an answer.
@@ -23,24 +23,24 @@
 
 func newFakeLog() *fakeLog { return &fakeLog{grown: make(chan struct{})} }
 
-func (l *fakeLog) store(record platform.Record) int64 {
+func (l *fakeLog) store(record devplatform.Record) int64 {
 	offset := l.tail
-	l.records = append(l.records, platform.StoredRecord{Offset: offset, Record: record})
+	l.records = append(l.records, devplatform.StoredRecord{Offset: offset, Record: record})
 	l.tail++
 	close(l.grown)
 	l.grown = make(chan struct{})
 	return offset
 }
 
-func (l *fakeLog) append(req platform.AppendRequest) (int64, error) {
+func (l *fakeLog) append(req devplatform.AppendRequest) (int64, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.appends++
-	if len(req.Record.Data) > platform.MaxRecordBytes {
-		return 0, platform.ErrTooLarge
+	if len(req.Record.Data) > devplatform.MaxRecordBytes {
+		return 0, devplatform.ErrTooLarge
 	}
 	if req.ExpectedOffset != nil && *req.ExpectedOffset != l.tail {
-		return 0, platform.ErrOffsetMismatch
+		return 0, devplatform.ErrOffsetMismatch
 	}
 	offset := l.store(req.Record)
 	if l.twice {
@@ -48,7 +48,7 @@
 	}
 	if l.loseAnswers > 0 {
 		l.loseAnswers--
-		return 0, platform.ErrUnavailable
+		return 0, devplatform.ErrUnavailable
 	}
 	return offset, nil
 }
@@ -62,13 +62,13 @@
 	}
 }
 
-func (l *fakeLog) read(req platform.ReadRequest) (platform.ReadReply, <-chan struct{}, error) {
+func (l *fakeLog) read(req devplatform.ReadRequest) (devplatform.ReadReply, <-chan struct{}, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	oldest := l.tail - int64(len(l.records))
-	reply := platform.ReadReply{Oldest: oldest, Tail: l.tail}
+	reply := devplatform.ReadReply{Oldest: oldest, Tail: l.tail}
 	if req.From < oldest {
-		return reply, nil, platform.ErrForgotten
+		return reply, nil, devplatform.ErrForgotten
 	}
 	if req.From < l.tail {
 		from := l.records[req.From-oldest:]
@@ -108,20 +108,20 @@
 	return p.down, p.down || p.deaf, p.changed
 }
 
-func (p *fakePort) Append(_ context.Context, req platform.AppendRequest) (int64, error) {
+func (p *fakePort) Append(_ context.Context, req devplatform.AppendRequest) (int64, error) {
 	if down, _, _ := p.state(); down {
-		return 0, platform.ErrUnavailable
+		return 0, devplatform.ErrUnavailable
 	}
 	return p.log.append(req)
 }
 
-func (p *fakePort) Read(ctx context.Context, req platform.ReadRequest) (platform.ReadReply, error) {
+func (p *fakePort) Read(ctx context.Context, req devplatform.ReadRequest) (devplatform.ReadReply, error) {
 	timer := time.NewTimer(req.Wait)
 	defer timer.Stop()
 	for {
 		_, deaf, changed := p.state()
 		if deaf {
-			return platform.ReadReply{}, platform.ErrUnavailable
+			return devplatform.ReadReply{}, devplatform.ErrUnavailable
 		}
 		reply, grown, err := p.log.read(req)
 		if err != nil || len(reply.Records) > 0 || req.Wait == 0 {
@@ -133,7 +133,7 @@
 		case <-timer.C:
 			return reply, nil
 		case <-ctx.Done():
-			return platform.ReadReply{}, ctx.Err()
+			return devplatform.ReadReply{}, ctx.Err()
 		}
 	}
 }
--- a/internal/coordination/configlog/follower.go
+++ b/internal/coordination/configlog/follower.go
@@ -11,14 +11,14 @@
 	"golang.org/x/time/rate"
 
 	"github.com/samphirerail/samphirerail/internal/state/config"
-	"github.com/samphirerail/samphirerail/platform"
+	"github.com/samphirerail/samphirerail/standin/devplatform"
 )
 
 // published is what other goroutines see. It does not change.
 type published struct {
 	view *config.View
 	// history are the last records, without gaps, up to the view's version.
-	history []platform.StoredRecord
+	history []devplatform.StoredRecord
 	// next is closed when a newer one is published.
 	next chan struct{}
 }
--- a/internal/coordination/configlog/follower_test.go
+++ b/internal/coordination/configlog/follower_test.go
@@ -15,7 +15,7 @@
 
 	"github.com/samphirerail/samphirerail/internal/state"
 	"github.com/samphirerail/samphirerail/internal/state/config"
-	"github.com/samphirerail/samphirerail/platform"
+	"github.com/samphirerail/samphirerail/standin/devplatform"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -30,7 +30,7 @@
 	})
 }
 
-func startFollower(t *testing.T, ctx context.Context, port platform.Log, entry state.EntryID, change func(*Options)) *Follower {
+func startFollower(t *testing.T, ctx context.Context, port devplatform.Log, entry state.EntryID, change func(*Options)) *Follower {
 	opts := Options{Log: port, Entry: entry, Domain: "d1"}
 	if change != nil {
 		change(&opts)
@@ -91,7 +91,7 @@
 			prepare: func(_ *fakeLog, port *fakePort) { port.set(false, true) },
 		},
 		{
-			name: "too large", record: grantKey(strings.Repeat("x", platform.MaxRecordBytes), "s"), is: platform.ErrTooLarge,
+			name: "too large", record: grantKey(strings.Repeat("x", devplatform.MaxRecordBytes), "s"), is: devplatform.ErrTooLarge,
 		},
 	}
 	for _, tt := range tests {
@@ -227,7 +227,7 @@
 	bubble(t, func(t *testing.T, ctx context.Context, log *fakeLog) {
 		is := is.New(t)
 		for _, data := range []string{"", "junk\n", `{"v":1,"records":[{"id":"1","kind":"of_tomorrow","body":{}}]}`, `{"v":2,"records":[{"id":"2"}]}`} {
-			_, err := log.append(platform.AppendRequest{Record: platform.Record{ID: "x", Data: []byte(data)}})
+			_, err := log.append(devplatform.AppendRequest{Record: devplatform.Record{ID: "x", Data: []byte(data)}})
 			is.NoErr(err)
 		}
 		f := startFollower(t, ctx, log.port(), "e1/1", nil)
--- a/internal/coordination/configlog/history.go
+++ b/internal/coordination/configlog/history.go
@@ -3,17 +3,17 @@
 import (
 	"slices"
 
-	"github.com/samphirerail/samphirerail/platform"
+	"github.com/samphirerail/samphirerail/standin/devplatform"
 )
 
 // history keeps the last records for peers. Its slice only grows at the end,
 // so that readers may keep an older one.
 type history struct {
-	records []platform.StoredRecord
+	records []devplatform.StoredRecord
 	bytes   int
 }
 
-func (h *history) add(stored platform.StoredRecord) {
+func (h *history) add(stored devplatform.StoredRecord) {
 	h.records = append(h.records, stored)
 	h.bytes += len(stored.Data)
 	if len(h.records) <= historyRecords && h.bytes <= historyBytes {
--- a/internal/coordination/configlog/options.go
+++ b/internal/coordination/configlog/options.go
@@ -14,7 +14,7 @@
 
 	"github.com/samphirerail/samphirerail/internal/state"
 	"github.com/samphirerail/samphirerail/internal/state/config"
-	"github.com/samphirerail/samphirerail/platform"
+	"github.com/samphirerail/samphirerail/standin/devplatform"
 )
 
 // The values of Options that are left zero.
@@ -54,7 +54,7 @@
 	maxQueuedWrites = 4096
 	// maxBatchRecords and maxBatchBytes bound one append.
 	maxBatchRecords = 512
-	maxBatchBytes   = platform.MaxRecordBytes - 16<<10
+	maxBatchBytes   = devplatform.MaxRecordBytes - 16<<10
 	// historyRecords and historyBytes bound the records kept for peers.
 	historyRecords = 512
 	historyBytes   = 1 << 20
@@ -80,7 +80,7 @@
 
 // Options sets up a Follower. Log, Entry and Domain are required.
 type Options struct {
-	Log platform.Log
+	Log devplatform.Log
 	// Stream is the name of the log stream.
 	Stream string
 	// Entry and Domain are those of this process.
--- a/internal/coordination/configlog/reader.go
+++ b/internal/coordination/configlog/reader.go
@@ -10,7 +10,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/samphirerail/samphirerail/internal/state/config"
-	"github.com/samphirerail/samphirerail/platform"
+	"github.com/samphirerail/samphirerail/standin/devplatform"
 )
 
 // errNoSnapshot says that the log has forgotten records and holds no snapshot
@@ -48,7 +48,7 @@
 	wait := f.pollWait()
 	asked := time.Now()
 	reply, err := f.readFrom(ctx, f.Version()+1, wait)
-	if errors.Is(err, platform.ErrForgotten) {
+	if errors.Is(err, devplatform.ErrForgotten) {
 		return target, f.restore(ctx, reply.Oldest)
 	}
 	if err != nil {
@@ -84,10 +84,10 @@
 	return 0
 }
 
-func (f *Follower) readFrom(ctx context.Context, from int64, wait time.Duration) (platform.ReadReply, error) {
+func (f *Follower) readFrom(ctx context.Context, from int64, wait time.Duration) (devplatform.ReadReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+pollMargin)
 	defer cancel()
-	return f.opts.Log.Read(ctx, platform.ReadRequest{Stream: f.opts.Stream, From: from, Wait: wait})
+	return f.opts.Log.Read(ctx, devplatform.ReadRequest{Stream: f.opts.Stream, From: from, Wait: wait})
 }
 
 // restore replaces what the log has forgotten by a snapshot from the log.
@@ -132,7 +132,7 @@
 
 // assemble returns a fold once the record completes a snapshot of at least a
 // version.
-func (f *Follower) assemble(parts *config.Assembler, stored platform.StoredRecord, atLeast int64) *config.Fold {
+func (f *Follower) assemble(parts *config.Assembler, stored devplatform.StoredRecord, atLeast int64) *config.Fold {
 	records, err := config.Decode(stored.Data)
 	if err != nil {
 		return nil
--- a/internal/coordination/configlog/snapshot_test.go
+++ b/internal/coordination/configlog/snapshot_test.go
@@ -15,7 +15,7 @@
 	"github.com/samphirerail/samphirerail/internal/coordination"
 	"github.com/samphirerail/samphirerail/internal/state"
 	"github.com/samphirerail/samphirerail/internal/state/config"
-	"github.com/samphirerail/samphirerail/platform"
+	"github.com/samphirerail/samphirerail/standin/devplatform"
 )
 
 func TestGossipWithoutLog(t *testing.T) {
@@ -48,7 +48,7 @@
 		taken, err = far.Adopt(ctx, update)
 		is.NoErr(err)
 		is.True(!taken)
-		gap := coordination.ConfigUpdate{Records: []platform.StoredRecord{{Offset: version + 2}}}
+		gap := coordination.ConfigUpdate{Records: []devplatform.StoredRecord{{Offset: version + 2}}}
 		taken, err = far.Adopt(ctx, gap)
 		is.NoErr(err)
 		is.True(!taken)
--- a/internal/coordination/configlog/write.go
+++ b/internal/coordination/configlog/write.go
@@ -11,7 +11,7 @@
 
 	"github.com/samphirerail/samphirerail/internal/state"
 	"github.com/samphirerail/samphirerail/internal/state/config"
-	"github.com/samphirerail/samphirerail/platform"
+	"github.com/samphirerail/samphirerail/standin/devplatform"
 )
 
 // NewWriteID returns a fresh ID for a write.
@@ -29,7 +29,7 @@
 // the same ID.
 //
 // The error is an *UnavailableError when the record was not seen in the stream
-// in time, platform.ErrTooLarge, ErrQueueFull or ErrStopped. A record that was
+// in time, devplatform.ErrTooLarge, ErrQueueFull or ErrStopped. A record that was
 // folded and not accepted is no error: see config.Result.Err.
 func (f *Follower) Write(ctx context.Context, record config.Record) (config.Result, int64, error) {
 	ctx, span := otel.Tracer(tracerName).Start(ctx, "config.write")
@@ -139,8 +139,8 @@
 	if err != nil {
 		return 0, err
 	}
-	if len(data) > platform.MaxRecordBytes {
-		return 0, platform.ErrTooLarge
+	if len(data) > devplatform.MaxRecordBytes {
+		return 0, devplatform.ErrTooLarge
 	}
 	return len(data), nil
 }
--- a/internal/coordination/configlog/writer.go
+++ b/internal/coordination/configlog/writer.go
@@ -8,7 +8,7 @@
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/attribute"
 
-	"github.com/samphirerail/samphirerail/platform"
+	"github.com/samphirerail/samphirerail/standin/devplatform"
 )
 
 const tracerName = "github.com/samphirerail/samphirerail/internal/coordination/configlog"
@@ -58,16 +58,16 @@
 	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
 	defer cancel()
 	f.meters.appends.Inc(1)
-	offset, err := f.opts.Log.Append(ctx, platform.AppendRequest{
+	offset, err := f.opts.Log.Append(ctx, devplatform.AppendRequest{
 		Stream: f.opts.Stream,
-		Record: platform.Record{ID: b.id, Data: b.data},
+		Record: devplatform.Record{ID: b.id, Data: b.data},
 	})
 	if err == nil {
 		return offset, nil
 	}
 	f.meters.appendFailures.Inc(1)
 	f.log.Warn("configuration append failed", "write", b.id, "records", len(b.records), "error", oneLine(err))
-	if errors.Is(err, platform.ErrTooLarge) || errors.Is(err, platform.ErrInvalid) {
+	if errors.Is(err, devplatform.ErrTooLarge) || errors.Is(err, devplatform.ErrInvalid) {
 		return 0, backoff.Permanent(err)
 	}
 	return 0, err
--- a/internal/coordination/inventory/joiner.go
+++ b/internal/coordination/inventory/joiner.go
@@ -10,7 +10,7 @@
 	"github.com/samphirerail/samphirerail/internal/coordination/owner"
 	"github.com/samphirerail/samphirerail/internal/state"
 	"github.com/samphirerail/samphirerail/internal/state/config"
-	"github.com/samphirerail/samphirerail/platform"
+	"github.com/samphirerail/samphirerail/standin/devplatform"
 )
 
 // maxJoin is the most upstreams of one record.
@@ -100,7 +100,7 @@
 	}
 	var missing []config.Upstream
 	for _, vm := range listed.Upstreams {
-		if known[state.VMID(vm.ID)] || vm.State != platform.VMLive || len(missing) == maxJoin {
+		if known[state.VMID(vm.ID)] || vm.State != devplatform.VMLive || len(missing) == maxJoin {
 			continue
 		}
 		missing = append(missing, config.Upstream{
--- a/internal/coordination/inventory/source.go
+++ b/internal/coordination/inventory/source.go
@@ -13,7 +13,7 @@
 	"github.com/samphirerail/samphirerail/internal/state"
 	"github.com/samphirerail/samphirerail/internal/state/config"
 	"github.com/samphirerail/samphirerail/internal/state/machine"
-	"github.com/samphirerail/samphirerail/platform"
+	"github.com/samphirerail/samphirerail/standin/devplatform"
 )
 
 // Source implements owner.Source for the shard of one domain. It is safe for
@@ -83,14 +83,14 @@
 	s.absences.Listed(u.ID)
 	out.Address = vm.Address
 	out.Incarnation = vm.Incarnation
-	out.Leaving = out.Leaving || vm.State == platform.VMLeaving
+	out.Leaving = out.Leaving || vm.State == devplatform.VMLeaving
 	return out
 }
 
-func find(vms []platform.VM, id state.VMID) (platform.VM, bool) {
-	i, ok := slices.BinarySearchFunc(vms, id, func(vm platform.VM, id state.VMID) int { return compareID(vm.ID, id) })
+func find(vms []devplatform.VM, id state.VMID) (devplatform.VM, bool) {
+	i, ok := slices.BinarySearchFunc(vms, id, func(vm devplatform.VM, id state.VMID) int { return compareID(vm.ID, id) })
 	if !ok {
-		return platform.VM{}, false
+		return devplatform.VM{}, false
 	}
 	return vms[i], true
 }
--- a/internal/coordination/journal/fakelog_test.go
+++ b/internal/coordination/journal/fakelog_test.go
@@ -5,13 +5,13 @@
 	"math"
 	"sync"
 
-	"github.com/samphirerail/samphirerail/platform"
+	"github.com/samphirerail/samphirerail/standin/devplatform"
 )
 
 // fakeLog is a log stream in memory with switches to fail.
 type fakeLog struct {
 	mu      sync.Mutex
-	records []platform.StoredRecord
+	records []devplatform.StoredRecord
 	tail    int64
 	// loseAnswers is how many appends take effect without an answer.
 	loseAnswers int
@@ -22,22 +22,22 @@
 	bytes   int
 }
 
-func (l *fakeLog) store(r platform.Record) int64 {
-	l.records = append(l.records, platform.StoredRecord{Offset: l.tail, Record: r})
+func (l *fakeLog) store(r devplatform.Record) int64 {
+	l.records = append(l.records, devplatform.StoredRecord{Offset: l.tail, Record: r})
 	l.tail++
 	return l.tail - 1
 }
 
-func (l *fakeLog) append(req platform.AppendRequest) (int64, error) {
+func (l *fakeLog) append(req devplatform.AppendRequest) (int64, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	switch {
 	case l.down:
-		return 0, platform.ErrUnavailable
-	case len(req.Record.Data) > platform.MaxRecordBytes:
-		return 0, platform.ErrTooLarge
+		return 0, devplatform.ErrUnavailable
+	case len(req.Record.Data) > devplatform.MaxRecordBytes:
+		return 0, devplatform.ErrTooLarge
 	case req.ExpectedOffset != nil && *req.ExpectedOffset != l.tail:
-		return 0, platform.ErrOffsetMismatch
+		return 0, devplatform.ErrOffsetMismatch
 	}
 	l.appends++
 	l.bytes += len(req.Record.Data)
@@ -47,22 +47,22 @@
 	}
 	if l.loseAnswers > 0 {
 		l.loseAnswers--
-		return 0, platform.ErrUnavailable
+		return 0, devplatform.ErrUnavailable
 	}
 	return offset, nil
 }
 
-func (l *fakeLog) read(req platform.ReadRequest) (platform.ReadReply, error) {
+func (l *fakeLog) read(req devplatform.ReadRequest) (devplatform.ReadReply, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	oldest := l.tail - int64(len(l.records))
 	switch {
 	case l.down:
-		return platform.ReadReply{}, platform.ErrUnavailable
+		return devplatform.ReadReply{}, devplatform.ErrUnavailable
 	case req.From < oldest:
-		return platform.ReadReply{}, platform.ErrForgotten
+		return devplatform.ReadReply{}, devplatform.ErrForgotten
 	}
-	reply := platform.ReadReply{Oldest: oldest, Tail: l.tail}
+	reply := devplatform.ReadReply{Oldest: oldest, Tail: l.tail}
 	if req.From < l.tail {
 		from := l.records[req.From-oldest:]
 		reply.Records = append(reply.Records, from[:min(len(from), 3)]...)
@@ -129,7 +129,7 @@
 	}
 }
 
-func (p *fakePort) Append(_ context.Context, req platform.AppendRequest) (int64, error) {
+func (p *fakePort) Append(_ context.Context, req devplatform.AppendRequest) (int64, error) {
 	if req.ExpectedOffset != nil {
 		expected := *req.ExpectedOffset
 		req.ExpectedOffset = &expected
@@ -138,7 +138,7 @@
 	return p.log.append(req)
 }
 
-func (p *fakePort) Read(_ context.Context, req platform.ReadRequest) (platform.ReadReply, error) {
+func (p *fakePort) Read(_ context.Context, req devplatform.ReadRequest) (devplatform.ReadReply, error) {
 	p.pass()
 	if req.From == math.MaxInt64 {
 		req.Limit = 1
--- a/internal/coordination/journal/fold.go
+++ b/internal/coordination/journal/fold.go
@@ -6,12 +6,12 @@
 	"time"
 
 	"github.com/samphirerail/samphirerail/internal/state"
-	"github.com/samphirerail/samphirerail/platform"
+	"github.com/samphirerail/samphirerail/standin/devplatform"
 )
 
 // fold is what the records read so far say.
 type fold struct {
-	epoch    platform.Epoch
+	epoch    devplatform.Epoch
 	sequence uint64
 	base     int64
 	baseAt   time.Time
--- a/internal/coordination/journal/journal.go
+++ b/internal/coordination/journal/journal.go
@@ -13,7 +13,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/samphirerail/samphirerail/internal/state"
-	"github.com/samphirerail/samphirerail/platform"
+	"github.com/samphirerail/samphirerail/standin/devplatform"
 )
 
 // ErrFenced says that a newer owner has taken the stream over.
@@ -25,7 +25,7 @@
 	// the last one, but for a single larger job.
 	maxGroupBytes = 448 << 10
 	// maxJobBytes is the largest encoded job that the journal takes.
-	maxJobBytes = platform.MaxRecordBytes - batchOverhead
+	maxJobBytes = devplatform.MaxRecordBytes - batchOverhead
 	// batchOverhead bounds the encoded size of a batch without its entries.
 	batchOverhead = 4 << 10
 )
@@ -35,9 +35,9 @@
 
 // Config is what a Journal is made of. DefaultLimits fills what is zero.
 type Config struct {
-	Log    platform.Log
+	Log    devplatform.Log
 	Domain state.DomainID
-	Epoch  platform.Epoch
+	Epoch  devplatform.Epoch
 	// OnRecovered is called once, from Run, with the unfinished jobs of
 	// earlier owners, oldest first.
 	OnRecovered func([]Job)
--- a/internal/coordination/journal/journal_test.go
+++ b/internal/coordination/journal/journal_test.go
@@ -13,7 +13,7 @@
 
 	"github.com/samphirerail/samphirerail/internal/coordination"
 	"github.com/samphirerail/samphirerail/internal/state"
-	"github.com/samphirerail/samphirerail/platform"
+	"github.com/samphirerail/samphirerail/standin/devplatform"
 )
 
 // testOwner is a journal that runs.
@@ -30,7 +30,7 @@
 func startOwner(log *fakeLog, number uint64, change func(*Config)) *testOwner {
 	o := &testOwner{port: &fakePort{log: log}, done: make(chan struct{})}
 	cfg := Config{
-		Log: o.port, Domain: "north", Epoch: platform.Epoch{Number: number, Owner: fmt.Sprint("e", number)},
+		Log: o.port, Domain: "north", Epoch: devplatform.Epoch{Number: number, Owner: fmt.Sprint("e", number)},
 		OnRecovered: func(jobs []Job) { o.recovered, o.ready = jobs, true },
 	}
 	if change != nil {
--- a/internal/coordination/journal/record.go
+++ b/internal/coordination/journal/record.go
@@ -8,7 +8,7 @@
 
 	"github.com/samphirerail/samphirerail/internal/coordination"
 	"github.com/samphirerail/samphirerail/internal/state"
-	"github.com/samphirerail/samphirerail/platform"
+	"github.com/samphirerail/samphirerail/standin/devplatform"
 )
 
 // Job is an accepted job as the journal keeps it. Times are wall-clock times in
@@ -86,7 +86,7 @@
 // batch is the content of one log record. The first batch of an owner, with
 // Sequence 1, is its takeover.
 type batch struct {
-	Epoch platform.Epoch `json:"epoch"`
+	Epoch devplatform.Epoch `json:"epoch"`
 	// Sequence rises by one with each batch of an epoch.
 	Sequence uint64 `json:"sequence"`
 	// Base is the offset from which on a reader finds every unfinished job.
--- a/internal/coordination/journal/recover.go
+++ b/internal/coordination/journal/recover.go
@@ -6,7 +6,7 @@
 	"math"
 	"time"
 
-	"github.com/samphirerail/samphirerail/platform"
+	"github.com/samphirerail/samphirerail/standin/devplatform"
 )
 
 // takeOver reads the stream and writes the takeover of this owner at its tail.
@@ -20,7 +20,7 @@
 			return r.fold.unfinished(), nil
 		case errors.Is(err, ErrFenced):
 			return nil, err
-		case errors.Is(err, platform.ErrOffsetMismatch):
+		case errors.Is(err, devplatform.ErrOffsetMismatch):
 			continue
 		}
 		j.log.Warn("journal recovery failed", "error", err.Error())
@@ -86,7 +86,7 @@
 	w := &r.journal.writer
 	for {
 		reply, err := r.journal.read(ctx, w.next, 0)
-		if errors.Is(err, platform.ErrForgotten) {
+		if errors.Is(err, devplatform.ErrForgotten) {
 			r.begun = false
 			r.fold = newFold()
 		}
@@ -100,7 +100,7 @@
 	}
 }
 
-func (r *reader) apply(reply platform.ReadReply) {
+func (r *reader) apply(reply devplatform.ReadReply) {
 	w := &r.journal.writer
 	for _, record := range reply.Records {
 		w.next = record.Offset + 1
--- a/internal/coordination/journal/writer.go
+++ b/internal/coordination/journal/writer.go
@@ -10,7 +10,7 @@
 	"github.com/rotisserie/eris"
 	"go.opentelemetry.io/otel"
 
-	"github.com/samphirerail/samphirerail/platform"
+	"github.com/samphirerail/samphirerail/standin/devplatform"
 )
 
 var tracer = otel.Tracer("samphirerail/journal")
@@ -106,7 +106,7 @@
 	b := batch{Epoch: j.cfg.Epoch, Base: w.base, BaseUnixMS: w.baseAt.UnixMilli()}
 	var g *group
 	used := 0
-	room := platform.MaxRecordBytes - batchOverhead
+	room := devplatform.MaxRecordBytes - batchOverhead
 	if len(j.groups) > 0 && j.nextCarried()+j.groups[0].bytes <= room {
 		g = j.groups[0]
 		g.sent = true
@@ -183,7 +183,7 @@
 			j.writer.next = offset + 1
 			return len(data), true, nil
 		}
-		if !errors.Is(err, platform.ErrOffsetMismatch) {
+		if !errors.Is(err, devplatform.ErrOffsetMismatch) {
 			j.log.Warn("journal append failed", "bytes", len(data), "error", err.Error())
 			if err := sleep(ctx, delays.NextBackOff()); err != nil {
 				return 0, false, err
@@ -200,7 +200,7 @@
 func (j *Journal) append(ctx context.Context, id string, data []byte) (int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, j.cfg.Call)
 	defer cancel()
-	req := platform.AppendRequest{Stream: Stream(j.cfg.Domain), Record: platform.Record{ID: id, Data: data}}
+	req := devplatform.AppendRequest{Stream: Stream(j.cfg.Domain), Record: devplatform.Record{ID: id, Data: data}}
 	if !j.cfg.unconditional {
 		req.ExpectedOffset = &j.writer.next
 	}
@@ -214,7 +214,7 @@
 	for {
 		reply, err := j.read(ctx, j.writer.next, 0)
 		switch {
-		case errors.Is(err, platform.ErrForgotten) && !j.cfg.unconditional:
+		case errors.Is(err, devplatform.ErrForgotten) && !j.cfg.unconditional:
 			return found, ErrFenced
 		case err != nil:
 			return found, err
@@ -233,10 +233,10 @@
 	}
 }
 
-func (j *Journal) read(ctx context.Context, from int64, limit int) (platform.ReadReply, error) {
+func (j *Journal) read(ctx context.Context, from int64, limit int) (devplatform.ReadReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, j.cfg.Call)
 	defer cancel()
-	return j.cfg.Log.Read(ctx, platform.ReadRequest{Stream: Stream(j.cfg.Domain), From: from, Limit: limit})
+	return j.cfg.Log.Read(ctx, devplatform.ReadRequest{Stream: Stream(j.cfg.Domain), From: from, Limit: limit})
 }
 
 func newBackoff() *backoff.ExponentialBackOff {
--- a/internal/coordination/membership/evidence.go
+++ b/internal/coordination/membership/evidence.go
@@ -7,7 +7,7 @@
 
 	"github.com/samphirerail/samphirerail/internal/coordination"
 	"github.com/samphirerail/samphirerail/internal/state"
-	"github.com/samphirerail/samphirerail/platform"
+	"github.com/samphirerail/samphirerail/standin/devplatform"
 )
 
 // heardAnswer takes in the answer to a call of this entry. It is proof of who
@@ -126,7 +126,7 @@
 	entries := make([]Entry, 0, len(v.members)+1)
 	state, listed := v.isListed(self.ID)
 	self.Listed = listed
-	self.Leaving = self.Leaving || state == platform.VMLeaving
+	self.Leaving = self.Leaving || state == devplatform.VMLeaving
 	entries = append(entries, self)
 	for _, m := range v.members {
 		state, listed := v.isListed(m.id)
@@ -135,7 +135,7 @@
 			Domain:        m.domain,
 			Address:       m.address,
 			Liveness:      m.liveness,
-			Leaving:       m.leaving || state == platform.VMLeaving,
+			Leaving:       m.leaving || state == devplatform.VMLeaving,
 			Listed:        listed,
 			ConfigVersion: m.configVersion,
 			Owned:         m.owned,
--- a/internal/coordination/membership/loop.go
+++ b/internal/coordination/membership/loop.go
@@ -10,7 +10,7 @@
 
 	"github.com/samphirerail/samphirerail/internal/coordination"
 	"github.com/samphirerail/samphirerail/internal/state"
-	"github.com/samphirerail/samphirerail/platform"
+	"github.com/samphirerail/samphirerail/standin/devplatform"
 )
 
 // event is something that a traffic goroutine tells the control goroutine.
@@ -26,7 +26,7 @@
 }
 
 // listRead is the end of a read of the VM list; reply is nil when it failed.
-type listRead struct{ reply *platform.VMListReply }
+type listRead struct{ reply *devplatform.VMListReply }
 
 // announce asks to tell the entries of the own domain at once.
 type announce struct{}
@@ -127,7 +127,7 @@
 	delay.InitialInterval = s.cfg.ListInterval
 	delay.MaxInterval = s.cfg.ListMaxInterval
 	failing := false
-	req := platform.ListRequest{Domain: string(s.cfg.Domain)}
+	req := devplatform.ListRequest{Domain: string(s.cfg.Domain)}
 	for {
 		reply, err := s.list.List(ctx, req)
 		next := s.cfg.ListInterval
--- a/internal/coordination/membership/property_test.go
+++ b/internal/coordination/membership/property_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/samphirerail/samphirerail/internal/coordination"
 	"github.com/samphirerail/samphirerail/internal/state"
-	"github.com/samphirerail/samphirerail/platform"
+	"github.com/samphirerail/samphirerail/standin/devplatform"
 )
 
 const worldStep = 250 * time.Millisecond
@@ -29,7 +29,7 @@
 	now       state.Time
 	residents map[string]*resident
 	late      []coordination.Heartbeat
-	lists     []platform.VMListReply
+	lists     []devplatform.VMListReply
 	restarts  int
 }
 
@@ -57,11 +57,11 @@
 		vm = state.VMID(fmt.Sprint("vm-new", w.restarts))
 	}
 	w.residents[address] = &resident{id: coordination.EntryID(fmt.Sprint(vm, "/i", w.restarts))}
-	reply := platform.VMListReply{Version: int64(len(w.lists) + 1)}
+	reply := devplatform.VMListReply{Version: int64(len(w.lists) + 1)}
 	for _, a := range w.addresses() {
 		id := w.residents[a].id
 		incarnation := string(id)[len(id.VM())+1:]
-		reply.VMs = append(reply.VMs, platform.VM{ID: string(id.VM()), Incarnation: incarnation, Role: platform.RoleEntry, Domain: "a", Address: a})
+		reply.VMs = append(reply.VMs, devplatform.VM{ID: string(id.VM()), Incarnation: incarnation, Role: devplatform.RoleEntry, Domain: "a", Address: a})
 	}
 	w.lists = append(w.lists, reply)
 }
--- a/internal/coordination/membership/service.go
+++ b/internal/coordination/membership/service.go
@@ -12,7 +12,7 @@
 
 	"github.com/samphirerail/samphirerail/internal/coordination"
 	"github.com/samphirerail/samphirerail/internal/state"
-	"github.com/samphirerail/samphirerail/platform"
+	"github.com/samphirerail/samphirerail/standin/devplatform"
 )
 
 const (
@@ -38,7 +38,7 @@
 	cfg      Config
 	status   func() Status
 	peers    coordination.Peers
-	list     platform.VMList
+	list     devplatform.VMList
 	logger   hclog.Logger
 	start    time.Time
 	sequence atomic.Uint64
@@ -68,7 +68,7 @@
 
 // New returns a Service. Status is called from several goroutines and must not
 // block. It fails with ErrNoIdentity.
-func New(cfg Config, status func() Status, peers coordination.Peers, list platform.VMList, logger hclog.Logger, registry metrics.Registry) (*Service, error) {
+func New(cfg Config, status func() Status, peers coordination.Peers, list devplatform.VMList, logger hclog.Logger, registry metrics.Registry) (*Service, error) {
 	cfg, err := cfg.withDefaults()
 	if err != nil {
 		return nil, err
--- a/internal/coordination/membership/service_test.go
+++ b/internal/coordination/membership/service_test.go
@@ -15,7 +15,7 @@
 	"github.com/samphirerail/samphirerail/internal/coordination"
 	"github.com/samphirerail/samphirerail/internal/coordination/membership"
 	"github.com/samphirerail/samphirerail/internal/state"
-	"github.com/samphirerail/samphirerail/platform"
+	"github.com/samphirerail/samphirerail/standin/devplatform"
 )
 
 // network joins services in memory. Its latency is 1 ms each way.
@@ -24,7 +24,7 @@
 	mu    sync.Mutex
 	nodes map[string]*node
 	cut   func(from, to string) bool
-	vms   platform.VMListReply
+	vms   devplatform.VMListReply
 	down  bool
 	meter *meter
 }
@@ -67,11 +67,11 @@
 	return answer, err
 }
 
-func (n *network) List(context.Context, platform.ListRequest) (platform.VMListReply, error) {
+func (n *network) List(context.Context, devplatform.ListRequest) (devplatform.VMListReply, error) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.down {
-		return platform.VMListReply{}, platform.ErrUnavailable
+		return devplatform.VMListReply{}, devplatform.ErrUnavailable
 	}
 	return n.vms, nil
 }
@@ -85,12 +85,12 @@
 func newNetwork() *network { return &network{nodes: map[string]*node{}} }
 
 // list sets the VM list.
-func (n *network) list(vms ...platform.VM) {
-	n.with(func() { n.vms = platform.VMListReply{Version: 1, VMs: vms} })
+func (n *network) list(vms ...devplatform.VM) {
+	n.with(func() { n.vms = devplatform.VMListReply{Version: 1, VMs: vms} })
 }
 
-func entryVM(domain, id, address string) platform.VM {
-	return platform.VM{ID: id, Incarnation: "i1", Role: platform.RoleEntry, State: platform.VMLive, Domain: domain, Address: address}
+func entryVM(domain, id, address string) devplatform.VM {
+	return devplatform.VM{ID: id, Incarnation: "i1", Role: devplatform.RoleEntry, State: devplatform.VMLive, Domain: domain, Address: address}
 }
 
 func (n *network) start(t *testing.T, id, domain, address string, seeds ...string) *node {
--- a/internal/coordination/membership/snapshot.go
+++ b/internal/coordination/membership/snapshot.go
@@ -8,7 +8,7 @@
 
 	"github.com/samphirerail/samphirerail/internal/coordination"
 	"github.com/samphirerail/samphirerail/internal/state"
-	"github.com/samphirerail/samphirerail/platform"
+	"github.com/samphirerail/samphirerail/standin/devplatform"
 )
 
 // Liveness is how sure an entry is that another one lives.
@@ -46,9 +46,9 @@
 	// Entries are the entries of every domain, the own one among them, by ID.
 	Entries []Entry
 	// Upstreams are the listed upstream VMs of the own domain, by ID.
-	Upstreams []platform.VM
+	Upstreams []devplatform.VM
 	// ListedEntries are the listed entry VMs of every domain, by ID.
-	ListedEntries []platform.VM
+	ListedEntries []devplatform.VM
 	// ListVersion is the version of the newest VM list; 0 when none was read.
 	ListVersion int64
 	// Stale says that the entry has just started or was paused, and has not
@@ -67,7 +67,7 @@
 	Entry coordination.EntryID
 	// Address is IP:port of the owner's internal listener.
 	Address string
-	Epoch   platform.Epoch
+	Epoch   devplatform.Epoch
 	// Ready says that the owner takes work.
 	Ready bool
 }
@@ -112,8 +112,8 @@
 }
 
 // Claims returns the epochs of a shard that entries tell, dead ones included.
-func (s *Snapshot) Claims(shard coordination.ShardID) []platform.Epoch {
-	var claims []platform.Epoch
+func (s *Snapshot) Claims(shard coordination.ShardID) []devplatform.Epoch {
+	var claims []devplatform.Epoch
 	for i := range s.Entries {
 		for _, load := range s.Entries[i].Owned {
 			if load.Shard == shard {
--- a/internal/coordination/membership/traffic_test.go
+++ b/internal/coordination/membership/traffic_test.go
@@ -12,7 +12,7 @@
 	"github.com/matryer/is"
 
 	"github.com/samphirerail/samphirerail/internal/coordination"
-	"github.com/samphirerail/samphirerail/platform"
+	"github.com/samphirerail/samphirerail/standin/devplatform"
 )
 
 // headerBytes stands for the headers of net/rpc, TCP and IP of one message.
@@ -47,7 +47,7 @@
 		m := &meter{}
 		m.encoder = gob.NewEncoder(&m.bytes)
 		defer net.stop()
-		var vms []platform.VM
+		var vms []devplatform.VM
 		for d := range domains {
 			for e := range 3 {
 				vms = append(vms, entryVM(fmt.Sprint("domain-", d), fmt.Sprintf("entry-%d-%d", d, e), fmt.Sprintf("10.0.%d.%d:7000", d, e)))
@@ -62,7 +62,7 @@
 			shard := coordination.ShardID(vms[i].Domain + "/0")
 			nodes[i].owned.Store(&[]coordination.ShardLoad{{
 				Shard: shard, Ready: true, Queued: 100, Running: 1500, Upstreams: 2600, Fenced: 2600,
-				Epoch: platform.Epoch{Number: 12, Owner: vms[i].ID + "/i1"},
+				Epoch: devplatform.Epoch{Number: 12, Owner: vms[i].ID + "/i1"},
 			}})
 		}
 		pass(time.Minute)
--- a/internal/coordination/membership/view.go
+++ b/internal/coordination/membership/view.go
@@ -8,7 +8,7 @@
 
 	"github.com/samphirerail/samphirerail/internal/coordination"
 	"github.com/samphirerail/samphirerail/internal/state"
-	"github.com/samphirerail/samphirerail/platform"
+	"github.com/samphirerail/samphirerail/standin/devplatform"
 )
 
 // member is the record of one entry process.
@@ -56,9 +56,9 @@
 	// replaced are entries that a newer incarnation has taken the place of.
 	replaced      map[coordination.EntryID]state.Time
 	listVersion   int64
-	listed        map[state.VMID]platform.VM
-	listedEntries []platform.VM
-	upstreams     []platform.VM
+	listed        map[state.VMID]devplatform.VM
+	listedEntries []devplatform.VM
+	upstreams     []devplatform.VM
 	listTried     bool
 	// roundStart is the begin of the round of calls that ends staleness.
 	roundStart   state.Time
@@ -79,7 +79,7 @@
 		members:      map[coordination.EntryID]*member{},
 		contacts:     map[string]*contact{},
 		replaced:     map[coordination.EntryID]state.Time{},
-		listed:       map[state.VMID]platform.VM{},
+		listed:       map[state.VMID]devplatform.VM{},
 		roundStart:   now,
 		lastTick:     now,
 		lastRemoteAt: now - cfg.RemoteInterval,
@@ -109,22 +109,22 @@
 
 // applyList takes in a VM list or its changes. An older version than the newest
 // is ignored, and so are changes since another version than the newest.
-func (v *view) applyList(reply platform.VMListReply, now state.Time) {
+func (v *view) applyList(reply devplatform.VMListReply, now state.Time) {
 	v.listTried = true
 	if reply.Version <= v.listVersion || reply.Since != 0 && reply.Since != v.listVersion {
 		return
 	}
 	vms := v.merged(reply)
 	v.listVersion = reply.Version
-	v.listed = map[state.VMID]platform.VM{}
+	v.listed = map[state.VMID]devplatform.VM{}
 	v.upstreams = nil
 	v.listedEntries = nil
 	for _, vm := range vms {
 		switch {
-		case vm.Role == platform.RoleEntry:
+		case vm.Role == devplatform.RoleEntry:
 			v.listed[state.VMID(vm.ID)] = vm
 			v.listedEntries = append(v.listedEntries, vm)
-		case vm.Role == platform.RoleUpstream && state.DomainID(vm.Domain) == v.cfg.Domain:
+		case vm.Role == devplatform.RoleUpstream && state.DomainID(vm.Domain) == v.cfg.Domain:
 			v.upstreams = append(v.upstreams, vm)
 		}
 	}
@@ -138,7 +138,7 @@
 }
 
 // merged returns the whole list that a reply leads to.
-func (v *view) merged(reply platform.VMListReply) []platform.VM {
+func (v *view) merged(reply devplatform.VMListReply) []devplatform.VM {
 	if reply.Since == 0 {
 		return reply.VMs
 	}
@@ -150,14 +150,14 @@
 		replaced[id] = true
 	}
 	vms := slices.Concat(v.listedEntries, v.upstreams)
-	vms = slices.DeleteFunc(vms, func(vm platform.VM) bool { return replaced[vm.ID] })
+	vms = slices.DeleteFunc(vms, func(vm devplatform.VM) bool { return replaced[vm.ID] })
 	return append(vms, reply.VMs...)
 }
 
-func byVMID(a, b platform.VM) int { return strings.Compare(a.ID, b.ID) }
+func byVMID(a, b devplatform.VM) int { return strings.Compare(a.ID, b.ID) }
 
 // isListed reports whether the VM list names this incarnation, and its state.
-func (v *view) isListed(id coordination.EntryID) (platform.VMState, bool) {
+func (v *view) isListed(id coordination.EntryID) (devplatform.VMState, bool) {
 	vm, ok := v.listed[id.VM()]
 	if !ok || string(id) != vm.ID+"/"+vm.Incarnation {
 		return "", false
--- a/internal/coordination/membership/view_test.go
+++ b/internal/coordination/membership/view_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/samphirerail/samphirerail/internal/coordination"
 	"github.com/samphirerail/samphirerail/internal/state"
-	"github.com/samphirerail/samphirerail/platform"
+	"github.com/samphirerail/samphirerail/standin/devplatform"
 )
 
 const (
@@ -153,11 +153,11 @@
 func TestList(t *testing.T) {
 	is := is.New(t)
 	v := testView(t, nil)
-	upstream := func(id, domain string) platform.VM {
-		return platform.VM{ID: id, Incarnation: "i1", Role: platform.RoleUpstream, Domain: domain, Address: "10.1.0.1:1"}
+	upstream := func(id, domain string) devplatform.VM {
+		return devplatform.VM{ID: id, Incarnation: "i1", Role: devplatform.RoleUpstream, Domain: domain, Address: "10.1.0.1:1"}
 	}
-	entry := platform.VM{ID: "vm2", Incarnation: "i1", Role: platform.RoleEntry, State: platform.VMLeaving, Domain: "a", Address: addressB}
-	v.applyList(platform.VMListReply{Version: 5, VMs: []platform.VM{upstream("u2", "a"), upstream("u1", "a"), upstream("u3", "b"), entry}}, 0)
+	entry := devplatform.VM{ID: "vm2", Incarnation: "i1", Role: devplatform.RoleEntry, State: devplatform.VMLeaving, Domain: "a", Address: addressB}
+	v.applyList(devplatform.VMListReply{Version: 5, VMs: []devplatform.VM{upstream("u2", "a"), upstream("u1", "a"), upstream("u3", "b"), entry}}, 0)
 	exchange(v, 0, map[string]coordination.Heartbeat{addressB: beat("vm2/i1", addressB, 0)})
 	snapshot := v.snapshot(Entry{ID: v.cfg.Self})
 	is.Equal(len(snapshot.Upstreams), 2)
@@ -165,53 +165,53 @@
 	e, ok := snapshot.Entry("vm2/i1")
 	is.True(ok)
 	is.True(e.Leaving && e.Listed)
-	v.applyList(platform.VMListReply{Version: 4}, 0)
+	v.applyList(devplatform.VMListReply{Version: 4}, 0)
 	is.Equal(len(v.snapshot(Entry{ID: v.cfg.Self}).Upstreams), 2)
-	v.applyList(platform.VMListReply{Version: 6}, 0)
+	v.applyList(devplatform.VMListReply{Version: 6}, 0)
 	is.Equal(len(v.snapshot(Entry{ID: v.cfg.Self}).Upstreams), 0)
 }
 
 func TestListChanges(t *testing.T) {
-	row := func(id string, state platform.VMState) platform.VM {
-		return platform.VM{ID: id, Incarnation: "i1", Role: platform.RoleUpstream, State: state, Domain: "a", Address: "10.1.0.1:1"}
+	row := func(id string, state devplatform.VMState) devplatform.VM {
+		return devplatform.VM{ID: id, Incarnation: "i1", Role: devplatform.RoleUpstream, State: state, Domain: "a", Address: "10.1.0.1:1"}
 	}
-	live, leaving := platform.VMLive, platform.VMLeaving
+	live, leaving := devplatform.VMLive, devplatform.VMLeaving
 	tests := []struct {
 		name  string
-		reply platform.VMListReply
-		want  []platform.VM
+		reply devplatform.VMListReply
+		want  []devplatform.VM
 	}{
 		{
 			name:  "rows are added, replaced and dropped",
-			reply: platform.VMListReply{Version: 6, Since: 5, VMs: []platform.VM{row("u3", live), row("u1", leaving)}, Gone: []string{"u2"}},
-			want:  []platform.VM{row("u1", leaving), row("u3", live)},
+			reply: devplatform.VMListReply{Version: 6, Since: 5, VMs: []devplatform.VM{row("u3", live), row("u1", leaving)}, Gone: []string{"u2"}},
+			want:  []devplatform.VM{row("u1", leaving), row("u3", live)},
 		},
 		{
 			name:  "a row that was dropped and added again is listed",
-			reply: platform.VMListReply{Version: 7, Since: 5, VMs: []platform.VM{row("u2", leaving)}, Gone: []string{"u2"}},
-			want:  []platform.VM{row("u1", live), row("u2", leaving)},
+			reply: devplatform.VMListReply{Version: 7, Since: 5, VMs: []devplatform.VM{row("u2", leaving)}, Gone: []string{"u2"}},
+			want:  []devplatform.VM{row("u1", live), row("u2", leaving)},
 		},
 		{
 			name:  "changes since another version are ignored",
-			reply: platform.VMListReply{Version: 7, Since: 6, Gone: []string{"u1", "u2"}},
-			want:  []platform.VM{row("u1", live), row("u2", live)},
+			reply: devplatform.VMListReply{Version: 7, Since: 6, Gone: []string{"u1", "u2"}},
+			want:  []devplatform.VM{row("u1", live), row("u2", live)},
 		},
 		{
 			name:  "the whole list replaces all",
-			reply: platform.VMListReply{Version: 9, VMs: []platform.VM{row("u9", live)}},
-			want:  []platform.VM{row("u9", live)},
+			reply: devplatform.VMListReply{Version: 9, VMs: []devplatform.VM{row("u9", live)}},
+			want:  []devplatform.VM{row("u9", live)},
 		},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
 			v := testView(t, nil)
-			v.applyList(platform.VMListReply{Version: 5, VMs: []platform.VM{row("u2", live), row("u1", live)}}, 0)
+			v.applyList(devplatform.VMListReply{Version: 5, VMs: []devplatform.VM{row("u2", live), row("u1", live)}}, 0)
 			before := v.snapshot(Entry{ID: v.cfg.Self})
 			v.applyList(tt.reply, 0)
 			is.Equal(v.snapshot(Entry{ID: v.cfg.Self}).Upstreams, tt.want)
 			// A snapshot taken before stays as it was.
-			is.Equal(before.Upstreams, []platform.VM{row("u1", live), row("u2", live)})
+			is.Equal(before.Upstreams, []devplatform.VM{row("u1", live), row("u2", live)})
 		})
 	}
 }
@@ -233,7 +233,7 @@
 func TestOwnerPrefersReadyThenNewest(t *testing.T) {
 	is := is.New(t)
 	load := func(number uint64, ready bool) []coordination.ShardLoad {
-		return []coordination.ShardLoad{{Shard: "a/0", Epoch: platform.Epoch{Number: number}, Ready: ready}}
+		return []coordination.ShardLoad{{Shard: "a/0", Epoch: devplatform.Epoch{Number: number}, Ready: ready}}
 	}
 	snapshot := &Snapshot{Entries: []Entry{
 		{ID: "vm1/i1", Liveness: Alive, Owned: load(3, true)},
@@ -263,7 +263,7 @@
 		v.heardHeartbeat(hb, 0)
 	}
 	for range 2600 {
-		v.upstreams = append(v.upstreams, platform.VM{})
+		v.upstreams = append(v.upstreams, devplatform.VM{})
 	}
 	hb := beat("entry7/i1", "10.1.0.7:1", 1)
 	b.ReportAllocs()
--- a/internal/coordination/owner/clock.go
+++ b/internal/coordination/owner/clock.go
@@ -4,7 +4,7 @@
 	"sync"
 	"time"
 
-	"github.com/samphirerail/samphirerail/platform"
+	"github.com/samphirerail/samphirerail/standin/devplatform"
 )
 
 // clockDrift is the largest assumed difference in rate between two monotonic
@@ -16,22 +16,22 @@
 type leaseClock struct {
 	mu sync.Mutex
 	// reading was taken by the worker before readAt on our clock.
-	reading platform.WorkerClock
+	reading devplatform.WorkerClock
 	readAt  time.Time
 	known   bool
 	// longest is the largest LeaseUntil that may reach the worker.
-	longest platform.WorkerClock
+	longest devplatform.WorkerClock
 }
 
 // reset starts over for a new incarnation of the worker.
-func (c *leaseClock) reset(reading, leaseUntil platform.WorkerClock, now time.Time) {
+func (c *leaseClock) reset(reading, leaseUntil devplatform.WorkerClock, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.reading, c.readAt, c.known, c.longest = reading, now, true, leaseUntil
 }
 
 // observe takes in a reading from a reply received at now.
-func (c *leaseClock) observe(reading platform.WorkerClock, now time.Time) {
+func (c *leaseClock) observe(reading devplatform.WorkerClock, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if reading > c.atLeast(now) {
@@ -40,22 +40,22 @@
 }
 
 // atLeast returns a lower bound of the worker's clock at now.
-func (c *leaseClock) atLeast(now time.Time) platform.WorkerClock {
+func (c *leaseClock) atLeast(now time.Time) devplatform.WorkerClock {
 	elapsed := now.Sub(c.readAt)
-	return c.reading + platform.WorkerClock(elapsed-elapsed/driftParts)
+	return c.reading + devplatform.WorkerClock(elapsed-elapsed/driftParts)
 }
 
 // extend returns a LeaseUntil that lies lease after now, and remembers it.
-func (c *leaseClock) extend(lease time.Duration, now time.Time) platform.WorkerClock {
+func (c *leaseClock) extend(lease time.Duration, now time.Time) devplatform.WorkerClock {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	until := c.atLeast(now) + platform.WorkerClock(lease)
+	until := c.atLeast(now) + devplatform.WorkerClock(lease)
 	c.longest = max(c.longest, until)
 	return until
 }
 
 // unchanged returns the longest lease that was ever asked for.
-func (c *leaseClock) unchanged() platform.WorkerClock {
+func (c *leaseClock) unchanged() devplatform.WorkerClock {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.longest
--- a/internal/coordination/owner/clock_test.go
+++ b/internal/coordination/owner/clock_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/matryer/is"
 
-	"github.com/samphirerail/samphirerail/platform"
+	"github.com/samphirerail/samphirerail/standin/devplatform"
 )
 
 func TestLeaseClock(t *testing.T) {
@@ -25,9 +25,9 @@
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
 			var c leaseClock
-			c.reset(platform.WorkerClock(time.Hour), 0, start)
+			c.reset(devplatform.WorkerClock(time.Hour), 0, start)
 			until := c.extend(lease, start)
-			is.Equal(until, platform.WorkerClock(time.Hour+lease))
+			is.Equal(until, devplatform.WorkerClock(time.Hour+lease))
 			is.Equal(c.lapsed(start.Add(tt.after)), tt.lapsed)
 		})
 	}
@@ -37,8 +37,8 @@
 	is := is.New(t)
 	start := time.Now()
 	var c leaseClock
-	c.reset(platform.WorkerClock(time.Minute), 0, start)
+	c.reset(devplatform.WorkerClock(time.Minute), 0, start)
 	before := c.extend(time.Second, start.Add(time.Second))
-	c.observe(platform.WorkerClock(time.Minute), start.Add(time.Second))
+	c.observe(devplatform.WorkerClock(time.Minute), start.Add(time.Second))
 	is.Equal(c.extend(time.Second, start.Add(time.Second)), before)
 }
--- a/internal/coordination/owner/config.go
+++ b/internal/coordination/owner/config.go
@@ -9,7 +9,7 @@
 	"github.com/samphirerail/samphirerail/internal/coordination"
 	"github.com/samphirerail/samphirerail/internal/state"
 	"github.com/samphirerail/samphirerail/internal/state/machine"
-	"github.com/samphirerail/samphirerail/platform"
+	"github.com/samphirerail/samphirerail/standin/devplatform"
 )
 
 // Upstream is what the owner needs to know of a VM to run work on it.
@@ -46,7 +46,7 @@
 }
 
 // Dialer returns the client of a worker. The client bounds its connections.
-type Dialer func(address string) platform.Worker
+type Dialer func(address string) devplatform.Worker
 
 // Timing bounds the calls to workers.
 type Timing struct {
@@ -80,18 +80,18 @@
 // Config is what a Shard is made of.
 type Config struct {
 	Shard   coordination.ShardID
-	Epoch   platform.Epoch
+	Epoch   devplatform.Epoch
 	Machine machine.Config
 	Timing  Timing
 	Source  Source
 	Dial    Dialer
 	// Log keeps the accepted jobs; when nil they live in memory only.
-	Log platform.Log
+	Log devplatform.Log
 	// MayFence reports whether the entry's knowledge of the other entries may be
 	// acted on; nil means always.
 	MayFence func() bool
 	// OnFenced is called when a worker obeys a newer owner.
-	OnFenced func(*platform.FencedError)
+	OnFenced func(*devplatform.FencedError)
 	// OnReady is called once the shard takes work.
 	OnReady func()
 	// OnReturned receives the jobs that waited when the shard resigned and
--- a/internal/coordination/owner/contrast_test.go
+++ b/internal/coordination/owner/contrast_test.go
@@ -17,7 +17,7 @@
 	"github.com/samphirerail/samphirerail/internal/coordination"
 	"github.com/samphirerail/samphirerail/internal/state"
 	"github.com/samphirerail/samphirerail/internal/state/machine"
-	"github.com/samphirerail/samphirerail/platform"
+	"github.com/samphirerail/samphirerail/standin/devplatform"
 	"github.com/samphirerail/samphirerail/standin/worker"
 )
 
@@ -26,11 +26,11 @@
 // link is an owner's way to a worker. It can hold a start back, so that it
 // arrives after its sender gave up, and lose everything.
 type link struct {
-	platform.Worker
+	devplatform.Worker
 	mu   sync.Mutex
 	hold bool
 	down bool
-	late *platform.StartRequest
+	late *devplatform.StartRequest
 }
 
 func (l *link) set(hold, down bool) {
@@ -40,7 +40,7 @@
 }
 
 // lost reports whether a call is lost; its caller then waits in vain.
-func (l *link) lost(ctx context.Context, start *platform.StartRequest) bool {
+func (l *link) lost(ctx context.Context, start *devplatform.StartRequest) bool {
 	l.mu.Lock()
 	held := l.hold && start != nil
 	if held {
@@ -66,37 +66,37 @@
 	_, _ = l.Worker.Start(t.Context(), *late)
 }
 
-func (l *link) Fence(ctx context.Context, req platform.FenceRequest) (platform.FenceReply, error) {
+func (l *link) Fence(ctx context.Context, req devplatform.FenceRequest) (devplatform.FenceReply, error) {
 	if l.lost(ctx, nil) {
-		return platform.FenceReply{}, platform.ErrUnavailable
+		return devplatform.FenceReply{}, devplatform.ErrUnavailable
 	}
 	return l.Worker.Fence(ctx, req)
 }
 
-func (l *link) Start(ctx context.Context, req platform.StartRequest) (platform.StartReply, error) {
+func (l *link) Start(ctx context.Context, req devplatform.StartRequest) (devplatform.StartReply, error) {
 	if l.lost(ctx, &req) {
-		return platform.StartReply{}, platform.ErrUnavailable
+		return devplatform.StartReply{}, devplatform.ErrUnavailable
 	}
 	return l.Worker.Start(ctx, req)
 }
 
-func (l *link) Sync(ctx context.Context, req platform.SyncRequest) (platform.SyncReply, error) {
+func (l *link) Sync(ctx context.Context, req devplatform.SyncRequest) (devplatform.SyncReply, error) {
 	if l.lost(ctx, nil) {
-		return platform.SyncReply{}, platform.ErrUnavailable
+		return devplatform.SyncReply{}, devplatform.ErrUnavailable
 	}
 	return l.Worker.Sync(ctx, req)
 }
 
-func (l *link) Control(ctx context.Context, req platform.ControlRequest) (platform.ControlReply, error) {
+func (l *link) Control(ctx context.Context, req devplatform.ControlRequest) (devplatform.ControlReply, error) {
 	if l.lost(ctx, nil) {
-		return platform.ControlReply{}, platform.ErrUnavailable
+		return devplatform.ControlReply{}, devplatform.ErrUnavailable
 	}
 	return l.Worker.Control(ctx, req)
 }
 
-func (l *link) Inspect(ctx context.Context, req platform.InspectRequest) (platform.StartReply, error) {
+func (l *link) Inspect(ctx context.Context, req devplatform.InspectRequest) (devplatform.StartReply, error) {
 	if l.lost(ctx, nil) {
-		return platform.StartReply{}, platform.ErrUnavailable
+		return devplatform.StartReply{}, devplatform.ErrUnavailable
 	}
 	return l.Worker.Inspect(ctx, req)
 }
@@ -143,7 +143,7 @@
 	for i := range workers {
 		w := worker.New(worker.Config{
 			VMID: fmt.Sprintf("up%d", i), Domain: "north", Rack: "r1", Service: "fitting",
-			Capacity: platform.Capacity{Resources: platform.Resources{CPUMilli: 4000, MemoryMB: 8192}, Slots: 1, Connections: 64},
+			Capacity: devplatform.Capacity{Resources: devplatform.Resources{CPUMilli: 4000, MemoryMB: 8192}, Slots: 1, Connections: 64},
 		})
 		if err := w.SetFaults(worker.Faults{Ignore: ignore}); err != nil {
 			t.Fatal(err)
@@ -156,13 +156,13 @@
 
 // own runs an owner of an epoch; the function returned ends it as a crash does.
 func (s *stage) own(number uint64) (*Shard, func()) {
-	epoch := platform.Epoch{Number: number, Owner: fmt.Sprintf("e%d/1", number)}
+	epoch := devplatform.Epoch{Number: number, Owner: fmt.Sprintf("e%d/1", number)}
 	policy := machine.DefaultConfig()
 	policy.FirstAttempt = firstAttempt(epoch)
 	shard := NewShard(Config{
 		Shard: "north/0", Epoch: epoch, Machine: policy, Source: s, Logger: hclog.NewNullLogger(),
 		Timing: Timing{Lease: 2 * time.Second, SyncWait: 500 * time.Millisecond, Call: time.Second, MaxRequest: time.Minute, Tick: 100 * time.Millisecond},
-		Dial: func(address string) platform.Worker {
+		Dial: func(address string) devplatform.Worker {
 			var i int
 			_, _ = fmt.Sscan(address, &i)
 			return s.links[i]
--- a/internal/coordination/owner/control.go
+++ b/internal/coordination/owner/control.go
@@ -7,7 +7,7 @@
 
 	"github.com/samphirerail/samphirerail/internal/state"
 	"github.com/samphirerail/samphirerail/internal/state/machine"
-	"github.com/samphirerail/samphirerail/platform"
+	"github.com/samphirerail/samphirerail/standin/devplatform"
 )
 
 // maxControlBatch is the most tasks in one Control call.
@@ -16,7 +16,7 @@
 // control is a verb that waits to be sent to the worker.
 type control struct {
 	task state.TaskID
-	verb platform.ControlVerb
+	verb devplatform.ControlVerb
 }
 
 // enqueueControl adds a verb to those on their way to the worker. They are sent
@@ -76,12 +76,12 @@
 func (u *upstream) sendBatch(ctx context.Context, batch []control) bool {
 	callCtx, cancel := context.WithTimeout(ctx, u.shard.cfg.Timing.Call)
 	defer cancel()
-	req := platform.ControlRequest{Epoch: u.shard.cfg.Epoch, Incarnation: u.currentIncarnation(), Verb: batch[0].verb}
+	req := devplatform.ControlRequest{Epoch: u.shard.cfg.Epoch, Incarnation: u.currentIncarnation(), Verb: batch[0].verb}
 	for _, c := range batch {
 		req.TaskIDs = append(req.TaskIDs, string(c.task))
 	}
 	reply, err := u.worker.Control(callCtx, req)
-	var fenced *platform.FencedError
+	var fenced *devplatform.FencedError
 	switch {
 	case err == nil:
 		u.clock.observe(reply.Clock, time.Now())
@@ -90,13 +90,13 @@
 	case errors.As(err, &fenced):
 		u.shard.fencedBy(fenced)
 		return true
-	case errors.Is(err, platform.ErrWrongIncarnation):
+	case errors.Is(err, devplatform.ErrWrongIncarnation):
 		return true
 	}
 	return false
 }
 
-func (u *upstream) reportControls(batch []control, statuses []platform.TaskStatus) {
+func (u *upstream) reportControls(batch []control, statuses []devplatform.TaskStatus) {
 	for i, status := range statuses {
 		if i >= len(batch) {
 			return
@@ -105,7 +105,7 @@
 		if status.State.Ended() {
 			u.shard.send(endedEvent(status))
 		}
-		if status.State == platform.TaskRunning && batch[i].verb == platform.VerbThrottle {
+		if status.State == devplatform.TaskRunning && batch[i].verb == devplatform.VerbThrottle {
 			u.shard.send(machine.Started{Task: batch[i].task})
 		}
 	}
--- a/internal/coordination/owner/durable_test.go
+++ b/internal/coordination/owner/durable_test.go
@@ -17,7 +17,7 @@
 	"github.com/samphirerail/samphirerail/internal/state"
 	"github.com/samphirerail/samphirerail/internal/state/jobid"
 	"github.com/samphirerail/samphirerail/internal/state/machine"
-	"github.com/samphirerail/samphirerail/platform"
+	"github.com/samphirerail/samphirerail/standin/devplatform"
 	"github.com/samphirerail/samphirerail/standin/logservice"
 	"github.com/samphirerail/samphirerail/standin/worker"
 )
@@ -40,25 +40,25 @@
 	lose int
 }
 
-func (l *faultyLog) Append(ctx context.Context, req platform.AppendRequest) (int64, error) {
+func (l *faultyLog) Append(ctx context.Context, req devplatform.AppendRequest) (int64, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.down {
-		return 0, platform.ErrUnavailable
+		return 0, devplatform.ErrUnavailable
 	}
 	offset, err := l.Service.Append(ctx, req)
 	if err == nil && l.lose > 0 {
 		l.lose--
-		return 0, platform.ErrUnavailable
+		return 0, devplatform.ErrUnavailable
 	}
 	return offset, err
 }
 
-func (l *faultyLog) Read(ctx context.Context, req platform.ReadRequest) (platform.ReadReply, error) {
+func (l *faultyLog) Read(ctx context.Context, req devplatform.ReadRequest) (devplatform.ReadReply, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.down {
-		return platform.ReadReply{}, platform.ErrUnavailable
+		return devplatform.ReadReply{}, devplatform.ErrUnavailable
 	}
 	return l.Service.Read(ctx, req)
 }
@@ -91,7 +91,7 @@
 
 func newShardWorld(t *testing.T) *shardWorld {
 	w := &shardWorld{t: t, log: &faultyLog{Service: logservice.New(logservice.Config{})}, workers: map[string]*worker.Worker{}}
-	each := platform.Capacity{Resources: platform.Resources{CPUMilli: 4000, MemoryMB: 4096}, Slots: 2, Connections: 64}
+	each := devplatform.Capacity{Resources: devplatform.Resources{CPUMilli: 4000, MemoryMB: 4096}, Slots: 2, Connections: 64}
 	source := fixedSource{inventory: Inventory{Known: true, ConfigVersion: 1, Quotas: []machine.Quota{
 		{Team: testTeam, Limit: state.Vector{CPUMilli: 4000, MemoryMB: 4096, Slots: 3}, Weight: 1, MaxQueued: 1000},
 	}}}
@@ -104,7 +104,7 @@
 	}
 	w.cfg = Config{
 		Shard: "north/0", Machine: machine.DefaultConfig(), Timing: DefaultTiming(), Source: source, Log: w.log,
-		Dial:   func(address string) platform.Worker { return w.workers[address] },
+		Dial:   func(address string) devplatform.Worker { return w.workers[address] },
 		Logger: hclog.NewNullLogger(),
 	}
 	return w
@@ -140,7 +140,7 @@
 			go func() { _, _ = next.Submit(context.Background(), sub) }()
 		}
 	}
-	cfg.Epoch = platform.Epoch{Number: w.epoch, Owner: fmt.Sprint("e", w.epoch)}
+	cfg.Epoch = devplatform.Epoch{Number: w.epoch, Owner: fmt.Sprint("e", w.epoch)}
 	cfg.Machine.FirstAttempt = firstAttempt(cfg.Epoch)
 	w.shard = NewShard(cfg)
 	w.ended = make(chan struct{})
@@ -197,7 +197,7 @@
 				continue
 			}
 			all++
-			if r.End == string(platform.TaskSucceeded) {
+			if r.End == string(devplatform.TaskSucceeded) {
 				succeeded++
 			}
 		}
--- a/internal/coordination/owner/labels.go
+++ b/internal/coordination/owner/labels.go
@@ -8,7 +8,7 @@
 
 	"github.com/samphirerail/samphirerail/internal/state"
 	"github.com/samphirerail/samphirerail/internal/state/machine"
-	"github.com/samphirerail/samphirerail/platform"
+	"github.com/samphirerail/samphirerail/standin/devplatform"
 )
 
 // labels travel with a task, so that a new owner can rebuild the job from what
@@ -52,7 +52,7 @@
 
 // adopt turns a worker's record of a task into the machine's. A task whose
 // labels can't be read still counts with what it takes; the error says so.
-func adopt(status platform.TaskStatus, now state.Time, wall time.Time) (machine.AdoptedTask, error) {
+func adopt(status devplatform.TaskStatus, now state.Time, wall time.Time) (machine.AdoptedTask, error) {
 	job, err := decodeLabels(status.Spec.Labels, now, wall)
 	if err != nil {
 		job = state.Job{
@@ -72,29 +72,29 @@
 	}, err
 }
 
-func endOf(s platform.TaskState) machine.TaskEnd {
+func endOf(s devplatform.TaskState) machine.TaskEnd {
 	switch s {
-	case platform.TaskSucceeded:
+	case devplatform.TaskSucceeded:
 		return machine.EndSucceeded
-	case platform.TaskFailed:
+	case devplatform.TaskFailed:
 		return machine.EndFailed
-	case platform.TaskRefused:
+	case devplatform.TaskRefused:
 		return machine.EndNotRun
-	case platform.TaskStopped, platform.TaskRunning, platform.TaskUnknown:
+	case devplatform.TaskStopped, devplatform.TaskRunning, devplatform.TaskUnknown:
 		return machine.EndStopped
 	}
 	return machine.EndStopped
 }
 
-func resourcesOf(v state.Vector) platform.Resources {
-	return platform.Resources{CPUMilli: v.CPUMilli, MemoryMB: v.MemoryMB, Accelerators: v.Accelerators}
+func resourcesOf(v state.Vector) devplatform.Resources {
+	return devplatform.Resources{CPUMilli: v.CPUMilli, MemoryMB: v.MemoryMB, Accelerators: v.Accelerators}
 }
 
 // CapacityVector converts a worker's capacity.
-func CapacityVector(c platform.Capacity) state.Vector {
+func CapacityVector(c devplatform.Capacity) state.Vector {
 	return state.Vector{CPUMilli: c.CPUMilli, MemoryMB: c.MemoryMB, Accelerators: c.Accelerators, Slots: c.Slots}
 }
 
-func usageVector(r platform.Resources) state.Vector {
+func usageVector(r devplatform.Resources) state.Vector {
 	return state.Vector{CPUMilli: r.CPUMilli, MemoryMB: r.MemoryMB, Accelerators: r.Accelerators, Slots: 1}
 }
--- a/internal/coordination/owner/manager.go
+++ b/internal/coordination/owner/manager.go
@@ -13,7 +13,7 @@
 	"github.com/samphirerail/samphirerail/internal/coordination/ownership"
 	"github.com/samphirerail/samphirerail/internal/coordination/routing"
 	"github.com/samphirerail/samphirerail/internal/state"
-	"github.com/samphirerail/samphirerail/platform"
+	"github.com/samphirerail/samphirerail/standin/devplatform"
 )
 
 // probedWorkers is the number of workers asked for their newest epoch.
@@ -47,25 +47,25 @@
 	work   sync.WaitGroup
 
 	mu      sync.Mutex
-	fenced  func(*platform.FencedError)
+	fenced  func(*devplatform.FencedError)
 	current *Shard
 }
 
 // NewManager returns a Manager of one shard.
 func NewManager(cfg ManagerConfig) *Manager {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &Manager{cfg: cfg, log: cfg.Logger, ctx: ctx, cancel: cancel, fenced: func(*platform.FencedError) {}}
+	return &Manager{cfg: cfg, log: cfg.Logger, ctx: ctx, cancel: cancel, fenced: func(*devplatform.FencedError) {}}
 }
 
 // OnFenced sets who is told that a worker obeys a newer owner.
-func (m *Manager) OnFenced(f func(*platform.FencedError)) {
+func (m *Manager) OnFenced(f func(*devplatform.FencedError)) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.fenced = f
 }
 
 // Take implements ownership.Shard.
-func (m *Manager) Take(epoch platform.Epoch) {
+func (m *Manager) Take(epoch devplatform.Epoch) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.current != nil {
@@ -88,12 +88,12 @@
 }
 
 // firstAttempt returns a number above those of all earlier owners.
-func firstAttempt(epoch platform.Epoch) int {
+func firstAttempt(epoch devplatform.Epoch) int {
 	return int(epoch.Number%(math.MaxInt64/attemptsPerEpoch))*attemptsPerEpoch + 1
 }
 
 // Drop implements ownership.Shard.
-func (m *Manager) Drop(epoch platform.Epoch, cause ownership.Cause) {
+func (m *Manager) Drop(epoch devplatform.Epoch, cause ownership.Cause) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.current == nil || m.current.Epoch() != epoch {
@@ -159,7 +159,7 @@
 }
 
 // Probe implements ownership.Shard.
-func (m *Manager) Probe(ctx context.Context) (newest platform.Epoch, since time.Duration, answered bool) {
+func (m *Manager) Probe(ctx context.Context) (newest devplatform.Epoch, since time.Duration, answered bool) {
 	since = math.MaxInt64
 	for _, u := range toProbe(m.cfg.Source.Load().Upstreams) {
 		if ctx.Err() != nil {
@@ -180,18 +180,18 @@
 
 // probe fences a worker with the oldest epoch, which every worker that has an
 // owner refuses with the epoch of that owner.
-func (m *Manager) probe(ctx context.Context, u Upstream) (platform.Epoch, time.Duration, bool) {
+func (m *Manager) probe(ctx context.Context, u Upstream) (devplatform.Epoch, time.Duration, bool) {
 	ctx, cancel := context.WithTimeout(ctx, m.cfg.Timing.Call)
 	defer cancel()
-	_, err := m.cfg.Dial(u.Address).Fence(ctx, platform.FenceRequest{})
-	var fenced *platform.FencedError
+	_, err := m.cfg.Dial(u.Address).Fence(ctx, devplatform.FenceRequest{})
+	var fenced *devplatform.FencedError
 	switch {
 	case err == nil:
-		return platform.Epoch{}, math.MaxInt64, true
+		return devplatform.Epoch{}, math.MaxInt64, true
 	case errors.As(err, &fenced):
 		return fenced.Current, fenced.SinceContact, true
 	}
-	return platform.Epoch{}, 0, false
+	return devplatform.Epoch{}, 0, false
 }
 
 // Load returns what to tell other entries of the owned shard; ok is false when
--- a/internal/coordination/owner/old_test.go
+++ b/internal/coordination/owner/old_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/samphirerail/samphirerail/internal/state/jobid"
 	"github.com/samphirerail/samphirerail/internal/state/machine"
-	"github.com/samphirerail/samphirerail/platform"
+	"github.com/samphirerail/samphirerail/standin/devplatform"
 )
 
 func TestOldIDs(t *testing.T) {
@@ -45,9 +45,9 @@
 // format: what it takes must not be forgotten.
 func TestUnreadableTaskStillCounts(t *testing.T) {
 	is := is.New(t)
-	status := platform.TaskStatus{State: platform.TaskRunning, Spec: platform.TaskSpec{
+	status := devplatform.TaskStatus{State: devplatform.TaskRunning, Spec: devplatform.TaskSpec{
 		TaskID: "j/0/1", JobID: "j", Team: "band", Labels: []byte("?"),
-		Resources: platform.Resources{CPUMilli: 500, MemoryMB: 64},
+		Resources: devplatform.Resources{CPUMilli: 500, MemoryMB: 64},
 	}}
 	task, err := adopt(status, 1, time.Now())
 	is.True(err != nil)
--- a/internal/coordination/owner/probed_test.go
+++ b/internal/coordination/owner/probed_test.go
@@ -13,12 +13,12 @@
 
 	"github.com/samphirerail/samphirerail/internal/state"
 	"github.com/samphirerail/samphirerail/internal/state/machine"
-	"github.com/samphirerail/samphirerail/platform"
+	"github.com/samphirerail/samphirerail/standin/devplatform"
 )
 
 // heldWorker holds each Sync for as long as it may, and notes the longest.
 type heldWorker struct {
-	platform.Worker
+	devplatform.Worker
 	vm   string
 	mu   sync.Mutex
 	held time.Duration
@@ -26,17 +26,17 @@
 	usages int
 }
 
-func (w *heldWorker) Fence(context.Context, platform.FenceRequest) (platform.FenceReply, error) {
-	return platform.FenceReply{VMID: w.vm, Incarnation: "i"}, nil
+func (w *heldWorker) Fence(context.Context, devplatform.FenceRequest) (devplatform.FenceReply, error) {
+	return devplatform.FenceReply{VMID: w.vm, Incarnation: "i"}, nil
 }
 
-func (w *heldWorker) Sync(ctx context.Context, req platform.SyncRequest) (platform.SyncReply, error) {
+func (w *heldWorker) Sync(ctx context.Context, req devplatform.SyncRequest) (devplatform.SyncReply, error) {
 	w.mu.Lock()
 	w.held = max(w.held, req.Wait)
-	reply := platform.SyncReply{Incarnation: "i"}
+	reply := devplatform.SyncReply{Incarnation: "i"}
 	if !req.SkipUsage {
 		w.usages++
-		reply.Usage = []platform.TaskUsage{{TaskID: "t"}}
+		reply.Usage = []devplatform.TaskUsage{{TaskID: "t"}}
 	}
 	w.mu.Unlock()
 	sleep(ctx, req.Wait)
@@ -98,9 +98,9 @@
 // runShard runs a shard until the returned function is called.
 func runShard(ctx context.Context, timing Timing, list []Upstream, workers map[string]*heldWorker) (end func()) {
 	shard := NewShard(Config{
-		Shard: "a/0", Epoch: platform.Epoch{Number: 1, Owner: "e"}, Machine: machine.DefaultConfig(), Timing: timing,
+		Shard: "a/0", Epoch: devplatform.Epoch{Number: 1, Owner: "e"}, Machine: machine.DefaultConfig(), Timing: timing,
 		Source: fixedSource{Inventory{Known: true, Upstreams: list}},
-		Dial:   func(address string) platform.Worker { return workers[address] },
+		Dial:   func(address string) devplatform.Worker { return workers[address] },
 		Logger: hclog.NewNullLogger(),
 	})
 	ctx, cancel := context.WithCancel(ctx)
--- a/internal/coordination/owner/quota_test.go
+++ b/internal/coordination/owner/quota_test.go
@@ -13,7 +13,7 @@
 	"github.com/samphirerail/samphirerail/internal/coordination"
 	"github.com/samphirerail/samphirerail/internal/state"
 	"github.com/samphirerail/samphirerail/internal/state/machine"
-	"github.com/samphirerail/samphirerail/platform"
+	"github.com/samphirerail/samphirerail/standin/devplatform"
 )
 
 // changingSource is a Source whose quotas change.
@@ -54,7 +54,7 @@
 		timing.Tick = time.Hour
 		shard := NewShard(Config{
 			Shard: "north/0", Machine: machine.DefaultConfig(), Timing: timing, Source: source, Logger: hclog.NewNullLogger(),
-			Dial: func(string) platform.Worker { return nil },
+			Dial: func(string) devplatform.Worker { return nil },
 		})
 		ctx, cancel := context.WithCancel(t.Context())
 		go shard.Run(ctx)
--- a/internal/coordination/owner/shard.go
+++ b/internal/coordination/owner/shard.go
@@ -12,7 +12,7 @@
 	"github.com/samphirerail/samphirerail/internal/coordination/journal"
 	"github.com/samphirerail/samphirerail/internal/state"
 	"github.com/samphirerail/samphirerail/internal/state/machine"
-	"github.com/samphirerail/samphirerail/platform"
+	"github.com/samphirerail/samphirerail/standin/devplatform"
 )
 
 // eventBuffer is the number of events that may wait for the control goroutine.
@@ -34,7 +34,7 @@
 	stop     chan struct{}
 	stopOnce sync.Once
 	summary  atomic.Pointer[Summary]
-	fencedAt atomic.Pointer[platform.FencedError]
+	fencedAt atomic.Pointer[devplatform.FencedError]
 	work     sync.WaitGroup
 
 	// The fields below belong to the control goroutine.
@@ -99,7 +99,7 @@
 func (s *Shard) now() state.Time { return time.Since(s.start) + 1 }
 
 // Epoch returns the claim that the shard runs under.
-func (s *Shard) Epoch() platform.Epoch { return s.cfg.Epoch }
+func (s *Shard) Epoch() devplatform.Epoch { return s.cfg.Epoch }
 
 // Summary returns a recent summary.
 func (s *Shard) Summary() Summary { return *s.summary.Load() }
@@ -246,7 +246,7 @@
 		return
 	}
 	if a.Cancel {
-		u.enqueueControl(ctx, control{task: a.Task, verb: platform.VerbCancel})
+		u.enqueueControl(ctx, control{task: a.Task, verb: devplatform.VerbCancel})
 		return
 	}
 	s.spawn(func() { u.resolve(ctx, a.Task) })
@@ -260,16 +260,16 @@
 	u.enqueueControl(ctx, control{task: a.Task, verb: controlVerb(a.Verb)})
 }
 
-func controlVerb(verb machine.StopVerb) platform.ControlVerb {
+func controlVerb(verb machine.StopVerb) devplatform.ControlVerb {
 	switch verb {
 	case machine.StopCheckpoint:
-		return platform.VerbCheckpoint
+		return devplatform.VerbCheckpoint
 	case machine.StopThrottle:
-		return platform.VerbThrottle
+		return devplatform.VerbThrottle
 	case machine.StopCancel:
-		return platform.VerbCancel
+		return devplatform.VerbCancel
 	}
-	return platform.VerbCancel
+	return devplatform.VerbCancel
 }
 
 // mayFence reports whether workers may be fenced under this claim: it was not
@@ -279,7 +279,7 @@
 }
 
 // fencedBy takes in that a worker obeys a newer owner.
-func (s *Shard) fencedBy(err *platform.FencedError) {
+func (s *Shard) fencedBy(err *devplatform.FencedError) {
 	if s.fencedAt.CompareAndSwap(nil, err) {
 		s.log.Warn("fenced by a newer owner", "newer_epoch", err.Current.Number, "newer_owner", err.Current.Owner)
 	}
--- a/internal/coordination/owner/start.go
+++ b/internal/coordination/owner/start.go
@@ -10,7 +10,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"github.com/samphirerail/samphirerail/internal/state/machine"
-	"github.com/samphirerail/samphirerail/platform"
+	"github.com/samphirerail/samphirerail/standin/devplatform"
 )
 
 var tracer = otel.Tracer("samphirerail/owner")
@@ -26,7 +26,7 @@
 		u.shard.send(machine.StartRefused{Task: a.Task})
 		return
 	}
-	req := platform.StartRequest{
+	req := devplatform.StartRequest{
 		Epoch:       u.shard.cfg.Epoch,
 		Incarnation: a.Incarnation,
 		Spec:        spec,
@@ -45,12 +45,12 @@
 	u.shard.send(u.outcome(a, reply.Status))
 }
 
-func (u *upstream) taskSpec(a machine.Start) (platform.TaskSpec, error) {
+func (u *upstream) taskSpec(a machine.Start) (devplatform.TaskSpec, error) {
 	data, err := encodeLabels(a.Job, u.shard.now(), time.Now())
 	if err != nil {
-		return platform.TaskSpec{}, err
+		return devplatform.TaskSpec{}, err
 	}
-	return platform.TaskSpec{
+	return devplatform.TaskSpec{
 		TaskID:    string(a.Task),
 		JobID:     string(a.Job.ID),
 		Team:      string(a.Job.Team),
@@ -63,11 +63,11 @@
 }
 
 // outcome turns the state of a started task into the machine's event.
-func (u *upstream) outcome(a machine.Start, status platform.TaskStatus) machine.Event {
+func (u *upstream) outcome(a machine.Start, status devplatform.TaskStatus) machine.Event {
 	switch {
-	case status.State == platform.TaskRunning:
+	case status.State == devplatform.TaskRunning:
 		return machine.Started{Task: a.Task}
-	case status.State == platform.TaskRefused:
+	case status.State == devplatform.TaskRefused:
 		return machine.StartRefused{Task: a.Task}
 	case status.State.Ended():
 		return endedEvent(status)
@@ -76,15 +76,15 @@
 }
 
 func (u *upstream) startFailed(a machine.Start, err error) {
-	var fenced *platform.FencedError
+	var fenced *devplatform.FencedError
 	switch {
 	case errors.As(err, &fenced):
 		u.shard.fencedBy(fenced)
 		u.shard.send(machine.StartRefused{Task: a.Task})
-	case errors.Is(err, platform.ErrLeaving):
+	case errors.Is(err, devplatform.ErrLeaving):
 		u.shard.send(machine.UpstreamLeaving{VM: a.VM})
 		u.shard.send(machine.StartRefused{Task: a.Task, VMFault: true})
-	case errors.Is(err, platform.ErrWrongIncarnation), errors.Is(err, platform.ErrNotSent), errors.Is(err, platform.ErrTooLarge):
+	case errors.Is(err, devplatform.ErrWrongIncarnation), errors.Is(err, devplatform.ErrNotSent), errors.Is(err, devplatform.ErrTooLarge):
 		u.shard.send(machine.StartRefused{Task: a.Task, VMFault: true})
 	default:
 		u.shard.log.Warn("start without an answer", "task", a.Task, "vm", a.VM, "error", err)
@@ -103,8 +103,8 @@
 	return max(a.Job.Deadline-u.shard.now(), 0) + u.shard.cfg.Timing.Call
 }
 
-func (u *upstream) inspect(ctx context.Context, task string) (platform.StartReply, error) {
+func (u *upstream) inspect(ctx context.Context, task string) (devplatform.StartReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, u.shard.cfg.Timing.Call)
 	defer cancel()
-	return u.worker.Inspect(ctx, platform.InspectRequest{TaskID: task})
+	return u.worker.Inspect(ctx, devplatform.InspectRequest{TaskID: task})
 }
--- a/internal/coordination/owner/status.go
+++ b/internal/coordination/owner/status.go
@@ -6,7 +6,7 @@
 	"github.com/samphirerail/samphirerail/internal/coordination"
 	"github.com/samphirerail/samphirerail/internal/state"
 	"github.com/samphirerail/samphirerail/internal/state/machine"
-	"github.com/samphirerail/samphirerail/platform"
+	"github.com/samphirerail/samphirerail/standin/devplatform"
 )
 
 func statusOfAnswer(a machine.Answer) coordination.JobStatus {
@@ -25,16 +25,16 @@
 }
 
 // taskState tells the caller what is proved of a task.
-func taskState(s machine.TaskState) platform.TaskState {
+func taskState(s machine.TaskState) devplatform.TaskState {
 	switch s {
 	case machine.TaskRunning, machine.TaskStopping:
-		return platform.TaskRunning
+		return devplatform.TaskRunning
 	case machine.TaskDone:
-		return platform.TaskSucceeded
+		return devplatform.TaskSucceeded
 	case machine.TaskWaiting, machine.TaskStarting, machine.TaskResolving:
-		return platform.TaskUnknown
+		return devplatform.TaskUnknown
 	}
-	return platform.TaskUnknown
+	return devplatform.TaskUnknown
 }
 
 func unknownJob(id state.JobID) *state.Refusal {
--- a/internal/coordination/owner/upstream.go
+++ b/internal/coordination/owner/upstream.go
@@ -11,7 +11,7 @@
 
 	"github.com/samphirerail/samphirerail/internal/state"
 	"github.com/samphirerail/samphirerail/internal/state/machine"
-	"github.com/samphirerail/samphirerail/platform"
+	"github.com/samphirerail/samphirerail/standin/devplatform"
 )
 
 // silentAfter is the number of Syncs in a row without an answer after which an
@@ -32,7 +32,7 @@
 type upstream struct {
 	shard  *Shard
 	info   Upstream
-	worker platform.Worker
+	worker devplatform.Worker
 	clock  leaseClock
 	cancel context.CancelFunc
 
@@ -97,7 +97,7 @@
 	}
 	callCtx, cancel := context.WithTimeout(ctx, u.shard.cfg.Timing.Call)
 	defer cancel()
-	reply, err := u.worker.Fence(callCtx, platform.FenceRequest{Epoch: u.shard.cfg.Epoch})
+	reply, err := u.worker.Fence(callCtx, devplatform.FenceRequest{Epoch: u.shard.cfg.Epoch})
 	if err != nil {
 		u.failed(ctx, err)
 		return false
@@ -114,7 +114,7 @@
 	return true
 }
 
-func (u *upstream) fencedEvent(reply platform.FenceReply) machine.Fenced {
+func (u *upstream) fencedEvent(reply devplatform.FenceReply) machine.Fenced {
 	ev := machine.Fenced{VM: u.info.VM, Incarnation: reply.Incarnation, Capacity: CapacityVector(reply.Capacity)}
 	now, wall := u.shard.now(), time.Now()
 	for _, status := range reply.Tasks {
@@ -162,9 +162,9 @@
 // syncRequest renews the lease of a worker that answers. One that does not is
 // only asked for a sign of life: a renewal whose answer is lost may have
 // arrived, so that its lease would never be known to have lapsed.
-func (u *upstream) syncRequest() platform.SyncRequest {
+func (u *upstream) syncRequest() devplatform.SyncRequest {
 	timing := u.shard.cfg.Timing
-	req := platform.SyncRequest{
+	req := devplatform.SyncRequest{
 		Epoch:       u.shard.cfg.Epoch,
 		Incarnation: u.currentIncarnation(),
 		AckEvent:    u.ackEvent,
@@ -179,7 +179,7 @@
 	return req
 }
 
-func (u *upstream) deliver(reply platform.SyncReply) {
+func (u *upstream) deliver(reply devplatform.SyncReply) {
 	for _, ev := range reply.Events {
 		u.ackEvent = max(u.ackEvent, ev.Sequence)
 		u.shard.send(endedEvent(ev.Status))
@@ -194,7 +194,7 @@
 	}
 }
 
-func endedEvent(status platform.TaskStatus) machine.Ended {
+func endedEvent(status devplatform.TaskStatus) machine.Ended {
 	return machine.Ended{
 		Task:   state.TaskID(status.Spec.TaskID),
 		End:    endOf(status.State),
@@ -203,7 +203,7 @@
 	}
 }
 
-func usageEvent(vm state.VMID, usage []platform.TaskUsage) machine.Usage {
+func usageEvent(vm state.VMID, usage []devplatform.TaskUsage) machine.Usage {
 	ev := machine.Usage{VM: vm}
 	for _, t := range usage {
 		ev.Tasks = append(ev.Tasks, machine.TaskUsage{Task: state.TaskID(t.TaskID), Used: usageVector(t.Resources)})
@@ -213,14 +213,14 @@
 
 // failed takes in an error of Fence or Sync.
 func (u *upstream) failed(ctx context.Context, err error) {
-	var fenced *platform.FencedError
+	var fenced *devplatform.FencedError
 	switch {
 	case ctx.Err() != nil:
 		return
 	case errors.As(err, &fenced):
 		u.shard.fencedBy(fenced)
 		return
-	case errors.Is(err, platform.ErrWrongIncarnation):
+	case errors.Is(err, devplatform.ErrWrongIncarnation):
 		u.fenced = false
 		return
 	}
--- a/internal/coordination/ownership/bounded.go
+++ b/internal/coordination/ownership/bounded.go
@@ -5,7 +5,7 @@
 
 	"github.com/samphirerail/samphirerail/internal/coordination"
 	"github.com/samphirerail/samphirerail/internal/state"
-	"github.com/samphirerail/samphirerail/platform"
+	"github.com/samphirerail/samphirerail/standin/devplatform"
 )
 
 // The defaults of BoundedConfig.
@@ -31,7 +31,7 @@
 type Grant struct {
 	// ID is unique to the write.
 	ID    string         `json:"id"`
-	Epoch platform.Epoch `json:"epoch"`
+	Epoch devplatform.Epoch `json:"epoch"`
 	// Term is how long the grant lasts from the moment that it was sent.
 	Term time.Duration `json:"term"`
 	// Ended says that the owner has stopped placing for good.
@@ -73,7 +73,7 @@
 }
 
 // Epoch returns the epoch of the newest grant.
-func (b *Bounded) Epoch() platform.Epoch { return b.newest.Epoch }
+func (b *Bounded) Epoch() devplatform.Epoch { return b.newest.Epoch }
 
 // Next returns the offset to read from, which is also the one that the next
 // append must expect.
--- a/internal/coordination/ownership/claimlog.go
+++ b/internal/coordination/ownership/claimlog.go
@@ -14,7 +14,7 @@
 	"github.com/samphirerail/samphirerail/internal/coordination"
 	"github.com/samphirerail/samphirerail/internal/coordination/retry"
 	"github.com/samphirerail/samphirerail/internal/state"
-	"github.com/samphirerail/samphirerail/platform"
+	"github.com/samphirerail/samphirerail/standin/devplatform"
 )
 
 const (
@@ -28,28 +28,28 @@
 // claimRecord is a record of the ownership stream of a domain.
 type claimRecord struct {
 	Shard coordination.ShardID `json:"shard"`
-	Epoch platform.Epoch       `json:"epoch"`
+	Epoch devplatform.Epoch       `json:"epoch"`
 }
 
 // claimLog is the stream of the claims in a domain.
 type claimLog struct {
-	log    platform.Log
+	log    devplatform.Log
 	stream string
 }
 
-func newClaimLog(log platform.Log, domain state.DomainID) claimLog {
+func newClaimLog(log devplatform.Log, domain state.DomainID) claimLog {
 	return claimLog{log: log, stream: streamPrefix + string(domain)}
 }
 
-// append writes a claim at the given offset. Errors are those of platform.Log.
+// append writes a claim at the given offset. Errors are those of devplatform.Log.
 func (l claimLog) append(ctx context.Context, record claimRecord, offset int64) error {
 	data, err := json.Marshal(record)
 	if err != nil {
 		return eris.Wrap(err, "encode claim")
 	}
-	_, err = l.log.Append(ctx, platform.AppendRequest{
+	_, err = l.log.Append(ctx, devplatform.AppendRequest{
 		Stream:         l.stream,
-		Record:         platform.Record{ID: uuid.NewString(), Data: data},
+		Record:         devplatform.Record{ID: uuid.NewString(), Data: data},
 		ExpectedOffset: &offset,
 	})
 	return err
@@ -73,9 +73,9 @@
 	}
 	from := int64(math.MaxInt64)
 	for ctx.Err() == nil {
-		reply, err := l.log.Read(ctx, platform.ReadRequest{Stream: l.stream, From: from, Limit: readLimit, Wait: waitFor(from)})
+		reply, err := l.log.Read(ctx, devplatform.ReadRequest{Stream: l.stream, From: from, Limit: readLimit, Wait: waitFor(from)})
 		switch {
-		case errors.Is(err, platform.ErrForgotten):
+		case errors.Is(err, devplatform.ErrForgotten):
 			from = math.MaxInt64
 		case err == nil && from == math.MaxInt64:
 			from = max(reply.Oldest, reply.Tail-readLimit)
@@ -105,7 +105,7 @@
 }
 
 // decodeBatch skips records that are not claims.
-func decodeBatch(reply platform.ReadReply, from int64) batch {
+func decodeBatch(reply devplatform.ReadReply, from int64) batch {
 	b := batch{next: from}
 	for _, stored := range reply.Records {
 		b.next = stored.Offset + 1
--- a/internal/coordination/ownership/decide.go
+++ b/internal/coordination/ownership/decide.go
@@ -7,7 +7,7 @@
 
 	"github.com/samphirerail/samphirerail/internal/coordination"
 	"github.com/samphirerail/samphirerail/internal/state"
-	"github.com/samphirerail/samphirerail/platform"
+	"github.com/samphirerail/samphirerail/standin/devplatform"
 )
 
 // The defaults of Limits.
@@ -61,14 +61,14 @@
 	Leaving bool
 	// Holds is the epoch under which the entry tells that it owns the shard;
 	// its Number is 0 when it does not.
-	Holds platform.Epoch
+	Holds devplatform.Epoch
 	// Ready says that it takes work under that epoch.
 	Ready bool
 }
 
 // Contact is what workers told of the newest epoch that they have seen.
 type Contact struct {
-	Epoch platform.Epoch
+	Epoch devplatform.Epoch
 	// Since is the time since the owner of Epoch last reached a worker, the
 	// least over the workers asked.
 	Since time.Duration
@@ -81,7 +81,7 @@
 // Own is the entry's own part in a shard.
 type Own struct {
 	// Epoch is the newest that the entry claimed; its Number is 0 before.
-	Epoch platform.Epoch
+	Epoch devplatform.Epoch
 	// Owning says that the entry acts as the owner under Epoch.
 	Owning bool
 	// LeavingSince is when the entry began to leave; set while Leaving.
@@ -105,7 +105,7 @@
 	Entries []Candidate
 	// Claims are the epochs known from the log, from entries and from
 	// workers.
-	Claims []platform.Epoch
+	Claims []devplatform.Epoch
 	// ClaimedAt is when the newest of Claims became known.
 	ClaimedAt state.Time
 	// Contact is the newest word of the workers.
@@ -157,7 +157,7 @@
 // Decision is the outcome of Decide.
 type Decision struct {
 	Action Action
-	Epoch  platform.Epoch
+	Epoch  devplatform.Epoch
 	Cause  Cause
 	// Again is when to decide again at the latest; 0 means at the next news.
 	Again state.Time
@@ -180,7 +180,7 @@
 }
 
 // decideCandidate decides for an entry that may claim.
-func decideCandidate(in Input, newest platform.Epoch, limits Limits) Decision {
+func decideCandidate(in Input, newest devplatform.Epoch, limits Limits) Decision {
 	holder := standingOf(in, newest)
 	switch holder {
 	case holding:
@@ -223,7 +223,7 @@
 	hidden
 )
 
-func standingOf(in Input, newest platform.Epoch) standing {
+func standingOf(in Input, newest devplatform.Epoch) standing {
 	if newest.Number == 0 {
 		return vacant
 	}
@@ -243,7 +243,7 @@
 	}
 }
 
-func decideOwner(in Input, newest platform.Epoch, limits Limits) Decision {
+func decideOwner(in Input, newest devplatform.Epoch, limits Limits) Decision {
 	superseded := newest.Compare(in.Own.Epoch) > 0
 	if !in.Own.Leaving {
 		if superseded {
@@ -263,7 +263,7 @@
 
 // succeeded reports whether the newest claimant has begun to act: it takes
 // work, or has fenced a worker against this entry.
-func succeeded(in Input, newest platform.Epoch) bool {
+func succeeded(in Input, newest devplatform.Epoch) bool {
 	if in.Contact.Answered && in.Contact.Epoch.Compare(in.Own.Epoch) > 0 {
 		return true
 	}
@@ -275,7 +275,7 @@
 // itself, which is no proof of its end. It asks them when their word is old, waits while the
 // holder reaches them, and else claims. Workers that do not answer prove
 // nothing against a claim: it could not place there either.
-func decideContact(in Input, newest platform.Epoch, limits Limits) Decision {
+func decideContact(in Input, newest devplatform.Epoch, limits Limits) Decision {
 	c := in.Contact
 	age := in.Now - c.At
 	reached := c.Answered && c.Epoch.Compare(newest) >= 0
@@ -288,7 +288,7 @@
 	return Decision{Action: Claim}
 }
 
-func newestClaim(in Input) platform.Epoch {
+func newestClaim(in Input) devplatform.Epoch {
 	newest := in.Own.Epoch
 	for _, claim := range in.Claims {
 		if claim.Compare(newest) > 0 {
@@ -301,8 +301,8 @@
 	return newest
 }
 
-func next(newest platform.Epoch, self coordination.EntryID) platform.Epoch {
-	return platform.Epoch{Number: newest.Number + 1, Owner: string(self)}
+func next(newest devplatform.Epoch, self coordination.EntryID) devplatform.Epoch {
+	return devplatform.Epoch{Number: newest.Number + 1, Owner: string(self)}
 }
 
 func findCandidate(entries []Candidate, id coordination.EntryID) (Candidate, bool) {
--- a/internal/coordination/ownership/decide_test.go
+++ b/internal/coordination/ownership/decide_test.go
@@ -7,7 +7,7 @@
 	"github.com/matryer/is"
 
 	"github.com/samphirerail/samphirerail/internal/coordination"
-	"github.com/samphirerail/samphirerail/platform"
+	"github.com/samphirerail/samphirerail/standin/devplatform"
 )
 
 const testShard = coordination.ShardID("a/0")
@@ -28,8 +28,8 @@
 	return ranked
 }
 
-func epoch(number uint64, owner coordination.EntryID) platform.Epoch {
-	return platform.Epoch{Number: number, Owner: string(owner)}
+func epoch(number uint64, owner coordination.EntryID) devplatform.Epoch {
+	return devplatform.Epoch{Number: number, Owner: string(owner)}
 }
 
 func TestDecide(t *testing.T) {
@@ -40,7 +40,7 @@
 	firstLeaves := []Candidate{{ID: first, Alive: true, Leaving: true, Holds: epoch(4, first)}, alive[1], alive[2]}
 	thirdHolds := []Candidate{alive[0], alive[1], {ID: third, Alive: true, Holds: epoch(4, third)}}
 	secondReady := []Candidate{alive[0], {ID: second, Alive: true, Holds: epoch(5, second), Ready: true}, alive[2]}
-	claims := []platform.Epoch{epoch(4, first)}
+	claims := []devplatform.Epoch{epoch(4, first)}
 	now := 100 * time.Second
 	owning := Own{Epoch: epoch(4, first), Owning: true}
 	leaving := owning.Leave(now - time.Second)
@@ -51,27 +51,27 @@
 		in     Input
 		action Action
 		cause  Cause
-		epoch  platform.Epoch
+		epoch  devplatform.Epoch
 	}{
 		{name: "first start, wanted", in: Input{Self: first, Entries: alive}, action: Claim, cause: CauseVacant, epoch: epoch(1, first)},
 		{name: "first start, not wanted", in: Input{Self: second, Entries: alive}, action: Wait, cause: CauseOtherWanted},
 		{name: "knowledge stale", in: Input{Self: first, Entries: alive, Stale: true}, action: Wait, cause: CauseStale},
-		{name: "holder alive, a wanted entry joins", in: Input{Self: first, Entries: thirdHolds, Claims: []platform.Epoch{epoch(4, third)}}, action: Wait, cause: CauseHolderAlive},
+		{name: "holder alive, a wanted entry joins", in: Input{Self: first, Entries: thirdHolds, Claims: []devplatform.Epoch{epoch(4, third)}}, action: Wait, cause: CauseHolderAlive},
 		{name: "holder out of sight, contact not known", in: Input{Self: second, Entries: firstDead, Claims: claims}, action: Probe, cause: CauseContactUnset},
 		{name: "holder out of sight reaches workers", in: Input{Self: second, Entries: firstDead, Claims: claims, Contact: recent}, action: Wait, cause: CauseContact},
 		{name: "holder dead", in: Input{Self: second, Entries: firstDead, Claims: claims, Contact: long}, action: Claim, cause: CauseVacant, epoch: epoch(5, second)},
 		{name: "holder dead, no worker answers", in: Input{Self: second, Entries: firstDead, Claims: claims, Contact: Contact{At: now}}, action: Claim, cause: CauseVacant, epoch: epoch(5, second)},
 		{name: "holder dead, another is wanted", in: Input{Self: third, Entries: firstDead, Claims: claims, Contact: long}, action: Wait, cause: CauseOtherWanted},
 		{name: "holder leaves", in: Input{Self: second, Entries: firstLeaves, Claims: claims}, action: Claim, cause: CauseVacant, epoch: epoch(5, second)},
-		{name: "holder alive and says nothing yet", in: Input{Self: first, Entries: alive, Claims: []platform.Epoch{epoch(4, third)}, ClaimedAt: now - time.Second}, action: Wait, cause: CauseClaimFresh},
-		{name: "holder alive and never says it owns", in: Input{Self: first, Entries: alive, Claims: []platform.Epoch{epoch(4, third)}}, action: Probe, cause: CauseContactUnset},
+		{name: "holder alive and says nothing yet", in: Input{Self: first, Entries: alive, Claims: []devplatform.Epoch{epoch(4, third)}, ClaimedAt: now - time.Second}, action: Wait, cause: CauseClaimFresh},
+		{name: "holder alive and never says it owns", in: Input{Self: first, Entries: alive, Claims: []devplatform.Epoch{epoch(4, third)}}, action: Probe, cause: CauseContactUnset},
 		{name: "workers know a newer epoch", in: Input{Self: first, Entries: thirdHolds, Claims: claims, Contact: Contact{Epoch: epoch(5, "gone/i1"), Since: time.Minute, At: now, Answered: true}}, action: Claim, cause: CauseVacant, epoch: epoch(6, first)},
 		{name: "owner", in: Input{Self: first, Entries: alive, Own: owning, Stale: true}, action: Keep, cause: CauseNewest, epoch: epoch(4, first)},
-		{name: "owner superseded", in: Input{Self: first, Entries: alive, Own: owning, Claims: []platform.Epoch{epoch(4, "z")}}, action: Release, cause: CauseSuperseded, epoch: epoch(4, "z")},
+		{name: "owner superseded", in: Input{Self: first, Entries: alive, Own: owning, Claims: []devplatform.Epoch{epoch(4, "z")}}, action: Release, cause: CauseSuperseded, epoch: epoch(4, "z")},
 		{name: "owner leaves, no successor yet", in: Input{Self: first, Entries: alive, Own: leaving}, action: Keep, cause: CauseLeaving, epoch: epoch(4, first)},
 		{name: "owner leaves, no successor in time", in: Input{Self: first, Entries: alive, Own: owning.Leave(now - DefaultHandoverBound)}, action: Release, cause: CauseHandedOver, epoch: epoch(4, first)},
-		{name: "owner leaves, successor only claimed", in: Input{Self: first, Entries: alive, Own: leaving, Claims: []platform.Epoch{epoch(5, second)}}, action: Keep, cause: CauseLeaving, epoch: epoch(4, first)},
-		{name: "owner leaves, successor takes work", in: Input{Self: first, Entries: secondReady, Own: leaving, Claims: []platform.Epoch{epoch(5, second)}}, action: Release, cause: CauseSuperseded, epoch: epoch(5, second)},
+		{name: "owner leaves, successor only claimed", in: Input{Self: first, Entries: alive, Own: leaving, Claims: []devplatform.Epoch{epoch(5, second)}}, action: Keep, cause: CauseLeaving, epoch: epoch(4, first)},
+		{name: "owner leaves, successor takes work", in: Input{Self: first, Entries: secondReady, Own: leaving, Claims: []devplatform.Epoch{epoch(5, second)}}, action: Release, cause: CauseSuperseded, epoch: epoch(5, second)},
 		{name: "owner leaves, successor has fenced a worker", in: Input{Self: first, Entries: alive, Own: leaving, Contact: Contact{Epoch: epoch(5, second), At: now, Answered: true}}, action: Release, cause: CauseSuperseded, epoch: epoch(5, second)},
 		{name: "leaving entry never claims", in: Input{Self: first, Entries: alive, Own: Own{}.Leave(now)}, action: Wait, cause: CauseLeaving},
 		{name: "delay after a loss", in: Input{Self: first, Entries: alive, Own: Own{}.Lose(now, Limits{}, 0)}, action: Wait, cause: CauseBackoff},
--- a/internal/coordination/ownership/own.go
+++ b/internal/coordination/ownership/own.go
@@ -4,11 +4,11 @@
 	"time"
 
 	"github.com/samphirerail/samphirerail/internal/state"
-	"github.com/samphirerail/samphirerail/platform"
+	"github.com/samphirerail/samphirerail/standin/devplatform"
 )
 
 // Begin returns the entry's part after it has claimed an epoch.
-func (o Own) Begin(epoch platform.Epoch) Own {
+func (o Own) Begin(epoch devplatform.Epoch) Own {
 	o.Epoch = epoch
 	o.Owning = true
 	return o
--- a/internal/coordination/ownership/property_test.go
+++ b/internal/coordination/ownership/property_test.go
@@ -10,7 +10,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/samphirerail/samphirerail/internal/coordination"
-	"github.com/samphirerail/samphirerail/platform"
+	"github.com/samphirerail/samphirerail/standin/devplatform"
 )
 
 const (
@@ -31,7 +31,7 @@
 	paused   int
 	resumed  time.Duration
 	own      Own
-	newest   platform.Epoch
+	newest   devplatform.Epoch
 	newestAt time.Duration
 	contact  Contact
 	heard    [simEntries]time.Duration
@@ -39,7 +39,7 @@
 }
 
 type simWorker struct {
-	epoch     platform.Epoch
+	epoch     devplatform.Epoch
 	contactAt time.Duration
 }
 
@@ -55,7 +55,7 @@
 	workerCut [simEntries]bool
 	loss      float64
 	logDown   bool
-	log       []platform.Epoch
+	log       []devplatform.Epoch
 	claims    int
 }
 
@@ -67,7 +67,7 @@
 	return s
 }
 
-func (e *simEntry) learn(epoch platform.Epoch, now time.Duration) {
+func (e *simEntry) learn(epoch devplatform.Epoch, now time.Duration) {
 	if epoch.Compare(e.newest) > 0 {
 		e.newest = epoch
 		e.newestAt = now
@@ -175,7 +175,7 @@
 	in := Input{
 		Self: e.id, Shard: testShard, Now: s.now,
 		Stale:  s.now-e.resumed < time.Second,
-		Claims: []platform.Epoch{e.newest}, ClaimedAt: e.newestAt,
+		Claims: []devplatform.Epoch{e.newest}, ClaimedAt: e.newestAt,
 		Contact: e.contact, Own: e.own,
 	}
 	for j := range s.entries {
--- a/internal/coordination/ownership/runner.go
+++ b/internal/coordination/ownership/runner.go
@@ -13,7 +13,7 @@
 	"github.com/samphirerail/samphirerail/internal/coordination"
 	"github.com/samphirerail/samphirerail/internal/coordination/membership"
 	"github.com/samphirerail/samphirerail/internal/state"
-	"github.com/samphirerail/samphirerail/platform"
+	"github.com/samphirerail/samphirerail/standin/devplatform"
 )
 
 const (
@@ -28,13 +28,13 @@
 type Shard interface {
 	// Take begins to act as the owner under an epoch. It returns at once;
 	// fencing goes on behind it.
-	Take(epoch platform.Epoch)
+	Take(epoch devplatform.Epoch)
 	// Drop stops placing under an epoch. Work that runs goes on.
-	Drop(epoch platform.Epoch, cause Cause)
+	Drop(epoch devplatform.Epoch, cause Cause)
 	// Probe asks some workers for the newest epoch that they have seen, and
 	// for the least time since its owner reached one of them. Answered is
 	// false when no worker answered before ctx ended.
-	Probe(ctx context.Context) (newest platform.Epoch, since time.Duration, answered bool)
+	Probe(ctx context.Context) (newest devplatform.Epoch, since time.Duration, answered bool)
 }
 
 // Members is the part of membership that a Runner needs.
@@ -65,7 +65,7 @@
 type event interface{ event() }
 
 // refused is a worker's refusal of an epoch of this entry.
-type refused struct{ fenced platform.FencedError }
+type refused struct{ fenced devplatform.FencedError }
 
 // leave asks to hand the shard over.
 type leave struct{}
@@ -75,7 +75,7 @@
 func (batch) event()   {}
 
 // NewRunner returns a Runner of the entry self for a shard of a domain.
-func NewRunner(self coordination.EntryID, domain state.DomainID, id coordination.ShardID, limits Limits, members Members, log platform.Log, shard Shard, logger hclog.Logger) *Runner {
+func NewRunner(self coordination.EntryID, domain state.DomainID, id coordination.ShardID, limits Limits, members Members, log devplatform.Log, shard Shard, logger hclog.Logger) *Runner {
 	r := &Runner{
 		self:     self,
 		domain:   domain,
@@ -95,13 +95,13 @@
 
 // Current returns the epoch under which the entry acts as the owner, and
 // whether it does.
-func (r *Runner) Current() (platform.Epoch, bool) {
+func (r *Runner) Current() (devplatform.Epoch, bool) {
 	own := r.own.Load()
 	return own.Epoch, own.Owning
 }
 
 // Fenced tells that a worker has refused the entry's epoch.
-func (r *Runner) Fenced(err *platform.FencedError) {
+func (r *Runner) Fenced(err *devplatform.FencedError) {
 	select {
 	case r.events <- refused{fenced: *err}:
 	default:
@@ -137,7 +137,7 @@
 type knowledge struct {
 	own       Own
 	ownSince  state.Time
-	newest    platform.Epoch
+	newest    devplatform.Epoch
 	claimedAt state.Time
 	contact   Contact
 	logNext   int64
@@ -190,7 +190,7 @@
 }
 
 // learn notes an epoch that someone claimed.
-func (k *knowledge) learn(epoch platform.Epoch, now state.Time) {
+func (k *knowledge) learn(epoch devplatform.Epoch, now state.Time) {
 	if epoch.Compare(k.newest) > 0 {
 		k.newest = epoch
 		k.claimedAt = now
@@ -231,7 +231,7 @@
 		Shard:     r.id,
 		Now:       now,
 		Stale:     r.members.Stale(),
-		Claims:    []platform.Epoch{k.newest},
+		Claims:    []devplatform.Epoch{k.newest},
 		ClaimedAt: k.claimedAt,
 		Contact:   k.contact,
 		Own:       k.own,
@@ -268,12 +268,12 @@
 
 // claim writes the claim to the log when the log answers in time, and takes
 // the shard unless another claim came first there.
-func (r *Runner) claim(ctx context.Context, k *knowledge, epoch platform.Epoch) {
+func (r *Runner) claim(ctx context.Context, k *knowledge, epoch devplatform.Epoch) {
 	if k.logKnown {
 		appendCtx, cancel := context.WithTimeout(ctx, appendTimeout)
 		defer cancel()
 		err := r.claimLog.append(appendCtx, claimRecord{Shard: r.id, Epoch: epoch}, k.logNext)
-		if errors.Is(err, platform.ErrOffsetMismatch) {
+		if errors.Is(err, devplatform.ErrOffsetMismatch) {
 			k.logKnown = false
 			return
 		}
--- a/internal/coordination/ownership/runner_test.go
+++ b/internal/coordination/ownership/runner_test.go
@@ -14,7 +14,7 @@
 
 	"github.com/samphirerail/samphirerail/internal/coordination"
 	"github.com/samphirerail/samphirerail/internal/coordination/membership"
-	"github.com/samphirerail/samphirerail/platform"
+	"github.com/samphirerail/samphirerail/standin/devplatform"
 )
 
 const renewInterval = 500 * time.Millisecond
@@ -25,9 +25,9 @@
 	mu      sync.Mutex
 	entries map[string]*process
 	// workerEpoch and workerContact are the worker's state.
-	workerEpoch   platform.Epoch
+	workerEpoch   devplatform.Epoch
 	workerContact time.Time
-	log           []platform.StoredRecord
+	log           []devplatform.StoredRecord
 	logDown       bool
 	cut           bool
 }
@@ -60,45 +60,45 @@
 	return peer.members.HandleHeartbeat(ctx, hb)
 }
 
-func (d *domain) List(context.Context, platform.ListRequest) (platform.VMListReply, error) {
-	reply := platform.VMListReply{Version: 1}
+func (d *domain) List(context.Context, devplatform.ListRequest) (devplatform.VMListReply, error) {
+	reply := devplatform.VMListReply{Version: 1}
 	for i := range 3 {
-		reply.VMs = append(reply.VMs, platform.VM{ID: fmt.Sprint("vm", i), Incarnation: "i1", Role: platform.RoleEntry, State: platform.VMLive, Domain: "a", Address: fmt.Sprint("10.0.0.", i, ":1")})
+		reply.VMs = append(reply.VMs, devplatform.VM{ID: fmt.Sprint("vm", i), Incarnation: "i1", Role: devplatform.RoleEntry, State: devplatform.VMLive, Domain: "a", Address: fmt.Sprint("10.0.0.", i, ":1")})
 	}
 	return reply, nil
 }
 
-func (d *domain) Append(_ context.Context, req platform.AppendRequest) (int64, error) {
+func (d *domain) Append(_ context.Context, req devplatform.AppendRequest) (int64, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.logDown {
-		return 0, platform.ErrUnavailable
+		return 0, devplatform.ErrUnavailable
 	}
 	if req.ExpectedOffset != nil && *req.ExpectedOffset != int64(len(d.log)) {
-		return 0, platform.ErrOffsetMismatch
+		return 0, devplatform.ErrOffsetMismatch
 	}
-	d.log = append(d.log, platform.StoredRecord{Offset: int64(len(d.log)), Record: req.Record})
+	d.log = append(d.log, devplatform.StoredRecord{Offset: int64(len(d.log)), Record: req.Record})
 	return int64(len(d.log) - 1), nil
 }
 
-func (d *domain) Read(ctx context.Context, req platform.ReadRequest) (platform.ReadReply, error) {
+func (d *domain) Read(ctx context.Context, req devplatform.ReadRequest) (devplatform.ReadReply, error) {
 	for until := time.Now().Add(req.Wait); ; {
 		d.mu.Lock()
 		tail, down := int64(len(d.log)), d.logDown
-		reply := platform.ReadReply{Tail: tail}
+		reply := devplatform.ReadReply{Tail: tail}
 		if req.From < tail {
 			reply.Records = append(reply.Records, d.log[req.From:]...)
 		}
 		d.mu.Unlock()
 		if down {
-			return platform.ReadReply{}, platform.ErrUnavailable
+			return devplatform.ReadReply{}, devplatform.ErrUnavailable
 		}
 		if len(reply.Records) > 0 || !time.Now().Before(until) {
 			return reply, nil
 		}
 		select {
 		case <-ctx.Done():
-			return platform.ReadReply{}, platform.ErrUnavailable
+			return devplatform.ReadReply{}, devplatform.ErrUnavailable
 		case <-time.After(100 * time.Millisecond):
 		}
 	}
@@ -129,7 +129,7 @@
 	return membership.Status{Owned: p.owned, Leaving: p.left}
 }
 
-func (p *process) Take(epoch platform.Epoch) {
+func (p *process) Take(epoch devplatform.Epoch) {
 	p.mu.Lock()
 	p.owned = []coordination.ShardLoad{{Shard: testShard, Epoch: epoch, Ready: true}}
 	p.mu.Unlock()
@@ -137,13 +137,13 @@
 	p.members.Announce()
 }
 
-func (p *process) Drop(platform.Epoch, Cause) {
+func (p *process) Drop(devplatform.Epoch, Cause) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.owned = nil
 }
 
-func (p *process) Probe(context.Context) (platform.Epoch, time.Duration, bool) {
+func (p *process) Probe(context.Context) (devplatform.Epoch, time.Duration, bool) {
 	p.domain.mu.Lock()
 	defer p.domain.mu.Unlock()
 	return p.domain.workerEpoch, time.Since(p.domain.workerContact), true
@@ -159,18 +159,18 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.workerEpoch.Compare(epoch) > 0 {
-		p.runner.Fenced(&platform.FencedError{Current: d.workerEpoch, SinceContact: time.Since(d.workerContact)})
+		p.runner.Fenced(&devplatform.FencedError{Current: d.workerEpoch, SinceContact: time.Since(d.workerContact)})
 		return
 	}
 	d.workerEpoch = epoch
 	d.workerContact = time.Now()
 }
 
-func (p *process) held() (platform.Epoch, bool) {
+func (p *process) held() (devplatform.Epoch, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if len(p.owned) == 0 {
-		return platform.Epoch{}, false
+		return devplatform.Epoch{}, false
 	}
 	return p.owned[0].Epoch, true
 }
--- a/internal/coordination/routing/router_test.go
+++ b/internal/coordination/routing/router_test.go
@@ -12,7 +12,7 @@
 	"github.com/samphirerail/samphirerail/internal/coordination"
 	"github.com/samphirerail/samphirerail/internal/coordination/membership"
 	"github.com/samphirerail/samphirerail/internal/state"
-	"github.com/samphirerail/samphirerail/platform"
+	"github.com/samphirerail/samphirerail/standin/devplatform"
 )
 
 var errLost = errors.New("connection closed")
@@ -88,7 +88,7 @@
 		ID: id, Domain: "a", Address: address, Liveness: membership.Alive,
 		Owned: []coordination.ShardLoad{{
 			Shard: coordination.DomainShard("a", 0),
-			Epoch: platform.Epoch{Number: number, Owner: string(id)},
+			Epoch: devplatform.Epoch{Number: number, Owner: string(id)},
 			Ready: true,
 		}},
 	}}}
--- a/internal/devmode/fleet.go
+++ b/internal/devmode/fleet.go
@@ -7,7 +7,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/samphirerail/samphirerail/platform"
+	"github.com/samphirerail/samphirerail/standin/devplatform"
 	"github.com/samphirerail/samphirerail/standin"
 	"github.com/samphirerail/samphirerail/standin/worker"
 )
@@ -32,13 +32,13 @@
 // list of a stand-in platform.
 func ServeFleet(ctx context.Context, platformAddress, domain, service string, count int) (*Fleet, error) {
 	f := &Fleet{}
-	rows := make([]platform.VM, 0, count)
+	rows := make([]devplatform.VM, 0, count)
 	for i := range count {
 		w := worker.New(worker.Config{
 			VMID: fmt.Sprintf("%s-up%05d", domain, i), Domain: domain, Service: service,
 			Rack: fmt.Sprintf("r%d", i/fleetRackSize),
-			Capacity: platform.Capacity{
-				Resources:   platform.Resources{CPUMilli: fleetCPUMilli, MemoryMB: fleetMemoryMB},
+			Capacity: devplatform.Capacity{
+				Resources:   devplatform.Resources{CPUMilli: fleetCPUMilli, MemoryMB: fleetMemoryMB},
 				Slots:       fleetSlots,
 				Connections: workerConnections,
 			},
--- a/internal/devmode/standins.go
+++ b/internal/devmode/standins.go
@@ -11,7 +11,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/samphirerail/samphirerail/platform"
+	"github.com/samphirerail/samphirerail/standin/devplatform"
 	"github.com/samphirerail/samphirerail/standin"
 	"github.com/samphirerail/samphirerail/standin/logservice"
 	"github.com/samphirerail/samphirerail/standin/vmlist"
@@ -75,8 +75,8 @@
 func newWorker(u Upstream) *worker.Worker {
 	return worker.New(worker.Config{
 		VMID: u.VM, Domain: u.Domain, Rack: u.Rack, Service: u.Service,
-		Capacity: platform.Capacity{
-			Resources:   platform.Resources{CPUMilli: u.CPUMilli, MemoryMB: u.MemoryMB, Accelerators: u.Accelerators},
+		Capacity: devplatform.Capacity{
+			Resources:   devplatform.Resources{CPUMilli: u.CPUMilli, MemoryMB: u.MemoryMB, Accelerators: u.Accelerators},
 			Slots:       u.Slots,
 			Connections: workerConnections,
 		},
@@ -84,12 +84,12 @@
 }
 
 // putVM puts a VM on the list of a stand-in platform.
-func putVM(ctx context.Context, address string, vm platform.VM) error {
+func putVM(ctx context.Context, address string, vm devplatform.VM) error {
 	return callVMs(ctx, http.MethodPut, address, vm)
 }
 
 // PutVMs puts VMs on the list of a stand-in platform, in one change.
-func PutVMs(ctx context.Context, address string, vms []platform.VM) error {
+func PutVMs(ctx context.Context, address string, vms []devplatform.VM) error {
 	return callVMs(ctx, http.MethodPost, address, vms)
 }
 
@@ -98,7 +98,7 @@
 	if err != nil {
 		return eris.Wrap(err, "devmode: can't encode the VMs")
 	}
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+platform.PathVMs, bytes.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+devplatform.PathVMs, bytes.NewReader(body))
 	if err != nil {
 		return eris.Wrap(err, "devmode: the platform's address is not IP:port")
 	}
--- a/internal/devmode/system.go
+++ b/internal/devmode/system.go
@@ -14,7 +14,7 @@
 
 	"github.com/samphirerail/samphirerail/internal/agent"
 	"github.com/samphirerail/samphirerail/internal/settings"
-	"github.com/samphirerail/samphirerail/platform"
+	"github.com/samphirerail/samphirerail/standin/devplatform"
 	"github.com/samphirerail/samphirerail/standin"
 	"github.com/samphirerail/samphirerail/standin/logservice"
 	"github.com/samphirerail/samphirerail/standin/vmlist"
@@ -135,8 +135,8 @@
 		return eris.Wrap(err, "devmode: can't start an entry")
 	}
 	s.agents = append(s.agents, a)
-	return s.vms.Put(platform.VM{
-		ID: conf.Entry.VM, Incarnation: "1", Role: platform.RoleEntry, State: platform.VMLive,
+	return s.vms.Put(devplatform.VM{
+		ID: conf.Entry.VM, Incarnation: "1", Role: devplatform.RoleEntry, State: devplatform.VMLive,
 		Region: "dev", Domain: domain, Rack: "r1", Address: internal,
 	})
 }
--- a/internal/e2e/cluster_test.go
+++ b/internal/e2e/cluster_test.go
@@ -17,7 +17,7 @@
 
 	v1 "github.com/samphirerail/samphirerail/internal/protocol/v1"
 	"github.com/samphirerail/samphirerail/internal/state"
-	"github.com/samphirerail/samphirerail/platform"
+	"github.com/samphirerail/samphirerail/standin/devplatform"
 	"github.com/samphirerail/samphirerail/standin/worker"
 )
 
@@ -154,8 +154,8 @@
 	if err := os.WriteFile(e.config, []byte(text), 0o600); err != nil {
 		c.t.Fatal(err)
 	}
-	c.list(platform.VM{
-		ID: vm, Incarnation: "1", Role: platform.RoleEntry, State: platform.VMLive, Region: "test", Domain: domain, Address: advertise,
+	c.list(devplatform.VM{
+		ID: vm, Incarnation: "1", Role: devplatform.RoleEntry, State: devplatform.VMLive, Region: "test", Domain: domain, Address: advertise,
 	})
 	e.process = start(c.t, vm, "run", "--config", e.config)
 	return e
@@ -170,9 +170,9 @@
 }
 
 // list puts a VM on the platform's list.
-func (c *cluster) list(vm platform.VM) {
+func (c *cluster) list(vm devplatform.VM) {
 	c.t.Helper()
-	c.must(http.MethodPut, c.platform, platform.PathVMs, "", vm, nil)
+	c.must(http.MethodPut, c.platform, devplatform.PathVMs, "", vm, nil)
 }
 
 // faults sets the switches of a stand-in.
--- a/internal/e2e/journal_test.go
+++ b/internal/e2e/journal_test.go
@@ -12,7 +12,7 @@
 
 	v1 "github.com/samphirerail/samphirerail/internal/protocol/v1"
 	"github.com/samphirerail/samphirerail/internal/state"
-	"github.com/samphirerail/samphirerail/platform"
+	"github.com/samphirerail/samphirerail/standin/devplatform"
 	"github.com/samphirerail/samphirerail/standin"
 	"github.com/samphirerail/samphirerail/standin/faults"
 	"github.com/samphirerail/samphirerail/standin/logservice"
@@ -68,7 +68,7 @@
 	for vm := range c.upstreams {
 		for _, r := range c.history(vm).Runs {
 			all[state.JobID(r.JobID)]++
-			if r.End == string(platform.TaskSucceeded) {
+			if r.End == string(devplatform.TaskSucceeded) {
 				succeeded[state.JobID(r.JobID)]++
 			}
 		}
--- a/internal/e2e/replace_test.go
+++ b/internal/e2e/replace_test.go
@@ -11,7 +11,7 @@
 
 	v1 "github.com/samphirerail/samphirerail/internal/protocol/v1"
 	"github.com/samphirerail/samphirerail/internal/state"
-	"github.com/samphirerail/samphirerail/platform"
+	"github.com/samphirerail/samphirerail/standin/devplatform"
 	"github.com/samphirerail/samphirerail/standin"
 	"github.com/samphirerail/samphirerail/standin/vmlist"
 )
@@ -19,7 +19,7 @@
 // drop takes a VM off the platform's list.
 func (c *cluster) drop(vm string) {
 	c.t.Helper()
-	c.must(http.MethodDelete, c.platform, platform.PathVMs+"/"+vm, "", nil, nil)
+	c.must(http.MethodDelete, c.platform, devplatform.PathVMs+"/"+vm, "", nil, nil)
 }
 
 // TestEveryEntryReplaced kills all entries of a domain with work running and
--- a/internal/e2e/work_test.go
+++ b/internal/e2e/work_test.go
@@ -14,7 +14,7 @@
 
 	v1 "github.com/samphirerail/samphirerail/internal/protocol/v1"
 	"github.com/samphirerail/samphirerail/internal/state"
-	"github.com/samphirerail/samphirerail/platform"
+	"github.com/samphirerail/samphirerail/standin/devplatform"
 	"github.com/samphirerail/samphirerail/standin/faults"
 	"github.com/samphirerail/samphirerail/standin/worker"
 )
@@ -284,7 +284,7 @@
 func upstreamLeaves(t *testing.T, c *cluster, cs *callers) {
 	id, vm := startSomewhere(c, cs)
 	row := c.row(vm)
-	row.State = platform.VMLeaving
+	row.State = devplatform.VMLeaving
 	begin := time.Now()
 	c.list(row)
 	waitIdleUpstream(c, cs, vm)
@@ -293,11 +293,11 @@
 }
 
 // row returns a VM's row in the platform's list.
-func (c *cluster) row(vm string) platform.VM {
+func (c *cluster) row(vm string) devplatform.VM {
 	c.t.Helper()
-	var list platform.VMListReply
-	c.must(http.MethodGet, c.platform, platform.PathVMs, "", nil, &list)
-	i := slices.IndexFunc(list.VMs, func(row platform.VM) bool { return row.ID == vm })
+	var list devplatform.VMListReply
+	c.must(http.MethodGet, c.platform, devplatform.PathVMs, "", nil, &list)
+	i := slices.IndexFunc(list.VMs, func(row devplatform.VM) bool { return row.ID == vm })
 	if i < 0 {
 		c.t.Fatalf("%s is not listed", vm)
 	}
--- a/internal/layers_test.go
+++ b/internal/layers_test.go
@@ -35,7 +35,7 @@
 func TestStateIsPure(t *testing.T) {
 	for _, file := range sources(t, "state") {
 		for _, path := range imports(t, file) {
-			if slices.Contains(impure, path) || strings.HasPrefix(path, module+"platform") {
+			if slices.Contains(impure, path) || strings.HasPrefix(path, module+"platform") || strings.HasPrefix(path, module+"standin") {
 				t.Errorf("%s imports %s", file, path)
 			}
 		}
--- a/internal/loadtool/direct.go
+++ b/internal/loadtool/direct.go
@@ -9,7 +9,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/samphirerail/samphirerail/internal/transport/platformclient"
-	"github.com/samphirerail/samphirerail/platform"
+	"github.com/samphirerail/samphirerail/standin/devplatform"
 )
 
 // directOwner is the owner that the tool claims to be.
@@ -25,8 +25,8 @@
 // which no running system may own.
 type Direct struct {
 	worker *platformclient.Worker
-	fence  platform.FenceReply
-	epoch  platform.Epoch
+	fence  devplatform.FenceReply
+	epoch  devplatform.Epoch
 	run    string
 }
 
@@ -38,10 +38,10 @@
 	}
 	d := &Direct{
 		worker: platformclient.NewWorker(address, platformclient.Options{MaxConnections: callers}),
-		epoch:  platform.Epoch{Number: directEpoch, Owner: directOwner},
+		epoch:  devplatform.Epoch{Number: directEpoch, Owner: directOwner},
 		run:    fmt.Sprintf("load%d", time.Now().UnixNano()),
 	}
-	reply, err := d.worker.Fence(ctx, platform.FenceRequest{Epoch: d.epoch})
+	reply, err := d.worker.Fence(ctx, devplatform.FenceRequest{Epoch: d.epoch})
 	if err != nil {
 		d.worker.Close()
 		return nil, eris.Wrapf(err, "load: fence the upstream at %s; use one that no system owns", address)
@@ -59,11 +59,11 @@
 	for index := range call.Tasks {
 		reply, err := d.worker.Start(ctx, d.request(call, index))
 		switch {
-		case errors.Is(err, platform.ErrUnavailable):
+		case errors.Is(err, devplatform.ErrUnavailable):
 			return OutcomeNoAnswer
 		case err != nil:
 			return OutcomeNotStarted
-		case reply.Status.State != platform.TaskSucceeded:
+		case reply.Status.State != devplatform.TaskSucceeded:
 			return Outcome(reply.Status.State)
 		}
 		outputs = append(outputs, reply.Status.Output)
@@ -71,16 +71,16 @@
 	return call.check(outputs)
 }
 
-func (d *Direct) request(call *Call, index int) platform.StartRequest {
+func (d *Direct) request(call *Call, index int) devplatform.StartRequest {
 	job := fmt.Sprintf("%s.%d", d.run, call.Number)
-	return platform.StartRequest{
+	return devplatform.StartRequest{
 		Epoch:       d.epoch,
 		Incarnation: d.fence.Incarnation,
-		LeaseUntil:  d.fence.Clock + platform.WorkerClock(directLease),
+		LeaseUntil:  d.fence.Clock + devplatform.WorkerClock(directLease),
 		Wait:        true,
-		Spec: platform.TaskSpec{
+		Spec: devplatform.TaskSpec{
 			TaskID: fmt.Sprintf("%s/%d/1", job, index), JobID: job, Team: "load", Class: string(call.Class),
-			Resources: platform.Resources{CPUMilli: call.Job.CPUMilli, MemoryMB: call.Job.MemoryMB},
+			Resources: devplatform.Resources{CPUMilli: call.Job.CPUMilli, MemoryMB: call.Job.MemoryMB},
 			RunTime:   call.Job.RunTime,
 			Payload:   call.Payload(),
 		},
--- a/internal/measure/fill.go
+++ b/internal/measure/fill.go
@@ -12,7 +12,7 @@
 	"github.com/samphirerail/samphirerail/internal/state"
 	"github.com/samphirerail/samphirerail/internal/state/config"
 	"github.com/samphirerail/samphirerail/internal/transport/platformclient"
-	"github.com/samphirerail/samphirerail/platform"
+	"github.com/samphirerail/samphirerail/standin/devplatform"
 )
 
 // The shape of the filled configuration.
@@ -81,19 +81,19 @@
 	}
 }
 
-func appendBatch(ctx context.Context, log platform.Log, records []config.Record) error {
+func appendBatch(ctx context.Context, log devplatform.Log, records []config.Record) error {
 	data, err := config.Encode(records)
 	if err != nil {
 		return err
 	}
-	_, err = log.Append(ctx, platform.AppendRequest{
-		Stream: configlog.DefaultStream, Record: platform.Record{ID: uuid.NewString(), Data: data},
+	_, err = log.Append(ctx, devplatform.AppendRequest{
+		Stream: configlog.DefaultStream, Record: devplatform.Record{ID: uuid.NewString(), Data: data},
 	})
 	return err
 }
 
-func fillDomain(ctx context.Context, log platform.Log, address string, domain state.DomainID, size Size) error {
-	var rows []platform.VM
+func fillDomain(ctx context.Context, log devplatform.Log, address string, domain state.DomainID, size Size) error {
+	var rows []devplatform.VM
 	var joining []config.Upstream
 	for i := range size.Upstreams {
 		vm := fmt.Sprintf("%s-up%05d", domain, i)
@@ -116,13 +116,13 @@
 	return devmode.PutVMs(ctx, address, rows)
 }
 
-func listedVM(vm, domain string, i int) platform.VM {
-	return platform.VM{
-		ID: vm, Incarnation: uuid.NewString(), Role: platform.RoleUpstream, State: platform.VMLive,
+func listedVM(vm, domain string, i int) devplatform.VM {
+	return devplatform.VM{
+		ID: vm, Incarnation: uuid.NewString(), Role: devplatform.RoleUpstream, State: devplatform.VMLive,
 		Region: "region", Domain: domain, Rack: fmt.Sprintf("r%d", i/rackSize), Service: "fitting",
 		Address: fmt.Sprintf("127.0.%d.%d:9", i/250, 1+i%250),
-		Capacity: platform.Capacity{
-			Resources: platform.Resources{CPUMilli: cpuMilliPerVM, MemoryMB: memoryMBPerVM},
+		Capacity: devplatform.Capacity{
+			Resources: devplatform.Resources{CPUMilli: cpuMilliPerVM, MemoryMB: memoryMBPerVM},
 			Slots:     slotsPerVM, Connections: connections,
 		},
 	}
--- a/internal/measure/measure_test.go
+++ b/internal/measure/measure_test.go
@@ -11,7 +11,7 @@
 
 	"github.com/samphirerail/samphirerail/internal/coordination/configlog"
 	"github.com/samphirerail/samphirerail/internal/state/config"
-	"github.com/samphirerail/samphirerail/platform"
+	"github.com/samphirerail/samphirerail/standin/devplatform"
 	"github.com/samphirerail/samphirerail/standin"
 	"github.com/samphirerail/samphirerail/standin/logservice"
 	"github.com/samphirerail/samphirerail/standin/vmlist"
@@ -58,7 +58,7 @@
 	is.NoErr(err)
 	t.Cleanup(server.Kill)
 	is.NoErr(Fill(t.Context(), server.Address(), Size{Domains: 3, Upstreams: joinSize + 1, Teams: 2, List: true}))
-	reply, err := log.Read(t.Context(), platform.ReadRequest{Stream: configlog.DefaultStream})
+	reply, err := log.Read(t.Context(), devplatform.ReadRequest{Stream: configlog.DefaultStream})
 	is.NoErr(err)
 	fold := config.NewFold()
 	for _, stored := range reply.Records {
@@ -71,7 +71,7 @@
 	is.Equal(len(fold.View().Upstreams("d00")), 0)
 	is.Equal(len(fold.View().Upstreams("d02")), joinSize+1)
 	is.Equal(len(fold.View().Contracts()), 2)
-	list, err := vms.List(t.Context(), platform.ListRequest{Domain: "d01"})
+	list, err := vms.List(t.Context(), devplatform.ListRequest{Domain: "d01"})
 	is.NoErr(err)
 	is.Equal(len(list.VMs), joinSize+1)
 }
--- a/internal/measure/path.go
+++ b/internal/measure/path.go
@@ -16,7 +16,7 @@
 	v1 "github.com/samphirerail/samphirerail/internal/protocol/v1"
 	"github.com/samphirerail/samphirerail/internal/state"
 	"github.com/samphirerail/samphirerail/internal/transport/platformclient"
-	"github.com/samphirerail/samphirerail/platform"
+	"github.com/samphirerail/samphirerail/standin/devplatform"
 )
 
 // The range of the latency histogram in microseconds, and its precision.
@@ -114,20 +114,20 @@
 // and waits for its end. The worker must have no other owner.
 func DirectCall(ctx context.Context, address string, callers int) (Call, error) {
 	w := platformclient.NewWorker(address, platformclient.Options{MaxConnections: callers})
-	epoch := platform.Epoch{Number: 1, Owner: "measure"}
-	fenced, err := w.Fence(ctx, platform.FenceRequest{Epoch: epoch})
+	epoch := devplatform.Epoch{Number: 1, Owner: "measure"}
+	fenced, err := w.Fence(ctx, devplatform.FenceRequest{Epoch: epoch})
 	if err != nil {
 		return nil, err
 	}
-	lease := fenced.Clock + platform.WorkerClock(time.Hour)
+	lease := fenced.Clock + devplatform.WorkerClock(time.Hour)
 	return func(ctx context.Context, n int64) error {
-		reply, err := w.Start(ctx, platform.StartRequest{
+		reply, err := w.Start(ctx, devplatform.StartRequest{
 			Epoch: epoch, Incarnation: fenced.Incarnation, LeaseUntil: lease, Wait: true,
-			Spec: platform.TaskSpec{
+			Spec: devplatform.TaskSpec{
 				TaskID: uuid.NewString(), Class: string(state.ClassRequest), Payload: fmt.Appendf(nil, `"answer %d"`, n),
 			},
 		})
-		if err == nil && reply.Status.State != platform.TaskSucceeded {
+		if err == nil && reply.Status.State != devplatform.TaskSucceeded {
 			return fmt.Errorf("measure: the task ended as %s", reply.Status.State)
 		}
 		return err
--- a/internal/protocol/v1/v1_test.go
+++ b/internal/protocol/v1/v1_test.go
@@ -13,7 +13,7 @@
 	"github.com/samphirerail/samphirerail/internal/coordination"
 	v1 "github.com/samphirerail/samphirerail/internal/protocol/v1"
 	"github.com/samphirerail/samphirerail/internal/state"
-	"github.com/samphirerail/samphirerail/platform"
+	"github.com/samphirerail/samphirerail/standin/devplatform"
 )
 
 const jobID = state.JobID("north.0190b6c4-7a00-7000-8000-00000000000a")
@@ -92,7 +92,7 @@
 	status := coordination.JobStatus{
 		ID: jobID, Team: "braid", Class: state.ClassBatch, State: state.JobFailed,
 		Outputs: [][]byte{[]byte("out"), {}},
-		Tasks:   []coordination.TaskPlace{{Task: "t", VM: "vm-1", State: platform.TaskFailed}},
+		Tasks:   []coordination.TaskPlace{{Task: "t", VM: "vm-1", State: devplatform.TaskFailed}},
 		Refusal: refusal,
 		Durable: true, Waiting: "w",
 	}
--- a/internal/transport/platformclient/bench_test.go
+++ b/internal/transport/platformclient/bench_test.go
@@ -5,7 +5,7 @@
 	"testing"
 	"time"
 
-	"github.com/samphirerail/samphirerail/platform"
+	"github.com/samphirerail/samphirerail/standin/devplatform"
 	"github.com/samphirerail/samphirerail/standin"
 	"github.com/samphirerail/samphirerail/standin/worker"
 )
@@ -22,17 +22,17 @@
 	defer server.Kill()
 	client := NewWorker(server.Address(), Options{MaxConnections: 8})
 	defer client.Close()
-	epoch := platform.Epoch{Number: 1, Owner: "a/1"}
-	fence, err := client.Fence(b.Context(), platform.FenceRequest{Epoch: epoch})
+	epoch := devplatform.Epoch{Number: 1, Owner: "a/1"}
+	fence, err := client.Fence(b.Context(), devplatform.FenceRequest{Epoch: epoch})
 	if err != nil {
 		b.Fatal(err)
 	}
 	n := 0
 	for b.Loop() {
 		n++
-		_, err := client.Start(b.Context(), platform.StartRequest{
-			Epoch: epoch, Incarnation: fence.Incarnation, LeaseUntil: fence.Clock + platform.WorkerClock(time.Hour), Wait: true,
-			Spec: platform.TaskSpec{TaskID: strconv.Itoa(n), Payload: []byte("cloth")},
+		_, err := client.Start(b.Context(), devplatform.StartRequest{
+			Epoch: epoch, Incarnation: fence.Incarnation, LeaseUntil: fence.Clock + devplatform.WorkerClock(time.Hour), Wait: true,
+			Spec: devplatform.TaskSpec{TaskID: strconv.Itoa(n), Payload: []byte("cloth")},
 		})
 		if err != nil {
 			b.Fatal(err)
--- a/internal/transport/platformclient/caller.go
+++ b/internal/transport/platformclient/caller.go
@@ -20,7 +20,7 @@
 	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/trace"
 
-	"github.com/samphirerail/samphirerail/platform"
+	"github.com/samphirerail/samphirerail/standin/devplatform"
 )
 
 // errReplyTooLarge says that a reply exceeded Options.MaxReplyBytes.
@@ -76,7 +76,7 @@
 // do makes a call and decodes its reply. It tries the next address only while
 // the call has not left the process. A failed call returns the error body that
 // the other side sent, if any.
-func (c *caller) do(ctx context.Context, cl call, reply any) (*platform.ErrorBody, error) {
+func (c *caller) do(ctx context.Context, cl call, reply any) (*devplatform.ErrorBody, error) {
 	ctx, span := c.tracer.Start(ctx, cl.name, trace.WithSpanKind(trace.SpanKindClient))
 	defer span.End()
 	body, err := c.tryAddresses(ctx, cl, reply, span)
@@ -87,10 +87,10 @@
 	return body, err
 }
 
-func (c *caller) tryAddresses(ctx context.Context, cl call, reply any, span trace.Span) (*platform.ErrorBody, error) {
+func (c *caller) tryAddresses(ctx context.Context, cl call, reply any, span trace.Span) (*devplatform.ErrorBody, error) {
 	data, err := encode(cl.body)
 	if err != nil {
-		return nil, eris.Wrapf(platform.ErrNotSent, "%s: %v", cl.name, err)
+		return nil, eris.Wrapf(devplatform.ErrNotSent, "%s: %v", cl.name, err)
 	}
 	parent := ctx
 	if cl.timeout > 0 {
@@ -99,13 +99,13 @@
 		defer cancel()
 	}
 	first := int(c.preferred.Load())
-	err = eris.Wrapf(platform.ErrNotSent, "%s: no address is configured", cl.name)
+	err = eris.Wrapf(devplatform.ErrNotSent, "%s: no address is configured", cl.name)
 	for i := range c.addresses {
 		index := (first + i) % len(c.addresses)
 		span.SetAttributes(attribute.String("server.address", c.addresses[index]))
-		var body *platform.ErrorBody
+		var body *devplatform.ErrorBody
 		body, err = c.exchange(ctx, cl, c.addresses[index], data, reply)
-		if !errors.Is(err, platform.ErrNotSent) || ctx.Err() != nil {
+		if !errors.Is(err, devplatform.ErrNotSent) || ctx.Err() != nil {
 			c.choose(parent, index, body, err)
 			return body, err
 		}
@@ -116,28 +116,28 @@
 // choose notes the address to begin with next time: after a call without a
 // whole reply, the following one. Then the idle connections are dropped too,
 // since they may be as silent as the one that was used.
-func (c *caller) choose(parent context.Context, index int, body *platform.ErrorBody, err error) {
+func (c *caller) choose(parent context.Context, index int, body *devplatform.ErrorBody, err error) {
 	answered := err == nil || body != nil
 	givenUp := errors.Is(parent.Err(), context.Canceled)
 	if !answered && !givenUp {
 		c.transport.CloseIdleConnections()
 		index++
 	}
-	if body != nil && errors.Is(err, platform.ErrUnavailable) {
+	if body != nil && errors.Is(err, devplatform.ErrUnavailable) {
 		index++
 	}
 	c.preferred.Store(int64(index % len(c.addresses)))
 }
 
 // exchange sends one request and reads its whole reply.
-func (c *caller) exchange(ctx context.Context, cl call, address string, data []byte, reply any) (*platform.ErrorBody, error) {
+func (c *caller) exchange(ctx context.Context, cl call, address string, data []byte, reply any) (*devplatform.ErrorBody, error) {
 	var connected atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
 	})
 	req, err := http.NewRequestWithContext(ctx, cl.method, "http://"+address+cl.path, bytes.NewReader(data))
 	if err != nil {
-		return nil, eris.Wrapf(platform.ErrNotSent, "%s to %s: %v", cl.name, address, err)
+		return nil, eris.Wrapf(devplatform.ErrNotSent, "%s to %s: %v", cl.name, address, err)
 	}
 	req.Header.Set("Content-Type", "application/json")
 	c.propagator.Inject(ctx, propagation.HeaderCarrier(req.Header))
@@ -148,7 +148,7 @@
 	defer func() { _ = res.Body.Close() }()
 	received, err := readAll(res.Body, c.options.MaxReplyBytes)
 	if err != nil {
-		return nil, eris.Wrapf(platform.ErrUnavailable, "%s to %s: %v", cl.name, address, err)
+		return nil, eris.Wrapf(devplatform.ErrUnavailable, "%s to %s: %v", cl.name, address, err)
 	}
 	return decode(cl, address, res.StatusCode, received, reply)
 }
@@ -156,9 +156,9 @@
 // lostOrNotSent returns the error for a call without a reply.
 func lostOrNotSent(connected bool) error {
 	if connected {
-		return platform.ErrUnavailable
+		return devplatform.ErrUnavailable
 	}
-	return platform.ErrNotSent
+	return devplatform.ErrNotSent
 }
 
 func encode(body any) ([]byte, error) {
@@ -182,16 +182,16 @@
 }
 
 // decode turns a whole reply into its value or its error.
-func decode(cl call, address string, status int, data []byte, reply any) (*platform.ErrorBody, error) {
+func decode(cl call, address string, status int, data []byte, reply any) (*devplatform.ErrorBody, error) {
 	if status == http.StatusOK {
 		if err := json.Unmarshal(data, reply); err != nil {
-			return nil, eris.Wrapf(platform.ErrUnavailable, "%s to %s: reply: %v", cl.name, address, err)
+			return nil, eris.Wrapf(devplatform.ErrUnavailable, "%s to %s: reply: %v", cl.name, address, err)
 		}
 		return nil, nil
 	}
-	var body platform.ErrorBody
+	var body devplatform.ErrorBody
 	if err := json.Unmarshal(data, &body); err != nil {
-		return nil, eris.Wrapf(platform.ErrUnavailable, "%s to %s: status %d", cl.name, address, status)
+		return nil, eris.Wrapf(devplatform.ErrUnavailable, "%s to %s: status %d", cl.name, address, status)
 	}
 	return &body, eris.Wrap(body.Err(), fmt.Sprintf("%s to %s", cl.name, address))
 }
--- a/internal/transport/platformclient/helpers_test.go
+++ b/internal/transport/platformclient/helpers_test.go
@@ -8,7 +8,7 @@
 	"github.com/matryer/is"
 	"go.uber.org/goleak"
 
-	"github.com/samphirerail/samphirerail/platform"
+	"github.com/samphirerail/samphirerail/standin/devplatform"
 	"github.com/samphirerail/samphirerail/standin"
 	"github.com/samphirerail/samphirerail/standin/worker"
 )
@@ -34,17 +34,17 @@
 	worker *worker.Worker
 	server *standin.Server
 	client *Worker
-	epoch  platform.Epoch
-	fence  platform.FenceReply
+	epoch  devplatform.Epoch
+	fence  devplatform.FenceReply
 }
 
 func newRig(t *testing.T, config worker.Config, options Options) *rig {
 	t.Helper()
-	r := &rig{t: t, is: is.New(t), ctx: t.Context(), epoch: platform.Epoch{Number: 1, Owner: "a/1"}}
+	r := &rig{t: t, is: is.New(t), ctx: t.Context(), epoch: devplatform.Epoch{Number: 1, Owner: "a/1"}}
 	config.VMID = "vm-1"
-	if config.Capacity == (platform.Capacity{}) {
-		config.Capacity = platform.Capacity{
-			Resources: platform.Resources{CPUMilli: 32000, MemoryMB: 64000}, Slots: 8, Connections: 64,
+	if config.Capacity == (devplatform.Capacity{}) {
+		config.Capacity = devplatform.Capacity{
+			Resources: devplatform.Resources{CPUMilli: 32000, MemoryMB: 64000}, Slots: 8, Connections: 64,
 		}
 	}
 	r.worker = worker.New(config)
@@ -59,43 +59,43 @@
 // refence fences the worker with the epoch of the rig.
 func (r *rig) refence() {
 	r.t.Helper()
-	reply, err := r.client.Fence(r.ctx, platform.FenceRequest{Epoch: r.epoch})
+	reply, err := r.client.Fence(r.ctx, devplatform.FenceRequest{Epoch: r.epoch})
 	r.is.NoErr(err)
 	r.fence = reply
 }
 
 // lease returns the end of a lease that holds from now on.
-func (r *rig) lease(d time.Duration) platform.WorkerClock {
+func (r *rig) lease(d time.Duration) devplatform.WorkerClock {
 	r.t.Helper()
-	reply, err := r.client.Inspect(r.ctx, platform.InspectRequest{TaskID: "clock"})
+	reply, err := r.client.Inspect(r.ctx, devplatform.InspectRequest{TaskID: "clock"})
 	r.is.NoErr(err)
-	return reply.Clock + platform.WorkerClock(d)
+	return reply.Clock + devplatform.WorkerClock(d)
 }
 
-func (r *rig) start(id, payload string, lease time.Duration, wait bool) (platform.StartReply, error) {
+func (r *rig) start(id, payload string, lease time.Duration, wait bool) (devplatform.StartReply, error) {
 	r.t.Helper()
-	return r.client.Start(r.ctx, platform.StartRequest{
+	return r.client.Start(r.ctx, devplatform.StartRequest{
 		Epoch: r.epoch, Incarnation: r.fence.Incarnation, LeaseUntil: r.lease(lease), Wait: wait,
-		Spec: platform.TaskSpec{TaskID: id, JobID: "job-" + id, Team: "braid", Class: "request", Payload: []byte(payload)},
+		Spec: devplatform.TaskSpec{TaskID: id, JobID: "job-" + id, Team: "braid", Class: "request", Payload: []byte(payload)},
 	})
 }
 
-func (r *rig) sync(until platform.WorkerClock, ack int64, wait time.Duration) (platform.SyncReply, error) {
-	return r.client.Sync(r.ctx, platform.SyncRequest{
+func (r *rig) sync(until devplatform.WorkerClock, ack int64, wait time.Duration) (devplatform.SyncReply, error) {
+	return r.client.Sync(r.ctx, devplatform.SyncRequest{
 		Epoch: r.epoch, Incarnation: r.fence.Incarnation, LeaseUntil: until, AckEvent: ack, Wait: wait,
 	})
 }
 
-func (r *rig) control(verb platform.ControlVerb, ids ...string) (platform.ControlReply, error) {
-	return r.client.Control(r.ctx, platform.ControlRequest{
+func (r *rig) control(verb devplatform.ControlVerb, ids ...string) (devplatform.ControlReply, error) {
+	return r.client.Control(r.ctx, devplatform.ControlRequest{
 		Epoch: r.epoch, Incarnation: r.fence.Incarnation, Verb: verb, TaskIDs: ids,
 	})
 }
 
 // state returns what the worker says of a task.
-func (r *rig) state(id string) platform.TaskState {
+func (r *rig) state(id string) devplatform.TaskState {
 	r.t.Helper()
-	reply, err := r.client.Inspect(r.ctx, platform.InspectRequest{TaskID: id})
+	reply, err := r.client.Inspect(r.ctx, devplatform.InspectRequest{TaskID: id})
 	r.is.NoErr(err)
 	return reply.Status.State
 }
--- a/internal/transport/platformclient/log_test.go
+++ b/internal/transport/platformclient/log_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/matryer/is"
 
-	"github.com/samphirerail/samphirerail/platform"
+	"github.com/samphirerail/samphirerail/standin/devplatform"
 	"github.com/samphirerail/samphirerail/standin/faults"
 	"github.com/samphirerail/samphirerail/standin/logservice"
 )
@@ -33,8 +33,8 @@
 }
 
 func (r *logRig) append(id string, expected *int64) (int64, error) {
-	return r.client.Append(r.ctx, platform.AppendRequest{
-		Stream: "config", Record: platform.Record{ID: id, Data: []byte(id)}, ExpectedOffset: expected,
+	return r.client.Append(r.ctx, devplatform.AppendRequest{
+		Stream: "config", Record: devplatform.Record{ID: id, Data: []byte(id)}, ExpectedOffset: expected,
 	})
 }
 
@@ -46,8 +46,8 @@
 	}
 }
 
-func (r *logRig) read(from int64, limit int, wait time.Duration) (platform.ReadReply, error) {
-	return r.client.Read(r.ctx, platform.ReadRequest{Stream: "config", From: from, Limit: limit, Wait: wait})
+func (r *logRig) read(from int64, limit int, wait time.Duration) (devplatform.ReadReply, error) {
+	return r.client.Read(r.ctx, devplatform.ReadRequest{Stream: "config", From: from, Limit: limit, Wait: wait})
 }
 
 func (r *logRig) set(s faults.Switches) {
@@ -81,7 +81,7 @@
 		}},
 		{name: "streams are apart", check: func(r *logRig) {
 			r.fill("a")
-			got, err := r.client.Append(r.ctx, platform.AppendRequest{Stream: "jobs", Record: platform.Record{ID: "b"}})
+			got, err := r.client.Append(r.ctx, devplatform.AppendRequest{Stream: "jobs", Record: devplatform.Record{ID: "b"}})
 			r.is.NoErr(err)
 			r.is.Equal(got, int64(0))
 		}},
@@ -90,28 +90,28 @@
 			r.is.NoErr(err)
 			for _, wrong := range []int64{0, 2} {
 				_, err = r.append("b", offset(wrong))
-				r.is.True(errors.Is(err, platform.ErrOffsetMismatch))
+				r.is.True(errors.Is(err, devplatform.ErrOffsetMismatch))
 			}
 			reply, err := r.read(0, 0, 0)
 			r.is.NoErr(err)
 			r.is.Equal(reply.Tail, int64(1))
 		}},
 		{name: "a record may have the largest size and no more", check: func(r *logRig) {
-			for _, size := range []int{platform.MaxRecordBytes, platform.MaxRecordBytes + 1} {
-				_, err := r.client.Append(r.ctx, platform.AppendRequest{
-					Stream: "config", Record: platform.Record{ID: "a", Data: make([]byte, size)},
+			for _, size := range []int{devplatform.MaxRecordBytes, devplatform.MaxRecordBytes + 1} {
+				_, err := r.client.Append(r.ctx, devplatform.AppendRequest{
+					Stream: "config", Record: devplatform.Record{ID: "a", Data: make([]byte, size)},
 				})
-				r.is.Equal(errors.Is(err, platform.ErrTooLarge), size > platform.MaxRecordBytes)
+				r.is.Equal(errors.Is(err, devplatform.ErrTooLarge), size > devplatform.MaxRecordBytes)
 			}
 			reply, err := r.read(0, 0, 0)
 			r.is.NoErr(err)
 			r.is.Equal(reply.Tail, int64(1))
 		}},
 		{name: "calls without a stream or with a negative offset are invalid", check: func(r *logRig) {
-			_, err := r.client.Append(r.ctx, platform.AppendRequest{Record: platform.Record{ID: "a"}})
-			r.is.True(errors.Is(err, platform.ErrInvalid))
+			_, err := r.client.Append(r.ctx, devplatform.AppendRequest{Record: devplatform.Record{ID: "a"}})
+			r.is.True(errors.Is(err, devplatform.ErrInvalid))
 			_, err = r.read(-1, 0, 0)
-			r.is.True(errors.Is(err, platform.ErrInvalid))
+			r.is.True(errors.Is(err, devplatform.ErrInvalid))
 		}},
 		{name: "read starts at the offset and stops at the limit", check: func(r *logRig) {
 			r.fill("a", "b", "c", "d")
@@ -124,10 +124,10 @@
 			r.fill("a")
 			reply, err := r.read(7, 0, 0)
 			r.is.NoErr(err)
-			r.is.Equal(reply, platform.ReadReply{Tail: 1})
+			r.is.Equal(reply, devplatform.ReadReply{Tail: 1})
 		}},
 		{name: "read waits for the next record", check: func(r *logRig) {
-			replies := make(chan platform.ReadReply, 1)
+			replies := make(chan devplatform.ReadReply, 1)
 			go func() {
 				reply, _ := r.read(0, 0, time.Hour)
 				replies <- reply
@@ -144,8 +144,8 @@
 		{name: "records beyond the retained number are forgotten", config: logservice.Config{RetainRecords: 2}, check: func(r *logRig) {
 			r.fill("a", "b", "c", "d")
 			reply, err := r.read(1, 0, 0)
-			r.is.True(errors.Is(err, platform.ErrForgotten))
-			r.is.Equal(reply, platform.ReadReply{Oldest: 2, Tail: 4})
+			r.is.True(errors.Is(err, devplatform.ErrForgotten))
+			r.is.Equal(reply, devplatform.ReadReply{Oldest: 2, Tail: 4})
 			reply, err = r.read(reply.Oldest, 0, 0)
 			r.is.NoErr(err)
 			r.is.Equal(len(reply.Records), 2)
@@ -154,14 +154,14 @@
 			r.fill("a")
 			eventually(r.t, "record 0 forgotten", func() bool {
 				_, err := r.read(0, 0, 0)
-				return errors.Is(err, platform.ErrForgotten)
+				return errors.Is(err, devplatform.ErrForgotten)
 			})
 		}},
 		{name: "forgetting keeps the offsets going", check: func(r *logRig) {
 			r.fill("a", "b")
 			r.is.NoErr(r.service.SetFaults(logservice.Faults{Forget: true}))
 			_, err := r.read(1, 0, 0)
-			r.is.True(errors.Is(err, platform.ErrForgotten))
+			r.is.True(errors.Is(err, devplatform.ErrForgotten))
 			got, err := r.append("c", offset(2))
 			r.is.NoErr(err)
 			r.is.Equal(got, int64(2))
@@ -169,7 +169,7 @@
 		{name: "appends over the rate are unavailable and write nothing", config: logservice.Config{AppendsPerSecond: 1}, check: func(r *logRig) {
 			refused := 0
 			for range 50 {
-				if _, err := r.append("a", nil); errors.Is(err, platform.ErrUnavailable) {
+				if _, err := r.append("a", nil); errors.Is(err, devplatform.ErrUnavailable) {
 					refused++
 				}
 			}
@@ -194,7 +194,7 @@
 		{name: "an append whose answer was lost is stored, and its repeat stored again", check: func(r *logRig) {
 			r.set(faults.Switches{Lose: faults.Lose{Next: 1}})
 			_, err := r.append("a", nil)
-			r.is.True(errors.Is(err, platform.ErrUnavailable))
+			r.is.True(errors.Is(err, devplatform.ErrUnavailable))
 			_, err = r.append("a", nil)
 			r.is.NoErr(err)
 			reply, err := r.read(0, 0, 0)
@@ -205,9 +205,9 @@
 		{name: "a conditional append whose answer was lost fails when repeated", check: func(r *logRig) {
 			r.set(faults.Switches{Lose: faults.Lose{Next: 1}})
 			_, err := r.append("a", offset(0))
-			r.is.True(errors.Is(err, platform.ErrUnavailable))
+			r.is.True(errors.Is(err, devplatform.ErrUnavailable))
 			_, err = r.append("a", offset(0))
-			r.is.True(errors.Is(err, platform.ErrOffsetMismatch))
+			r.is.True(errors.Is(err, devplatform.ErrOffsetMismatch))
 		}},
 		{name: "answers are lost with a fixed seed in the same order", check: func(r *logRig) {
 			var runs [2][20]bool
@@ -224,9 +224,9 @@
 			for _, down := range []faults.DownMode{faults.Refuse, faults.Drop} {
 				r.set(faults.Switches{Down: down})
 				_, err := r.append("a", nil)
-				r.is.True(errors.Is(err, platform.ErrUnavailable))
+				r.is.True(errors.Is(err, devplatform.ErrUnavailable))
 				_, err = r.read(0, 0, 0)
-				r.is.True(errors.Is(err, platform.ErrUnavailable))
+				r.is.True(errors.Is(err, devplatform.ErrUnavailable))
 			}
 			r.set(faults.Switches{})
 			reply, err := r.read(0, 0, 0)
@@ -234,9 +234,9 @@
 			r.is.Equal(reply.Tail, int64(0))
 		}},
 		{name: "a slow append is unknown and takes effect late", options: Options{Timeout: short}, check: func(r *logRig) {
-			r.set(faults.Switches{Delay: faults.Delay{Path: platform.PathAppend, Milliseconds: 2 * short.Milliseconds()}})
+			r.set(faults.Switches{Delay: faults.Delay{Path: devplatform.PathAppend, Milliseconds: 2 * short.Milliseconds()}})
 			_, err := r.append("a", nil)
-			r.is.True(errors.Is(err, platform.ErrUnavailable))
+			r.is.True(errors.Is(err, devplatform.ErrUnavailable))
 			eventually(r.t, "the append took effect", func() bool {
 				reply, err := r.read(0, 0, 0)
 				return err == nil && reply.Tail == 1
@@ -246,13 +246,13 @@
 			r.fill("a", "b")
 			r.set(faults.Switches{TruncateNext: 1})
 			reply, err := r.read(0, 0, 0)
-			r.is.True(errors.Is(err, platform.ErrUnavailable))
+			r.is.True(errors.Is(err, devplatform.ErrUnavailable))
 			r.is.Equal(len(reply.Records), 0)
 		}},
 		{name: "a caller whose address is cut off gets no answer until it heals", options: Options{Timeout: short}, check: func(r *logRig) {
 			r.set(faults.Switches{Cut: loopback()})
 			_, err := r.append("a", nil)
-			r.is.True(errors.Is(err, platform.ErrUnavailable))
+			r.is.True(errors.Is(err, devplatform.ErrUnavailable))
 			r.set(faults.Switches{})
 			eventually(r.t, "healed", func() bool { _, err := r.append("b", nil); return err == nil })
 		}},
@@ -261,7 +261,7 @@
 			gone.Kill()
 			client := NewLog([]string{gone.Address(), r.address}, Options{})
 			r.t.Cleanup(client.Close)
-			_, err := client.Append(r.ctx, platform.AppendRequest{Stream: "config", Record: platform.Record{ID: "a"}})
+			_, err := client.Append(r.ctx, devplatform.AppendRequest{Stream: "config", Record: devplatform.Record{ID: "a"}})
 			r.is.NoErr(err)
 		}},
 		{name: "with every endpoint gone the append was not sent", check: func(r *logRig) {
@@ -269,10 +269,10 @@
 			gone.Kill()
 			client := NewLog([]string{gone.Address()}, Options{})
 			r.t.Cleanup(client.Close)
-			_, err := client.Append(r.ctx, platform.AppendRequest{Stream: "config", Record: platform.Record{ID: "a"}})
-			r.is.True(errors.Is(err, platform.ErrNotSent))
-			_, err = NewLog(nil, Options{}).Read(r.ctx, platform.ReadRequest{Stream: "config"})
-			r.is.True(errors.Is(err, platform.ErrNotSent))
+			_, err := client.Append(r.ctx, devplatform.AppendRequest{Stream: "config", Record: devplatform.Record{ID: "a"}})
+			r.is.True(errors.Is(err, devplatform.ErrNotSent))
+			_, err = NewLog(nil, Options{}).Read(r.ctx, devplatform.ReadRequest{Stream: "config"})
+			r.is.True(errors.Is(err, devplatform.ErrNotSent))
 		}},
 	}
 	for _, tt := range tests {
--- a/internal/transport/platformclient/reply_test.go
+++ b/internal/transport/platformclient/reply_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/matryer/is"
 
-	"github.com/samphirerail/samphirerail/platform"
+	"github.com/samphirerail/samphirerail/standin/devplatform"
 	"github.com/samphirerail/samphirerail/standin/faults"
 	"github.com/samphirerail/samphirerail/standin/logservice"
 )
@@ -41,9 +41,9 @@
 			defer server.Close()
 			client := NewWorker(strings.TrimPrefix(server.URL, "http://"), Options{})
 			defer client.Close()
-			_, err := client.Sync(t.Context(), platform.SyncRequest{})
-			is.True(errors.Is(err, platform.ErrUnavailable))
-			is.True(!errors.Is(err, platform.ErrNotSent))
+			_, err := client.Sync(t.Context(), devplatform.SyncRequest{})
+			is.True(errors.Is(err, devplatform.ErrUnavailable))
+			is.True(!errors.Is(err, devplatform.ErrNotSent))
 		})
 	}
 }
@@ -60,8 +60,8 @@
 		cut   bool
 	}{{"127.0.1.1", false}, {"127.0.2.1", true}} {
 		client := NewLog([]string{address}, Options{LocalAddress: netip.MustParseAddr(tt.local), Timeout: dialTimeout})
-		_, err := client.Read(t.Context(), platform.ReadRequest{Stream: "config"})
+		_, err := client.Read(t.Context(), devplatform.ReadRequest{Stream: "config"})
 		client.Close()
-		is.Equal(errors.Is(err, platform.ErrUnavailable), tt.cut)
+		is.Equal(errors.Is(err, devplatform.ErrUnavailable), tt.cut)
 	}
 }
--- a/internal/transport/platformclient/trace_test.go
+++ b/internal/transport/platformclient/trace_test.go
@@ -11,7 +11,7 @@
 	"go.opentelemetry.io/otel/sdk/trace/tracetest"
 	"go.opentelemetry.io/otel/trace"
 
-	"github.com/samphirerail/samphirerail/platform"
+	"github.com/samphirerail/samphirerail/standin/devplatform"
 	"github.com/samphirerail/samphirerail/standin/worker"
 )
 
@@ -22,13 +22,13 @@
 	r := newRig(t, worker.Config{}, Options{TracerProvider: provider})
 
 	ctx, parent := provider.Tracer("test").Start(t.Context(), "submit")
-	_, err := r.client.Start(ctx, platform.StartRequest{
+	_, err := r.client.Start(ctx, devplatform.StartRequest{
 		Epoch: r.epoch, Incarnation: r.fence.Incarnation, LeaseUntil: r.lease(time.Hour),
-		Spec: platform.TaskSpec{TaskID: "t1"},
+		Spec: devplatform.TaskSpec{TaskID: "t1"},
 	})
 	is.NoErr(err)
-	_, err = r.client.Start(ctx, platform.StartRequest{Epoch: r.epoch, Incarnation: "other", Spec: platform.TaskSpec{TaskID: "t2"}})
-	is.True(errors.Is(err, platform.ErrWrongIncarnation))
+	_, err = r.client.Start(ctx, devplatform.StartRequest{Epoch: r.epoch, Incarnation: "other", Spec: devplatform.TaskSpec{TaskID: "t2"}})
+	is.True(errors.Is(err, devplatform.ErrWrongIncarnation))
 
 	spans := recorder.Ended()
 	started, refused := spans[len(spans)-2], spans[len(spans)-1]
--- a/internal/transport/platformclient/vmlist.go
+++ b/internal/transport/platformclient/vmlist.go
@@ -6,13 +6,13 @@
 	"net/url"
 	"strconv"
 
-	"github.com/samphirerail/samphirerail/platform"
+	"github.com/samphirerail/samphirerail/standin/devplatform"
 )
 
 // VMList is the client of the list of VMs.
 type VMList struct{ caller *caller }
 
-var _ platform.VMList = (*VMList)(nil)
+var _ devplatform.VMList = (*VMList)(nil)
 
 // NewVMList returns a client of the VM list behind the endpoints (IP:port).
 func NewVMList(endpoints []string, options Options) *VMList {
@@ -22,20 +22,20 @@
 // Close drops the idle connections.
 func (v *VMList) Close() { v.caller.close() }
 
-// List implements platform.VMList.
-func (v *VMList) List(ctx context.Context, req platform.ListRequest) (platform.VMListReply, error) {
+// List implements devplatform.VMList.
+func (v *VMList) List(ctx context.Context, req devplatform.ListRequest) (devplatform.VMListReply, error) {
 	query := url.Values{}
 	if req.Since != 0 {
-		query.Set(platform.QuerySince, strconv.FormatInt(req.Since, 10))
+		query.Set(devplatform.QuerySince, strconv.FormatInt(req.Since, 10))
 	}
 	if req.Domain != "" {
-		query.Set(platform.QueryDomain, req.Domain)
+		query.Set(devplatform.QueryDomain, req.Domain)
 	}
-	path := platform.PathVMs
+	path := devplatform.PathVMs
 	if len(query) > 0 {
 		path += "?" + query.Encode()
 	}
-	var reply platform.VMListReply
+	var reply devplatform.VMListReply
 	_, err := v.caller.do(ctx, call{
 		name: "vms.list", method: http.MethodGet, path: path,
 		timeout: v.caller.options.Timeout,
--- a/internal/transport/platformclient/vmlist_test.go
+++ b/internal/transport/platformclient/vmlist_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/matryer/is"
 
-	"github.com/samphirerail/samphirerail/platform"
+	"github.com/samphirerail/samphirerail/standin/devplatform"
 	"github.com/samphirerail/samphirerail/standin"
 	"github.com/samphirerail/samphirerail/standin/admin"
 	"github.com/samphirerail/samphirerail/standin/faults"
@@ -47,10 +47,10 @@
 	r.is.NoErr(r.admin.SetFaults(r.ctx, standin.Faults{VMs: f}))
 }
 
-func (r *listRig) put(id string, state platform.VMState) {
+func (r *listRig) put(id string, state devplatform.VMState) {
 	r.is.Helper()
-	r.is.NoErr(r.admin.PutVM(r.ctx, platform.VM{
-		ID: id, Incarnation: "i", Role: platform.RoleUpstream, State: state, Address: "127.0.0.1:1",
+	r.is.NoErr(r.admin.PutVM(r.ctx, devplatform.VM{
+		ID: id, Incarnation: "i", Role: devplatform.RoleUpstream, State: state, Address: "127.0.0.1:1",
 	}))
 }
 
@@ -60,104 +60,104 @@
 		check func(r *listRig)
 	}{
 		{name: "an empty list has version 0", check: func(r *listRig) {
-			list, err := r.client.List(r.ctx, platform.ListRequest{})
+			list, err := r.client.List(r.ctx, devplatform.ListRequest{})
 			r.is.NoErr(err)
 			r.is.Equal(list.Version, int64(0))
 			r.is.Equal(len(list.VMs), 0)
 		}},
 		{name: "rows are listed, replaced and dropped, and the version rises", check: func(r *listRig) {
-			r.put("b/1", platform.VMLive)
-			r.put("a", platform.VMLive)
-			r.put("a", platform.VMLeaving)
-			list, err := r.client.List(r.ctx, platform.ListRequest{})
+			r.put("b/1", devplatform.VMLive)
+			r.put("a", devplatform.VMLive)
+			r.put("a", devplatform.VMLeaving)
+			list, err := r.client.List(r.ctx, devplatform.ListRequest{})
 			r.is.NoErr(err)
 			r.is.Equal(list.Version, int64(3))
 			r.is.Equal(len(list.VMs), 2)
-			r.is.Equal(list.VMs[0].State, platform.VMLeaving)
+			r.is.Equal(list.VMs[0].State, devplatform.VMLeaving)
 			r.is.NoErr(r.admin.RemoveVM(r.ctx, "b/1"))
-			list, err = r.client.List(r.ctx, platform.ListRequest{})
+			list, err = r.client.List(r.ctx, devplatform.ListRequest{})
 			r.is.NoErr(err)
 			r.is.Equal(list.Version, int64(4))
 			r.is.Equal(len(list.VMs), 1)
 		}},
 		{name: "changes since a version are the rows that changed and the IDs dropped after it", check: func(r *listRig) {
-			r.put("a", platform.VMLive)
-			r.put("b", platform.VMLive)
-			r.put("b", platform.VMLeaving)
+			r.put("a", devplatform.VMLive)
+			r.put("b", devplatform.VMLive)
+			r.put("b", devplatform.VMLeaving)
 			r.is.NoErr(r.admin.RemoveVM(r.ctx, "a"))
-			list, err := r.client.List(r.ctx, platform.ListRequest{Since: 2})
+			list, err := r.client.List(r.ctx, devplatform.ListRequest{Since: 2})
 			r.is.NoErr(err)
 			r.is.Equal(list.Version, int64(4))
 			r.is.Equal(list.Since, int64(2))
 			r.is.Equal(len(list.VMs), 1)
-			r.is.Equal(list.VMs[0].State, platform.VMLeaving)
+			r.is.Equal(list.VMs[0].State, devplatform.VMLeaving)
 			r.is.Equal(list.Gone, []string{"a"})
-			list, err = r.client.List(r.ctx, platform.ListRequest{Since: 4})
+			list, err = r.client.List(r.ctx, devplatform.ListRequest{Since: 4})
 			r.is.NoErr(err)
 			r.is.Equal(list.Since, int64(4))
 			r.is.Equal(len(list.VMs)+len(list.Gone), 0)
 		}},
 		{name: "changes since an unknown version are the whole list", check: func(r *listRig) {
-			r.put("a", platform.VMLive)
-			list, err := r.client.List(r.ctx, platform.ListRequest{Since: 7})
+			r.put("a", devplatform.VMLive)
+			list, err := r.client.List(r.ctx, devplatform.ListRequest{Since: 7})
 			r.is.NoErr(err)
 			r.is.Equal(list.Since, int64(0))
 			r.is.Equal(len(list.VMs), 1)
 		}},
 		{name: "a domain leaves out the upstreams of others, not their entries", check: func(r *listRig) {
-			for _, vm := range []platform.VM{
-				{ID: "u1", Role: platform.RoleUpstream, Domain: "north"},
-				{ID: "u2", Role: platform.RoleUpstream, Domain: "south"},
-				{ID: "e2", Role: platform.RoleEntry, Domain: "south"},
+			for _, vm := range []devplatform.VM{
+				{ID: "u1", Role: devplatform.RoleUpstream, Domain: "north"},
+				{ID: "u2", Role: devplatform.RoleUpstream, Domain: "south"},
+				{ID: "e2", Role: devplatform.RoleEntry, Domain: "south"},
 			} {
-				vm.Incarnation, vm.State, vm.Address = "i", platform.VMLive, "127.0.0.1:1"
+				vm.Incarnation, vm.State, vm.Address = "i", devplatform.VMLive, "127.0.0.1:1"
 				r.is.NoErr(r.admin.PutVM(r.ctx, vm))
 			}
-			list, err := r.client.List(r.ctx, platform.ListRequest{Domain: "north"})
+			list, err := r.client.List(r.ctx, devplatform.ListRequest{Domain: "north"})
 			r.is.NoErr(err)
 			r.is.Equal(len(list.VMs), 2)
 			r.is.Equal(list.VMs[0].ID, "e2")
 			r.is.Equal(list.VMs[1].ID, "u1")
 		}},
 		{name: "a row without its fields is invalid and changes nothing", check: func(r *listRig) {
-			r.is.True(r.admin.PutVM(r.ctx, platform.VM{ID: "a"}) != nil)
-			list, err := r.client.List(r.ctx, platform.ListRequest{})
+			r.is.True(r.admin.PutVM(r.ctx, devplatform.VM{ID: "a"}) != nil)
+			list, err := r.client.List(r.ctx, devplatform.ListRequest{})
 			r.is.NoErr(err)
 			r.is.Equal(list.Version, int64(0))
 		}},
 		{name: "a lagging list is as old as its lag", check: func(r *listRig) {
 			r.set(vmlist.Faults{LagMilliseconds: time.Minute.Milliseconds()})
-			r.put("a", platform.VMLive)
-			list, err := r.client.List(r.ctx, platform.ListRequest{})
+			r.put("a", devplatform.VMLive)
+			list, err := r.client.List(r.ctx, devplatform.ListRequest{})
 			r.is.NoErr(err)
 			r.is.Equal(len(list.VMs), 0)
 			r.set(vmlist.Faults{})
-			list, err = r.client.List(r.ctx, platform.ListRequest{})
+			list, err = r.client.List(r.ctx, devplatform.ListRequest{})
 			r.is.NoErr(err)
 			r.is.Equal(len(list.VMs), 1)
 		}},
 		{name: "a list that is down is unavailable, and its rows still change", check: func(r *listRig) {
 			for _, down := range []faults.DownMode{faults.Refuse, faults.Drop} {
 				r.set(vmlist.Faults{Switches: faults.Switches{Down: down}})
-				_, err := r.client.List(r.ctx, platform.ListRequest{})
-				r.is.True(errors.Is(err, platform.ErrUnavailable))
+				_, err := r.client.List(r.ctx, devplatform.ListRequest{})
+				r.is.True(errors.Is(err, devplatform.ErrUnavailable))
 			}
-			r.put("a", platform.VMLive)
+			r.put("a", devplatform.VMLive)
 			r.set(vmlist.Faults{})
-			list, err := r.client.List(r.ctx, platform.ListRequest{})
+			list, err := r.client.List(r.ctx, devplatform.ListRequest{})
 			r.is.NoErr(err)
 			r.is.Equal(len(list.VMs), 1)
 		}},
 		{name: "a list that is gone was sent nothing", check: func(r *listRig) {
 			r.server.Kill()
-			_, err := r.client.List(r.ctx, platform.ListRequest{})
-			r.is.True(errors.Is(err, platform.ErrNotSent))
+			_, err := r.client.List(r.ctx, devplatform.ListRequest{})
+			r.is.True(errors.Is(err, devplatform.ErrNotSent))
 		}},
 		{name: "a list cut short is an error, never a part", check: func(r *listRig) {
-			r.put("a", platform.VMLive)
+			r.put("a", devplatform.VMLive)
 			r.set(vmlist.Faults{Switches: faults.Switches{TruncateNext: 1}})
-			list, err := r.client.List(r.ctx, platform.ListRequest{})
-			r.is.True(errors.Is(err, platform.ErrUnavailable))
+			list, err := r.client.List(r.ctx, devplatform.ListRequest{})
+			r.is.True(errors.Is(err, devplatform.ErrUnavailable))
 			r.is.Equal(len(list.VMs), 0)
 		}},
 		{name: "switches are read back, and unknown or wrong ones refused", check: func(r *listRig) {
--- a/internal/transport/platformclient/worker.go
+++ b/internal/transport/platformclient/worker.go
@@ -6,13 +6,13 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/samphirerail/samphirerail/platform"
+	"github.com/samphirerail/samphirerail/standin/devplatform"
 )
 
 // Worker is the client of one worker.
 type Worker struct{ caller *caller }
 
-var _ platform.Worker = (*Worker)(nil)
+var _ devplatform.Worker = (*Worker)(nil)
 
 // NewWorker returns a client of the worker at an address (IP:port).
 func NewWorker(address string, options Options) *Worker {
@@ -22,36 +22,36 @@
 // Close drops the idle connections.
 func (w *Worker) Close() { w.caller.close() }
 
-// Fence implements platform.Worker.
-func (w *Worker) Fence(ctx context.Context, req platform.FenceRequest) (platform.FenceReply, error) {
-	return post[platform.FenceReply](ctx, w.caller, "worker.fence", platform.PathFence, req, w.caller.options.Timeout)
+// Fence implements devplatform.Worker.
+func (w *Worker) Fence(ctx context.Context, req devplatform.FenceRequest) (devplatform.FenceReply, error) {
+	return post[devplatform.FenceReply](ctx, w.caller, "worker.fence", devplatform.PathFence, req, w.caller.options.Timeout)
 }
 
-// Sync implements platform.Worker.
-func (w *Worker) Sync(ctx context.Context, req platform.SyncRequest) (platform.SyncReply, error) {
-	return post[platform.SyncReply](ctx, w.caller, "worker.sync", platform.PathSync, req, w.caller.options.Timeout+req.Wait)
+// Sync implements devplatform.Worker.
+func (w *Worker) Sync(ctx context.Context, req devplatform.SyncRequest) (devplatform.SyncReply, error) {
+	return post[devplatform.SyncReply](ctx, w.caller, "worker.sync", devplatform.PathSync, req, w.caller.options.Timeout+req.Wait)
 }
 
-// Control implements platform.Worker.
-func (w *Worker) Control(ctx context.Context, req platform.ControlRequest) (platform.ControlReply, error) {
-	return post[platform.ControlReply](ctx, w.caller, "worker.control", platform.PathControl, req, w.caller.options.Timeout)
+// Control implements devplatform.Worker.
+func (w *Worker) Control(ctx context.Context, req devplatform.ControlRequest) (devplatform.ControlReply, error) {
+	return post[devplatform.ControlReply](ctx, w.caller, "worker.control", devplatform.PathControl, req, w.caller.options.Timeout)
 }
 
-// Inspect implements platform.Worker.
-func (w *Worker) Inspect(ctx context.Context, req platform.InspectRequest) (platform.StartReply, error) {
-	return post[platform.StartReply](ctx, w.caller, "worker.inspect", platform.PathInspect, req, w.caller.options.Timeout)
+// Inspect implements devplatform.Worker.
+func (w *Worker) Inspect(ctx context.Context, req devplatform.InspectRequest) (devplatform.StartReply, error) {
+	return post[devplatform.StartReply](ctx, w.caller, "worker.inspect", devplatform.PathInspect, req, w.caller.options.Timeout)
 }
 
-// Start implements platform.Worker. A start that waits may be held for long, so
+// Start implements devplatform.Worker. A start that waits may be held for long, so
 // a connection that has gone silent is found by inspecting the task at
 // intervals on another connection.
-func (w *Worker) Start(ctx context.Context, req platform.StartRequest) (platform.StartReply, error) {
+func (w *Worker) Start(ctx context.Context, req devplatform.StartRequest) (devplatform.StartReply, error) {
 	if !req.Wait {
 		return w.start(ctx, req, w.caller.options.Timeout)
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	var found atomic.Pointer[platform.StartReply]
+	var found atomic.Pointer[devplatform.StartReply]
 	watch := time.AfterFunc(w.caller.options.Timeout, func() {
 		found.Store(w.awaitEnd(ctx, req.Spec.TaskID))
 		cancel()
@@ -67,10 +67,10 @@
 
 // awaitEnd inspects a task until it runs no more. It returns nil when ctx ends
 // first.
-func (w *Worker) awaitEnd(ctx context.Context, taskID string) *platform.StartReply {
+func (w *Worker) awaitEnd(ctx context.Context, taskID string) *devplatform.StartReply {
 	for {
-		reply, err := w.Inspect(ctx, platform.InspectRequest{TaskID: taskID})
-		if err == nil && reply.Status.State != platform.TaskRunning {
+		reply, err := w.Inspect(ctx, devplatform.InspectRequest{TaskID: taskID})
+		if err == nil && reply.Status.State != devplatform.TaskRunning {
 			return &reply
 		}
 		select {
@@ -81,8 +81,8 @@
 	}
 }
 
-func (w *Worker) start(ctx context.Context, req platform.StartRequest, timeout time.Duration) (platform.StartReply, error) {
-	return post[platform.StartReply](ctx, w.caller, "worker.start", platform.PathStart, req, timeout)
+func (w *Worker) start(ctx context.Context, req devplatform.StartRequest, timeout time.Duration) (devplatform.StartReply, error) {
+	return post[devplatform.StartReply](ctx, w.caller, "worker.start", devplatform.PathStart, req, timeout)
 }
 
 // post makes a call with a JSON body.
--- a/internal/transport/platformclient/worker_test.go
+++ b/internal/transport/platformclient/worker_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/matryer/is"
 
-	"github.com/samphirerail/samphirerail/platform"
+	"github.com/samphirerail/samphirerail/standin/devplatform"
 	"github.com/samphirerail/samphirerail/standin/faults"
 	"github.com/samphirerail/samphirerail/standin/worker"
 )
@@ -30,7 +30,7 @@
 			r.is.Equal(r.fence.VMID, "vm-1")
 			r.is.Equal(r.fence.Capacity.Slots, int64(8))
 			r.is.Equal(len(r.fence.Tasks), 1)
-			r.is.Equal(r.fence.Tasks[0].State, platform.TaskRunning)
+			r.is.Equal(r.fence.Tasks[0].State, devplatform.TaskRunning)
 			r.is.Equal(r.fence.Tasks[0].Spec.JobID, "job-t1")
 			r.is.Equal(len(r.fence.Tasks[0].Spec.Payload), 0)
 			r.is.True(r.fence.LeaseUntil > r.fence.Clock)
@@ -39,53 +39,53 @@
 			_, err := r.start("t1", "cloth", hour, true)
 			r.is.NoErr(err)
 			r.refence()
-			r.is.Equal(r.fence.Tasks[0].State, platform.TaskSucceeded)
+			r.is.Equal(r.fence.Tasks[0].State, devplatform.TaskSucceeded)
 			r.is.Equal(string(r.fence.Tasks[0].Output), "cloth")
 		}},
 		{name: "fence raises the epoch and refuses every call of an older one", check: func(r *rig) {
 			older := r.epoch
-			r.epoch = platform.Epoch{Number: 2, Owner: "b/1"}
+			r.epoch = devplatform.Epoch{Number: 2, Owner: "b/1"}
 			r.refence()
 			r.epoch = older
 			calls := []func() error{
 				func() error {
-					_, err := r.client.Fence(r.ctx, platform.FenceRequest{Epoch: older})
+					_, err := r.client.Fence(r.ctx, devplatform.FenceRequest{Epoch: older})
 					return err
 				},
 				func() error { _, err := r.start("late", "x", hour, false); return err },
 				func() error { _, err := r.sync(r.lease(hour), 0, 0); return err },
-				func() error { _, err := r.control(platform.VerbCancel, "late"); return err },
+				func() error { _, err := r.control(devplatform.VerbCancel, "late"); return err },
 			}
 			for _, call := range calls {
-				var fenced *platform.FencedError
+				var fenced *devplatform.FencedError
 				r.is.True(errors.As(call(), &fenced))
-				r.is.Equal(fenced.Current, platform.Epoch{Number: 2, Owner: "b/1"})
+				r.is.Equal(fenced.Current, devplatform.Epoch{Number: 2, Owner: "b/1"})
 				r.is.True(fenced.SinceContact >= 0)
 			}
-			r.is.Equal(r.state("late"), platform.TaskUnknown)
+			r.is.Equal(r.state("late"), devplatform.TaskUnknown)
 		}},
 		{name: "epochs of equal number compare by owner", check: func(r *rig) {
-			_, err := r.client.Fence(r.ctx, platform.FenceRequest{Epoch: platform.Epoch{Number: 1, Owner: "b/1"}})
+			_, err := r.client.Fence(r.ctx, devplatform.FenceRequest{Epoch: devplatform.Epoch{Number: 1, Owner: "b/1"}})
 			r.is.NoErr(err)
-			_, err = r.client.Fence(r.ctx, platform.FenceRequest{Epoch: r.epoch})
-			var fenced *platform.FencedError
+			_, err = r.client.Fence(r.ctx, devplatform.FenceRequest{Epoch: r.epoch})
+			var fenced *devplatform.FencedError
 			r.is.True(errors.As(err, &fenced))
 		}},
 		{name: "an epoch without an owner is invalid", check: func(r *rig) {
-			_, err := r.client.Fence(r.ctx, platform.FenceRequest{})
-			r.is.True(errors.Is(err, platform.ErrInvalid))
+			_, err := r.client.Fence(r.ctx, devplatform.FenceRequest{})
+			r.is.True(errors.Is(err, devplatform.ErrInvalid))
 		}},
 		{name: "start with wait returns the whole result", check: func(r *rig) {
 			reply, err := r.start("t1", `{"run_ms":5,"output_bytes":3000000}`, hour, true)
 			r.is.NoErr(err)
-			r.is.Equal(reply.Status.State, platform.TaskSucceeded)
+			r.is.Equal(reply.Status.State, devplatform.TaskSucceeded)
 			r.is.Equal(len(reply.Status.Output), 3000000)
 			r.is.True(reply.Status.EndedAt > reply.Status.StartedAt)
 		}},
 		{name: "a failed task returns its error text", check: func(r *rig) {
 			reply, err := r.start("t1", `{"fail":true,"output":"needle broke"}`, hour, true)
 			r.is.NoErr(err)
-			r.is.Equal(reply.Status.State, platform.TaskFailed)
+			r.is.Equal(reply.Status.State, devplatform.TaskFailed)
 			r.is.Equal(string(reply.Status.Output), "needle broke")
 		}},
 		{name: "start is idempotent by task ID", check: func(r *rig) {
@@ -97,44 +97,44 @@
 		}},
 		{name: "start without a task ID is invalid", check: func(r *rig) {
 			_, err := r.start("", "x", hour, false)
-			r.is.True(errors.Is(err, platform.ErrInvalid))
+			r.is.True(errors.Is(err, devplatform.ErrInvalid))
 		}},
 		{name: "start whose lease has passed is refused for good", check: func(r *rig) {
 			late, err := r.start("t1", "x", -time.Nanosecond, false)
 			r.is.NoErr(err)
-			r.is.Equal(late.Status.State, platform.TaskRefused)
+			r.is.Equal(late.Status.State, devplatform.TaskRefused)
 			again, err := r.start("t1", "x", hour, false)
 			r.is.NoErr(err)
-			r.is.Equal(again.Status.State, platform.TaskRefused)
+			r.is.Equal(again.Status.State, devplatform.TaskRefused)
 			r.is.Equal(len(r.worker.History().Runs), 0)
 		}},
 		{name: "start after a cancel of its task is refused", check: func(r *rig) {
-			cancelled, err := r.control(platform.VerbCancel, "t1")
+			cancelled, err := r.control(devplatform.VerbCancel, "t1")
 			r.is.NoErr(err)
-			r.is.Equal(cancelled.Tasks[0].State, platform.TaskRefused)
+			r.is.Equal(cancelled.Tasks[0].State, devplatform.TaskRefused)
 			late, err := r.start("t1", "x", hour, true)
 			r.is.NoErr(err)
-			r.is.Equal(late.Status.State, platform.TaskRefused)
+			r.is.Equal(late.Status.State, devplatform.TaskRefused)
 			r.is.Equal(len(r.worker.History().Runs), 0)
 		}},
 		{name: "start for another incarnation is refused", check: func(r *rig) {
 			r.is.NoErr(r.worker.SetFaults(worker.Faults{Restart: true}))
 			_, err := r.start("t1", "x", hour, false)
-			r.is.True(errors.Is(err, platform.ErrWrongIncarnation))
+			r.is.True(errors.Is(err, devplatform.ErrWrongIncarnation))
 			_, err = r.sync(r.lease(hour), 0, 0)
-			r.is.True(errors.Is(err, platform.ErrWrongIncarnation))
-			_, err = r.control(platform.VerbCancel, "t1")
-			r.is.True(errors.Is(err, platform.ErrWrongIncarnation))
+			r.is.True(errors.Is(err, devplatform.ErrWrongIncarnation))
+			_, err = r.control(devplatform.VerbCancel, "t1")
+			r.is.True(errors.Is(err, devplatform.ErrWrongIncarnation))
 		}},
 		{name: "a leaving worker starts nothing new, and a repeat still answers", check: func(r *rig) {
 			_, err := r.start("t1", `{"run_ms":3600000}`, hour, false)
 			r.is.NoErr(err)
 			r.is.NoErr(r.worker.SetFaults(worker.Faults{Leaving: true}))
 			_, err = r.start("t2", "x", hour, false)
-			r.is.True(errors.Is(err, platform.ErrLeaving))
+			r.is.True(errors.Is(err, devplatform.ErrLeaving))
 			repeat, err := r.start("t1", "", hour, false)
 			r.is.NoErr(err)
-			r.is.Equal(repeat.Status.State, platform.TaskRunning)
+			r.is.Equal(repeat.Status.State, devplatform.TaskRunning)
 			reply, err := r.sync(r.lease(hour), 0, 0)
 			r.is.NoErr(err)
 			r.is.True(reply.Leaving)
@@ -154,42 +154,42 @@
 		{name: "stop ends a running task and does not bar a start", check: func(r *rig) {
 			_, err := r.start("t1", `{"run_ms":3600000}`, hour, false)
 			r.is.NoErr(err)
-			reply, err := r.control(platform.VerbStop, "t1", "t2")
+			reply, err := r.control(devplatform.VerbStop, "t1", "t2")
 			r.is.NoErr(err)
-			r.is.Equal(reply.Tasks[0].State, platform.TaskStopped)
-			r.is.Equal(reply.Tasks[1].State, platform.TaskUnknown)
+			r.is.Equal(reply.Tasks[0].State, devplatform.TaskStopped)
+			r.is.Equal(reply.Tasks[1].State, devplatform.TaskUnknown)
 			second, err := r.start("t2", "x", hour, true)
 			r.is.NoErr(err)
-			r.is.Equal(second.Status.State, platform.TaskSucceeded)
+			r.is.Equal(second.Status.State, devplatform.TaskSucceeded)
 		}},
 		{name: "checkpoint ends a task as stopped, throttle lets it run", check: func(r *rig) {
 			for _, id := range []string{"t1", "t2"} {
 				_, err := r.start(id, `{"run_ms":3600000}`, hour, false)
 				r.is.NoErr(err)
 			}
-			_, err := r.control(platform.VerbCheckpoint, "t1")
+			_, err := r.control(devplatform.VerbCheckpoint, "t1")
 			r.is.NoErr(err)
-			_, err = r.control(platform.VerbThrottle, "t2")
+			_, err = r.control(devplatform.VerbThrottle, "t2")
 			r.is.NoErr(err)
-			r.is.Equal(r.state("t1"), platform.TaskStopped)
-			r.is.Equal(r.state("t2"), platform.TaskRunning)
+			r.is.Equal(r.state("t1"), devplatform.TaskStopped)
+			r.is.Equal(r.state("t2"), devplatform.TaskRunning)
 		}},
 		{name: "control of an unknown verb or of too many tasks is invalid", check: func(r *rig) {
 			_, err := r.control("explode", "t1")
-			r.is.True(errors.Is(err, platform.ErrInvalid))
-			_, err = r.control(platform.VerbStop, make([]string, worker.MaxControlTasks+1)...)
-			r.is.True(errors.Is(err, platform.ErrInvalid))
+			r.is.True(errors.Is(err, devplatform.ErrInvalid))
+			_, err = r.control(devplatform.VerbStop, make([]string, worker.MaxControlTasks+1)...)
+			r.is.True(errors.Is(err, devplatform.ErrInvalid))
 		}},
 		{name: "a stopped task answers the start that waits for it", check: func(r *rig) {
-			answers := make(chan platform.TaskState, 1)
+			answers := make(chan devplatform.TaskState, 1)
 			go func() {
 				reply, _ := r.start("t1", `{"run_ms":3600000}`, hour, true)
 				answers <- reply.Status.State
 			}()
-			eventually(r.t, "t1 runs", func() bool { return r.state("t1") == platform.TaskRunning })
-			_, err := r.control(platform.VerbCancel, "t1")
+			eventually(r.t, "t1 runs", func() bool { return r.state("t1") == devplatform.TaskRunning })
+			_, err := r.control(devplatform.VerbCancel, "t1")
 			r.is.NoErr(err)
-			r.is.Equal(<-answers, platform.TaskStopped)
+			r.is.Equal(<-answers, devplatform.TaskStopped)
 		}},
 		{name: "sync brings each end until it is acknowledged", check: func(r *rig) {
 			_, err := r.start("t1", `{"run_ms":1,"output":"done"}`, hour, false)
@@ -199,7 +199,7 @@
 				r.is.NoErr(err)
 				r.is.Equal(len(reply.Events), 1)
 				r.is.Equal(reply.Events[0].Sequence, int64(1))
-				r.is.Equal(reply.Events[0].Status.State, platform.TaskSucceeded)
+				r.is.Equal(reply.Events[0].Status.State, devplatform.TaskSucceeded)
 				r.is.Equal(string(reply.Events[0].Status.Output), "done")
 			}
 			reply, err := r.sync(r.lease(hour), 1, 0)
@@ -215,10 +215,10 @@
 		}},
 		{name: "a task whose start waited under an older epoch brings an event", check: func(r *rig) {
 			go func() { _, _ = r.start("t1", `{"run_ms":3600000}`, hour, true) }()
-			eventually(r.t, "t1 runs", func() bool { return r.state("t1") == platform.TaskRunning })
+			eventually(r.t, "t1 runs", func() bool { return r.state("t1") == devplatform.TaskRunning })
 			r.epoch.Number++
 			r.refence()
-			_, err := r.control(platform.VerbStop, "t1")
+			_, err := r.control(devplatform.VerbStop, "t1")
 			r.is.NoErr(err)
 			reply, err := r.sync(r.lease(hour), 0, hour)
 			r.is.NoErr(err)
@@ -228,9 +228,9 @@
 			until := r.lease(hour)
 			outcome := make(chan error, 1)
 			go func() { _, err := r.sync(until, 0, hour); outcome <- err }()
-			_, err := r.client.Fence(r.ctx, platform.FenceRequest{Epoch: platform.Epoch{Number: 9, Owner: "c/1"}})
+			_, err := r.client.Fence(r.ctx, devplatform.FenceRequest{Epoch: devplatform.Epoch{Number: 9, Owner: "c/1"}})
 			r.is.NoErr(err)
-			var fenced *platform.FencedError
+			var fenced *devplatform.FencedError
 			r.is.True(errors.As(<-outcome, &fenced))
 		}},
 		{name: "a held sync returns when the worker restarts", check: func(r *rig) {
@@ -238,7 +238,7 @@
 			outcome := make(chan error, 1)
 			go func() { _, err := r.sync(until, 0, hour); outcome <- err }()
 			r.is.NoErr(r.worker.SetFaults(worker.Faults{Restart: true}))
-			r.is.True(errors.Is(<-outcome, platform.ErrWrongIncarnation))
+			r.is.True(errors.Is(<-outcome, devplatform.ErrWrongIncarnation))
 		}},
 		{name: "usage is reported after its lag", config: worker.Config{UsageLag: 5 * time.Millisecond}, check: func(r *rig) {
 			_, err := r.start("t1", `{"run_ms":3600000,"use_percent":50}`, hour, false)
@@ -248,7 +248,7 @@
 				r.is.NoErr(err)
 				return len(reply.Usage) == 1 && reply.Usage[0].TaskID == "t1"
 			})
-			reply, err := r.client.Sync(r.ctx, platform.SyncRequest{
+			reply, err := r.client.Sync(r.ctx, devplatform.SyncRequest{
 				Epoch: r.epoch, Incarnation: r.fence.Incarnation, LeaseUntil: r.lease(hour), SkipUsage: true,
 			})
 			r.is.NoErr(err)
@@ -258,28 +258,28 @@
 		{name: "every task stops when the lease lapses", check: func(r *rig) {
 			reply, err := r.start("t1", `{"run_ms":3600000}`, 20*time.Millisecond, true)
 			r.is.NoErr(err)
-			r.is.Equal(reply.Status.State, platform.TaskStopped)
+			r.is.Equal(reply.Status.State, devplatform.TaskStopped)
 			r.is.True(reply.Clock >= reply.Status.EndedAt)
 		}},
 		{name: "a renewal that arrives after its end revives nothing", check: func(r *rig) {
 			until := r.lease(20 * time.Millisecond)
 			_, err := r.start("t1", `{"run_ms":3600000}`, 10*time.Millisecond, false)
 			r.is.NoErr(err)
-			eventually(r.t, "t1 stopped", func() bool { return r.state("t1") == platform.TaskStopped })
+			eventually(r.t, "t1 stopped", func() bool { return r.state("t1") == devplatform.TaskStopped })
 			eventually(r.t, "the renewal is late", func() bool { return r.lease(0) > until })
 			reply, err := r.sync(until, 0, 0)
 			r.is.NoErr(err)
 			r.is.Equal(reply.Running, 0)
 			late, err := r.start("t2", `{"run_ms":3600000}`, -time.Nanosecond, false)
 			r.is.NoErr(err)
-			r.is.Equal(late.Status.State, platform.TaskRefused)
+			r.is.Equal(late.Status.State, devplatform.TaskRefused)
 		}},
 		{name: "a renewal never shortens the lease", check: func(r *rig) {
 			_, err := r.start("t1", `{"run_ms":3600000}`, hour, false)
 			r.is.NoErr(err)
 			_, err = r.sync(1, 0, 0)
 			r.is.NoErr(err)
-			r.is.Equal(r.state("t1"), platform.TaskRunning)
+			r.is.Equal(r.state("t1"), devplatform.TaskRunning)
 		}},
 		{name: "a renewal of an older epoch extends nothing", check: func(r *rig) {
 			_, err := r.start("t1", `{"run_ms":3600000}`, 50*time.Millisecond, false)
@@ -289,21 +289,21 @@
 			r.refence()
 			r.epoch = older
 			_, err = r.sync(r.lease(hour), 0, 0)
-			var fenced *platform.FencedError
+			var fenced *devplatform.FencedError
 			r.is.True(errors.As(err, &fenced))
-			eventually(r.t, "t1 stopped", func() bool { return r.state("t1") == platform.TaskStopped })
+			eventually(r.t, "t1 stopped", func() bool { return r.state("t1") == devplatform.TaskStopped })
 		}},
 		{name: "the record of an ended task expires", config: worker.Config{RecordTime: time.Millisecond}, check: func(r *rig) {
 			_, err := r.start("t1", "x", hour, true)
 			r.is.NoErr(err)
-			eventually(r.t, "t1 forgotten", func() bool { return r.state("t1") == platform.TaskUnknown })
+			eventually(r.t, "t1 forgotten", func() bool { return r.state("t1") == devplatform.TaskUnknown })
 		}},
 		{name: "a restart loses all tasks", check: func(r *rig) {
 			_, err := r.start("t1", `{"run_ms":3600000}`, hour, false)
 			r.is.NoErr(err)
 			before := r.fence.Incarnation
 			r.is.NoErr(r.worker.SetFaults(worker.Faults{Restart: true}))
-			r.is.Equal(r.state("t1"), platform.TaskUnknown)
+			r.is.Equal(r.state("t1"), devplatform.TaskUnknown)
 			r.refence()
 			r.is.True(r.fence.Incarnation != before)
 			r.is.Equal(len(r.fence.Tasks), 0)
@@ -325,9 +325,9 @@
 		{name: "a lost answer is unknown, and the task has run", check: func(r *rig) {
 			r.set(faults.Switches{Lose: faults.Lose{Next: 1}})
 			_, err := r.start("t1", "x", hour, true)
-			r.is.True(errors.Is(err, platform.ErrUnavailable))
-			r.is.True(!errors.Is(err, platform.ErrNotSent))
-			r.is.Equal(r.state("t1"), platform.TaskSucceeded)
+			r.is.True(errors.Is(err, devplatform.ErrUnavailable))
+			r.is.True(!errors.Is(err, devplatform.ErrNotSent))
+			r.is.Equal(r.state("t1"), devplatform.TaskSucceeded)
 			repeat, err := r.start("t1", "x", hour, true)
 			r.is.NoErr(err)
 			r.is.Equal(string(repeat.Status.Output), "x")
@@ -337,73 +337,73 @@
 			until := r.lease(hour)
 			r.set(faults.Switches{TruncateNext: 1})
 			reply, err := r.sync(until, 0, 0)
-			r.is.True(errors.Is(err, platform.ErrUnavailable))
-			r.is.Equal(reply, platform.SyncReply{})
+			r.is.True(errors.Is(err, devplatform.ErrUnavailable))
+			r.is.Equal(reply, devplatform.SyncReply{})
 		}},
 		{name: "a reply over the size limit is an error", options: Options{MaxReplyBytes: 4096}, check: func(r *rig) {
 			_, err := r.start("t1", `{"output_bytes":8192}`, hour, true)
-			r.is.True(errors.Is(err, platform.ErrUnavailable))
+			r.is.True(errors.Is(err, devplatform.ErrUnavailable))
 		}},
 		{name: "a worker that refuses calls is unavailable", check: func(r *rig) {
 			until := r.lease(hour)
 			r.set(faults.Switches{Down: faults.Refuse})
 			_, err := r.sync(until, 0, 0)
-			r.is.True(errors.Is(err, platform.ErrUnavailable))
+			r.is.True(errors.Is(err, devplatform.ErrUnavailable))
 		}},
 		{name: "a worker that drops connections is unavailable", check: func(r *rig) {
 			until := r.lease(hour)
 			r.set(faults.Switches{Down: faults.Drop})
 			_, err := r.sync(until, 0, 0)
-			r.is.True(errors.Is(err, platform.ErrUnavailable))
+			r.is.True(errors.Is(err, devplatform.ErrUnavailable))
 		}},
 		{name: "a worker that is gone was sent nothing", check: func(r *rig) {
 			until := r.lease(hour)
 			r.server.Kill()
 			r.client.Close()
 			_, err := r.sync(until, 0, 0)
-			r.is.True(errors.Is(err, platform.ErrNotSent))
-			r.is.True(!errors.Is(err, platform.ErrUnavailable))
+			r.is.True(errors.Is(err, devplatform.ErrNotSent))
+			r.is.True(!errors.Is(err, devplatform.ErrUnavailable))
 		}},
 		{name: "a start delayed past its cancel is refused", options: Options{Timeout: short}, check: func(r *rig) {
-			r.set(faults.Switches{Delay: faults.Delay{Path: platform.PathStart, Milliseconds: 2 * short.Milliseconds()}})
+			r.set(faults.Switches{Delay: faults.Delay{Path: devplatform.PathStart, Milliseconds: 2 * short.Milliseconds()}})
 			_, err := r.start("t1", "x", hour, false)
-			r.is.True(errors.Is(err, platform.ErrUnavailable))
-			reply, err := r.control(platform.VerbCancel, "t1")
+			r.is.True(errors.Is(err, devplatform.ErrUnavailable))
+			reply, err := r.control(devplatform.VerbCancel, "t1")
 			r.is.NoErr(err)
-			r.is.Equal(reply.Tasks[0].State, platform.TaskRefused)
-			repeat, err := r.client.Start(r.ctx, platform.StartRequest{
+			r.is.Equal(reply.Tasks[0].State, devplatform.TaskRefused)
+			repeat, err := r.client.Start(r.ctx, devplatform.StartRequest{
 				Epoch: r.epoch, Incarnation: r.fence.Incarnation, LeaseUntil: r.lease(hour),
-				Spec: platform.TaskSpec{TaskID: "t2"},
+				Spec: devplatform.TaskSpec{TaskID: "t2"},
 			})
-			r.is.True(errors.Is(err, platform.ErrUnavailable))
-			r.is.Equal(repeat, platform.StartReply{})
-			eventually(r.t, "the late start of t2 arrived", func() bool { return r.state("t2") == platform.TaskSucceeded })
-			r.is.Equal(r.state("t1"), platform.TaskRefused)
+			r.is.True(errors.Is(err, devplatform.ErrUnavailable))
+			r.is.Equal(repeat, devplatform.StartReply{})
+			eventually(r.t, "the late start of t2 arrived", func() bool { return r.state("t2") == devplatform.TaskSucceeded })
+			r.is.Equal(r.state("t1"), devplatform.TaskRefused)
 		}},
 		{name: "a call on silent connections fails, the next dials afresh", options: Options{Timeout: short}, check: func(r *rig) {
 			r.openConnections(4)
 			until := r.lease(hour)
 			r.set(faults.Switches{SilenceOpen: true})
 			_, err := r.sync(until, 0, 0)
-			r.is.True(errors.Is(err, platform.ErrUnavailable))
+			r.is.True(errors.Is(err, devplatform.ErrUnavailable))
 			_, err = r.sync(until, 0, 0)
 			r.is.NoErr(err)
 		}},
 		{name: "a start that waits on a silent connection still ends", options: Options{Timeout: short}, check: func(r *rig) {
-			answers := make(chan platform.StartReply, 1)
+			answers := make(chan devplatform.StartReply, 1)
 			go func() {
 				reply, err := r.start("t1", `{"run_ms":3600000,"output":"x"}`, hour, true)
 				r.is.NoErr(err)
 				answers <- reply
 			}()
-			eventually(r.t, "t1 runs", func() bool { return r.state("t1") == platform.TaskRunning })
+			eventually(r.t, "t1 runs", func() bool { return r.state("t1") == devplatform.TaskRunning })
 			r.set(faults.Switches{SilenceOpen: true})
-			_, _ = r.client.Inspect(r.ctx, platform.InspectRequest{TaskID: "t1"})
+			_, _ = r.client.Inspect(r.ctx, devplatform.InspectRequest{TaskID: "t1"})
 			eventually(r.t, "t1 stopped", func() bool {
-				_, err := r.control(platform.VerbStop, "t1")
+				_, err := r.control(devplatform.VerbStop, "t1")
 				return err == nil
 			})
-			r.is.Equal((<-answers).Status.State, platform.TaskStopped)
+			r.is.Equal((<-answers).Status.State, devplatform.TaskStopped)
 		}},
 		{name: "a call that finds no free connection was sent nothing", options: Options{Timeout: short, MaxConnections: 1}, check: func(r *rig) {
 			until := r.lease(hour)
@@ -411,13 +411,13 @@
 			held := make(chan struct{})
 			go func() {
 				defer close(held)
-				_, _ = r.client.Sync(ctx, platform.SyncRequest{
+				_, _ = r.client.Sync(ctx, devplatform.SyncRequest{
 					Epoch: r.epoch, Incarnation: r.fence.Incarnation, LeaseUntil: until, Wait: hour,
 				})
 			}()
 			eventually(r.t, "the only connection is in use", func() bool {
-				_, err := r.client.Inspect(r.ctx, platform.InspectRequest{TaskID: "t1"})
-				return errors.Is(err, platform.ErrNotSent)
+				_, err := r.client.Inspect(r.ctx, devplatform.InspectRequest{TaskID: "t1"})
+				return errors.Is(err, devplatform.ErrNotSent)
 			})
 			cancel()
 			<-held
@@ -427,16 +427,16 @@
 			r.is.NoErr(r.worker.SetFaults(worker.Faults{BlackHole: true}))
 			reply, err := r.start("t1", `{"run_ms":3600000}`, hour, true)
 			r.is.NoErr(err)
-			r.is.Equal(reply.Status.State, platform.TaskFailed)
+			r.is.Equal(reply.Status.State, devplatform.TaskFailed)
 		}},
 		{name: "a run factor makes a task run longer than declared", check: func(r *rig) {
 			r.is.NoErr(r.worker.SetFaults(worker.Faults{RunFactor: 3}))
-			reply, err := r.client.Start(r.ctx, platform.StartRequest{
+			reply, err := r.client.Start(r.ctx, devplatform.StartRequest{
 				Epoch: r.epoch, Incarnation: r.fence.Incarnation, LeaseUntil: r.lease(hour), Wait: true,
-				Spec: platform.TaskSpec{TaskID: "t1", RunTime: 10 * time.Millisecond},
+				Spec: devplatform.TaskSpec{TaskID: "t1", RunTime: 10 * time.Millisecond},
 			})
 			r.is.NoErr(err)
-			r.is.Equal(reply.Status.EndedAt-reply.Status.StartedAt, platform.WorkerClock(30*time.Millisecond))
+			r.is.Equal(reply.Status.EndedAt-reply.Status.StartedAt, devplatform.WorkerClock(30*time.Millisecond))
 		}},
 	}
 	for _, tt := range tests {
@@ -446,13 +446,13 @@
 
 func TestWorkerRecordsViolations(t *testing.T) {
 	is := is.New(t)
-	r := newRig(t, worker.Config{Capacity: platform.Capacity{
-		Resources: platform.Resources{CPUMilli: 1000, MemoryMB: 1000}, Slots: 1, Connections: 1,
+	r := newRig(t, worker.Config{Capacity: devplatform.Capacity{
+		Resources: devplatform.Resources{CPUMilli: 1000, MemoryMB: 1000}, Slots: 1, Connections: 1,
 	}}, Options{})
 	for _, id := range []string{"t1", "t2"} {
-		_, err := r.client.Start(r.ctx, platform.StartRequest{
+		_, err := r.client.Start(r.ctx, devplatform.StartRequest{
 			Epoch: r.epoch, Incarnation: r.fence.Incarnation, LeaseUntil: r.lease(hour),
-			Spec: platform.TaskSpec{TaskID: id, Class: "standing", Resources: platform.Resources{CPUMilli: 600, MemoryMB: 600}},
+			Spec: devplatform.TaskSpec{TaskID: id, Class: "standing", Resources: devplatform.Resources{CPUMilli: 600, MemoryMB: 600}},
 		})
 		is.NoErr(err)
 	}
--- a/internal/transport/rpc/bench_test.go
+++ b/internal/transport/rpc/bench_test.go
@@ -12,7 +12,7 @@
 	"go.opentelemetry.io/otel/trace/noop"
 
 	"github.com/samphirerail/samphirerail/internal/coordination"
-	"github.com/samphirerail/samphirerail/platform"
+	"github.com/samphirerail/samphirerail/standin/devplatform"
 )
 
 // BenchmarkSubmit measures a forwarded submission on loopback, one at a time
@@ -62,7 +62,7 @@
 	request, reply := newFrames(near, DefaultMaxFrameBytes, patience), newFrames(near, DefaultMaxFrameBytes, patience)
 	hb := coordination.Heartbeat{
 		From: "entry-north-1/7c9e6679", Domain: "north", Address: "10.1.2.3:7000", Sequence: 1 << 20, ConfigVersion: 1 << 20,
-		Owned: []coordination.ShardLoad{{Shard: "north/0", Epoch: platform.Epoch{Number: 12, Owner: "entry-north-1/7c9e6679"}, Ready: true, Queued: 900, Running: 300, Upstreams: 48, Fenced: 48}},
+		Owned: []coordination.ShardLoad{{Shard: "north/0", Epoch: devplatform.Epoch{Number: 12, Owner: "entry-north-1/7c9e6679"}, Ready: true, Queued: 900, Running: 300, Upstreams: 48, Fenced: 48}},
 	}
 	var before, after runtime.MemStats
 	runtime.GC()
--- a/standin/admin/admin.go
+++ b/standin/admin/admin.go
@@ -13,7 +13,7 @@
 	"net/url"
 	"time"
 
-	"github.com/samphirerail/samphirerail/platform"
+	"github.com/samphirerail/samphirerail/standin/devplatform"
 	"github.com/samphirerail/samphirerail/standin/faults"
 	"github.com/samphirerail/samphirerail/standin/logservice"
 	"github.com/samphirerail/samphirerail/standin/worker"
@@ -46,13 +46,13 @@
 }
 
 // PutVM adds or replaces a row of a VM list.
-func (c *Client) PutVM(ctx context.Context, vm platform.VM) error {
-	return c.call(ctx, http.MethodPut, platform.PathVMs, vm, nil)
+func (c *Client) PutVM(ctx context.Context, vm devplatform.VM) error {
+	return c.call(ctx, http.MethodPut, devplatform.PathVMs, vm, nil)
 }
 
 // RemoveVM drops a row of a VM list.
 func (c *Client) RemoveVM(ctx context.Context, id string) error {
-	return c.call(ctx, http.MethodDelete, platform.PathVMs+"/"+url.PathEscape(id), nil, nil)
+	return c.call(ctx, http.MethodDelete, devplatform.PathVMs+"/"+url.PathEscape(id), nil, nil)
 }
 
 // History reads what a worker has run.
--- a/platform/errors.go
+++ b/standin/devplatform/errors.go
@@ -1,4 +1,4 @@
-package platform
+package devplatform
 
 import (
 	"errors"
--- a/standin/faults/admin.go
+++ b/standin/faults/admin.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"net/http"
 
-	"github.com/samphirerail/samphirerail/platform"
+	"github.com/samphirerail/samphirerail/standin/devplatform"
 	"github.com/samphirerail/samphirerail/standin/internal/wire"
 )
 
@@ -23,7 +23,7 @@
 		decoder := json.NewDecoder(r.Body)
 		decoder.DisallowUnknownFields()
 		if err := decoder.Decode(&switches); err != nil {
-			wire.WriteError(w, fmt.Errorf("%w: %w", platform.ErrInvalid, err))
+			wire.WriteError(w, fmt.Errorf("%w: %w", devplatform.ErrInvalid, err))
 			return
 		}
 		if err := set(switches); err != nil {
--- a/standin/faults/gate.go
+++ b/standin/faults/gate.go
@@ -12,7 +12,7 @@
 	"sync"
 	"time"
 
-	"github.com/samphirerail/samphirerail/platform"
+	"github.com/samphirerail/samphirerail/standin/devplatform"
 	"github.com/samphirerail/samphirerail/standin/internal/wire"
 )
 
@@ -93,7 +93,7 @@
 func (g *Gate) refuse(w http.ResponseWriter) bool {
 	switch g.Switches().Down {
 	case Refuse:
-		wire.WriteError(w, platform.ErrUnavailable)
+		wire.WriteError(w, devplatform.ErrUnavailable)
 		return true
 	case Drop:
 		panic(http.ErrAbortHandler)
--- a/standin/internal/wire/wire.go
+++ b/standin/internal/wire/wire.go
@@ -1,5 +1,5 @@
 // Package wire carries the platform's calls over HTTP: JSON requests, JSON
-// replies, and errors as platform.ErrorBody.
+// replies, and errors as devplatform.ErrorBody.
 package wire
 
 import (
@@ -10,14 +10,14 @@
 	"net/http"
 	"strconv"
 
-	"github.com/samphirerail/samphirerail/platform"
+	"github.com/samphirerail/samphirerail/standin/devplatform"
 )
 
 // MaxBodyBytes is the largest request body that a stand-in reads.
 const MaxBodyBytes = 64 << 20
 
 // Handle serves one call of a port. It answers what call returns, or the error
-// as platform.ErrorBody.
+// as devplatform.ErrorBody.
 func Handle[Request, Reply any](call func(context.Context, Request) (Reply, error)) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		var req Request
@@ -34,21 +34,21 @@
 	}
 }
 
-// Decode reads the JSON body of a request. It fails with platform.ErrInvalid.
+// Decode reads the JSON body of a request. It fails with devplatform.ErrInvalid.
 func Decode(r *http.Request, into any) error {
 	body, err := io.ReadAll(io.LimitReader(r.Body, MaxBodyBytes))
 	if err != nil {
-		return fmt.Errorf("%w: body: %w", platform.ErrInvalid, err)
+		return fmt.Errorf("%w: body: %w", devplatform.ErrInvalid, err)
 	}
 	if err := json.Unmarshal(body, into); err != nil {
-		return fmt.Errorf("%w: body: %w", platform.ErrInvalid, err)
+		return fmt.Errorf("%w: body: %w", devplatform.ErrInvalid, err)
 	}
 	return nil
 }
 
 // WriteError answers with an error.
 func WriteError(w http.ResponseWriter, err error) {
-	status, body := platform.EncodeError(err)
+	status, body := devplatform.EncodeError(err)
 	WriteJSON(w, status, body)
 }
 
--- a/standin/logservice/service.go
+++ b/standin/logservice/service.go
@@ -9,7 +9,7 @@
 	"sync"
 	"time"
 
-	"github.com/samphirerail/samphirerail/platform"
+	"github.com/samphirerail/samphirerail/standin/devplatform"
 	"github.com/samphirerail/samphirerail/standin/faults"
 	"github.com/samphirerail/samphirerail/standin/internal/wire"
 )
@@ -71,12 +71,12 @@
 func New(config Config) *Service {
 	s := &Service{
 		config:  config,
-		gate:    faults.NewGate(platform.PathAppend),
+		gate:    faults.NewGate(devplatform.PathAppend),
 		mux:     http.NewServeMux(),
 		streams: map[string]*stream{},
 	}
-	s.mux.Handle("POST "+platform.PathAppend, s.gate.Wrap(wire.Handle(s.Append)))
-	s.mux.Handle("POST "+platform.PathRead, s.gate.Wrap(http.HandlerFunc(s.serveRead)))
+	s.mux.Handle("POST "+devplatform.PathAppend, s.gate.Wrap(wire.Handle(s.Append)))
+	s.mux.Handle("POST "+devplatform.PathRead, s.gate.Wrap(http.HandlerFunc(s.serveRead)))
 	s.mux.HandleFunc("GET "+StatsPath, func(w http.ResponseWriter, _ *http.Request) {
 		wire.WriteJSON(w, http.StatusOK, s.Stats())
 	})
@@ -109,22 +109,22 @@
 	return s.stats
 }
 
-// Append adds a record to a stream as platform.Log documents.
-func (s *Service) Append(_ context.Context, req platform.AppendRequest) (int64, error) {
+// Append adds a record to a stream as devplatform.Log documents.
+func (s *Service) Append(_ context.Context, req devplatform.AppendRequest) (int64, error) {
 	if req.Stream == "" || req.Record.ID == "" {
-		return 0, fmt.Errorf("%w: stream and record.id must be set", platform.ErrInvalid)
+		return 0, fmt.Errorf("%w: stream and record.id must be set", devplatform.ErrInvalid)
 	}
-	if len(req.Record.Data) > platform.MaxRecordBytes {
-		return 0, platform.ErrTooLarge
+	if len(req.Record.Data) > devplatform.MaxRecordBytes {
+		return 0, devplatform.ErrTooLarge
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.admitAppend(time.Now()) {
-		return 0, fmt.Errorf("%w: over %d appends a second", platform.ErrUnavailable, s.config.AppendsPerSecond)
+		return 0, fmt.Errorf("%w: over %d appends a second", devplatform.ErrUnavailable, s.config.AppendsPerSecond)
 	}
 	st := s.stream(req.Stream)
 	if req.ExpectedOffset != nil && *req.ExpectedOffset != st.tail() {
-		return 0, platform.ErrOffsetMismatch
+		return 0, devplatform.ErrOffsetMismatch
 	}
 	offset := st.append(req.Record, time.Now())
 	st.trim(s.config, time.Now())
@@ -132,10 +132,10 @@
 	return offset, nil
 }
 
-// Read returns records as platform.Log documents.
-func (s *Service) Read(ctx context.Context, req platform.ReadRequest) (platform.ReadReply, error) {
+// Read returns records as devplatform.Log documents.
+func (s *Service) Read(ctx context.Context, req devplatform.ReadRequest) (devplatform.ReadReply, error) {
 	if req.Stream == "" || req.From < 0 || req.Limit < 0 {
-		return platform.ReadReply{}, fmt.Errorf("%w: stream must be set, from and limit not negative", platform.ErrInvalid)
+		return devplatform.ReadReply{}, fmt.Errorf("%w: stream must be set, from and limit not negative", devplatform.ErrInvalid)
 	}
 	deadline := time.NewTimer(req.Wait)
 	defer deadline.Stop()
@@ -156,7 +156,7 @@
 
 // serveRead answers Read; a forgotten offset brings what is still kept.
 func (s *Service) serveRead(w http.ResponseWriter, r *http.Request) {
-	var req platform.ReadRequest
+	var req devplatform.ReadRequest
 	if err := wire.Decode(r, &req); err != nil {
 		wire.WriteError(w, err)
 		return
@@ -166,23 +166,23 @@
 		wire.WriteJSON(w, http.StatusOK, reply)
 		return
 	}
-	status, body := platform.EncodeError(err)
-	if body.Code == platform.CodeForgotten {
-		body.Retained = &platform.Retained{Oldest: reply.Oldest, Tail: reply.Tail}
+	status, body := devplatform.EncodeError(err)
+	if body.Code == devplatform.CodeForgotten {
+		body.Retained = &devplatform.Retained{Oldest: reply.Oldest, Tail: reply.Tail}
 	}
 	wire.WriteJSON(w, status, body)
 }
 
 // readNow returns what there is, and a channel that closes when there is more.
-func (s *Service) readNow(req platform.ReadRequest) (platform.ReadReply, <-chan struct{}, error) {
+func (s *Service) readNow(req devplatform.ReadRequest) (devplatform.ReadReply, <-chan struct{}, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.stats.Reads++
 	st := s.stream(req.Stream)
 	st.trim(s.config, time.Now())
-	reply := platform.ReadReply{Oldest: st.oldest, Tail: st.tail()}
+	reply := devplatform.ReadReply{Oldest: st.oldest, Tail: st.tail()}
 	if req.From < st.oldest {
-		return reply, nil, platform.ErrForgotten
+		return reply, nil, devplatform.ErrForgotten
 	}
 	reply.Records = st.from(req.From, req.Limit)
 	return reply, st.grown, nil
