--- a/standin/logservice/stream.go
+++ b/standin/logservice/stream.go
@@ -4,12 +4,12 @@
 	"slices"
 	"time"
 
-	"github.com/samphirerail/samphirerail/platform"
+	"github.com/samphirerail/samphirerail/standin/devplatform"
 )
 
 // kept is a record with the time it was appended.
 type kept struct {
-	platform.StoredRecord
+	devplatform.StoredRecord
 	at time.Time
 }
 
@@ -25,10 +25,10 @@
 
 func (s *stream) tail() int64 { return s.oldest + int64(len(s.records)) }
 
-func (s *stream) append(record platform.Record, now time.Time) int64 {
+func (s *stream) append(record devplatform.Record, now time.Time) int64 {
 	offset := s.tail()
 	record.Data = slices.Clone(record.Data)
-	s.records = append(s.records, kept{platform.StoredRecord{Offset: offset, Record: record}, now})
+	s.records = append(s.records, kept{devplatform.StoredRecord{Offset: offset, Record: record}, now})
 	close(s.grown)
 	s.grown = make(chan struct{})
 	return offset
@@ -53,14 +53,14 @@
 }
 
 // from returns records from an offset that is not forgotten.
-func (s *stream) from(offset int64, limit int) []platform.StoredRecord {
+func (s *stream) from(offset int64, limit int) []devplatform.StoredRecord {
 	if offset >= s.tail() {
 		return nil
 	}
 	if limit == 0 || limit > defaultReadRecords {
 		limit = defaultReadRecords
 	}
-	var found []platform.StoredRecord
+	var found []devplatform.StoredRecord
 	size := 0
 	for _, record := range s.records[offset-s.oldest:] {
 		if len(found) == limit || size > maxReadBytes {
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -3,7 +3,7 @@
 import (
 	"net/http"
 
-	"github.com/samphirerail/samphirerail/platform"
+	"github.com/samphirerail/samphirerail/standin/devplatform"
 	"github.com/samphirerail/samphirerail/standin/faults"
 	"github.com/samphirerail/samphirerail/standin/logservice"
 	"github.com/samphirerail/samphirerail/standin/vmlist"
@@ -32,8 +32,8 @@
 	vms.Gate().ShareConnections(p.gate)
 	p.mux.Handle("/v1/log/", log)
 	p.mux.Handle(logservice.StatsPath, log)
-	p.mux.Handle(platform.PathVMs, vms)
-	p.mux.Handle(platform.PathVMs+"/", vms)
+	p.mux.Handle(devplatform.PathVMs, vms)
+	p.mux.Handle(devplatform.PathVMs+"/", vms)
 	faults.Register(p.mux, p.Faults, p.SetFaults)
 	return p
 }
--- a/standin/server_test.go
+++ b/standin/server_test.go
@@ -11,7 +11,7 @@
 	"github.com/matryer/is"
 	"go.uber.org/goleak"
 
-	"github.com/samphirerail/samphirerail/platform"
+	"github.com/samphirerail/samphirerail/standin/devplatform"
 	"github.com/samphirerail/samphirerail/standin"
 	"github.com/samphirerail/samphirerail/standin/admin"
 	"github.com/samphirerail/samphirerail/standin/logservice"
@@ -29,8 +29,8 @@
 	status := make(chan int, 1)
 	go func() {
 		client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
-		body, _ := json.Marshal(platform.ReadRequest{Stream: "config", Wait: time.Hour})
-		res, err := client.Post("http://"+server.Address()+platform.PathRead, "application/json", bytes.NewReader(body))
+		body, _ := json.Marshal(devplatform.ReadRequest{Stream: "config", Wait: time.Hour})
+		res, err := client.Post("http://"+server.Address()+devplatform.PathRead, "application/json", bytes.NewReader(body))
 		if err != nil {
 			status <- 0
 			return
@@ -74,7 +74,7 @@
 	is.NoErr(client.Faults(t.Context(), &got))
 	is.Equal(got, worker.Faults{Leaving: true, RunFactor: 2})
 	row := w.Row(server.Address())
-	is.Equal(row.State, platform.VMLeaving)
+	is.Equal(row.State, devplatform.VMLeaving)
 	is.True(row.Incarnation != before.Incarnation)
 	is.True(client.SetFaults(t.Context(), worker.Faults{RunFactor: -1}) != nil)
 	history, err := client.History(t.Context())
--- a/standin/vmlist/service.go
+++ b/standin/vmlist/service.go
@@ -11,7 +11,7 @@
 	"sync"
 	"time"
 
-	"github.com/samphirerail/samphirerail/platform"
+	"github.com/samphirerail/samphirerail/standin/devplatform"
 	"github.com/samphirerail/samphirerail/standin/faults"
 	"github.com/samphirerail/samphirerail/standin/internal/wire"
 )
@@ -33,7 +33,7 @@
 
 // row is a VM and the version that last changed it.
 type row struct {
-	vm      platform.VM
+	vm      devplatform.VM
 	version int64
 }
 
@@ -72,10 +72,10 @@
 		mux:     http.NewServeMux(),
 		history: []snapshot{{}},
 	}
-	s.mux.Handle("GET "+platform.PathVMs, s.gate.Wrap(http.HandlerFunc(s.serveList)))
-	s.mux.HandleFunc("PUT "+platform.PathVMs, s.servePut)
-	s.mux.HandleFunc("POST "+platform.PathVMs, s.servePutAll)
-	s.mux.HandleFunc("DELETE "+platform.PathVMs+"/{id...}", s.serveRemove)
+	s.mux.Handle("GET "+devplatform.PathVMs, s.gate.Wrap(http.HandlerFunc(s.serveList)))
+	s.mux.HandleFunc("PUT "+devplatform.PathVMs, s.servePut)
+	s.mux.HandleFunc("POST "+devplatform.PathVMs, s.servePutAll)
+	s.mux.HandleFunc("DELETE "+devplatform.PathVMs+"/{id...}", s.serveRemove)
 	faults.Register(s.mux, s.Faults, s.SetFaults)
 	return s
 }
@@ -93,11 +93,11 @@
 	return Faults{Switches: s.gate.Switches(), LagMilliseconds: s.lag.Milliseconds()}
 }
 
-// SetFaults replaces the switches. It fails with platform.ErrInvalid.
+// SetFaults replaces the switches. It fails with devplatform.ErrInvalid.
 func (s *Service) SetFaults(f Faults) error {
 	lag := time.Duration(f.LagMilliseconds) * time.Millisecond
 	if lag < 0 || lag > MaxLag {
-		return fmt.Errorf("%w: lag_milliseconds must lie in 0 to %d", platform.ErrInvalid, MaxLag.Milliseconds())
+		return fmt.Errorf("%w: lag_milliseconds must lie in 0 to %d", devplatform.ErrInvalid, MaxLag.Milliseconds())
 	}
 	s.gate.Set(f.Switches)
 	s.mu.Lock()
@@ -107,11 +107,11 @@
 }
 
 // List returns the list as it was before the lag, or its changes.
-func (s *Service) List(_ context.Context, req platform.ListRequest) (platform.VMListReply, error) {
+func (s *Service) List(_ context.Context, req devplatform.ListRequest) (devplatform.VMListReply, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	current := s.asOf(time.Now().Add(-s.lag))
-	reply := platform.VMListReply{Version: current.version, Since: req.Since}
+	reply := devplatform.VMListReply{Version: current.version, Since: req.Since}
 	if req.Since < s.forgotten || req.Since > current.version {
 		reply.Since = 0
 	}
@@ -141,17 +141,17 @@
 	return s.history[0]
 }
 
-func wanted(vm platform.VM, domain string) bool {
-	return domain == "" || vm.Role == platform.RoleEntry || vm.Domain == domain
+func wanted(vm devplatform.VM, domain string) bool {
+	return domain == "" || vm.Role == devplatform.RoleEntry || vm.Domain == domain
 }
 
 // Put adds a VM or replaces the row with its ID. It fails with
-// platform.ErrInvalid.
-func (s *Service) Put(vm platform.VM) error { return s.PutAll([]platform.VM{vm}) }
+// devplatform.ErrInvalid.
+func (s *Service) Put(vm devplatform.VM) error { return s.PutAll([]devplatform.VM{vm}) }
 
 // PutAll adds or replaces rows in one change. When one of them is invalid it
-// changes nothing and fails with platform.ErrInvalid.
-func (s *Service) PutAll(vms []platform.VM) error {
+// changes nothing and fails with devplatform.ErrInvalid.
+func (s *Service) PutAll(vms []devplatform.VM) error {
 	for _, vm := range vms {
 		if err := check(vm); err != nil {
 			return err
@@ -171,15 +171,15 @@
 	return nil
 }
 
-func check(vm platform.VM) error {
+func check(vm devplatform.VM) error {
 	if vm.ID == "" || vm.Incarnation == "" || vm.Address == "" {
-		return fmt.Errorf("%w: id, incarnation and address must be set", platform.ErrInvalid)
+		return fmt.Errorf("%w: id, incarnation and address must be set", devplatform.ErrInvalid)
 	}
-	if vm.State != platform.VMLive && vm.State != platform.VMLeaving {
-		return fmt.Errorf("%w: state must be live or leaving", platform.ErrInvalid)
+	if vm.State != devplatform.VMLive && vm.State != devplatform.VMLeaving {
+		return fmt.Errorf("%w: state must be live or leaving", devplatform.ErrInvalid)
 	}
-	if vm.Role != platform.RoleEntry && vm.Role != platform.RoleUpstream {
-		return fmt.Errorf("%w: role must be entry or upstream", platform.ErrInvalid)
+	if vm.Role != devplatform.RoleEntry && vm.Role != devplatform.RoleUpstream {
+		return fmt.Errorf("%w: role must be entry or upstream", devplatform.ErrInvalid)
 	}
 	return nil
 }
@@ -225,24 +225,24 @@
 	wire.WriteJSON(w, http.StatusOK, list)
 }
 
-// listRequest reads the query of a call. It fails with platform.ErrInvalid.
-func listRequest(r *http.Request) (platform.ListRequest, error) {
+// listRequest reads the query of a call. It fails with devplatform.ErrInvalid.
+func listRequest(r *http.Request) (devplatform.ListRequest, error) {
 	query := r.URL.Query()
-	req := platform.ListRequest{Domain: query.Get(platform.QueryDomain)}
-	since := query.Get(platform.QuerySince)
+	req := devplatform.ListRequest{Domain: query.Get(devplatform.QueryDomain)}
+	since := query.Get(devplatform.QuerySince)
 	if since == "" {
 		return req, nil
 	}
 	n, err := strconv.ParseInt(since, 10, 64)
 	if err != nil || n < 0 {
-		return req, fmt.Errorf("%w: since must be a version", platform.ErrInvalid)
+		return req, fmt.Errorf("%w: since must be a version", devplatform.ErrInvalid)
 	}
 	req.Since = n
 	return req, nil
 }
 
 func (s *Service) servePut(w http.ResponseWriter, r *http.Request) {
-	var vm platform.VM
+	var vm devplatform.VM
 	err := wire.Decode(r, &vm)
 	if err == nil {
 		err = s.Put(vm)
@@ -255,7 +255,7 @@
 }
 
 func (s *Service) servePutAll(w http.ResponseWriter, r *http.Request) {
-	var vms []platform.VM
+	var vms []devplatform.VM
 	err := wire.Decode(r, &vms)
 	if err == nil {
 		err = s.PutAll(vms)
--- a/standin/worker/advance.go
+++ b/standin/worker/advance.go
@@ -6,16 +6,16 @@
 	"slices"
 	"time"
 
-	"github.com/samphirerail/samphirerail/platform"
+	"github.com/samphirerail/samphirerail/standin/devplatform"
 )
 
 // clock reads the worker's monotonic clock.
-func (w *Worker) clock() platform.WorkerClock {
-	return platform.WorkerClock(time.Since(w.startedAt))
+func (w *Worker) clock() devplatform.WorkerClock {
+	return devplatform.WorkerClock(time.Since(w.startedAt))
 }
 
 // wall converts a reading of the worker's clock to Unix nanoseconds.
-func (w *Worker) wall(c platform.WorkerClock) int64 {
+func (w *Worker) wall(c devplatform.WorkerClock) int64 {
 	return w.startedAt.Add(time.Duration(c)).UnixNano()
 }
 
@@ -39,7 +39,7 @@
 }
 
 // due returns the running tasks that end by a time, in the order of their ends.
-func (w *Worker) due(limit platform.WorkerClock) []*task {
+func (w *Worker) due(limit devplatform.WorkerClock) []*task {
 	var due []*task
 	for _, t := range w.running {
 		if t.plan.ends && t.plan.endAt <= limit {
@@ -55,12 +55,12 @@
 // stopAll ends every task at the end of the lease.
 func (w *Worker) stopAll() {
 	for _, id := range slices.Sorted(maps.Keys(w.running)) {
-		w.finish(w.running[id], platform.TaskStopped, nil, w.leaseUntil)
+		w.finish(w.running[id], devplatform.TaskStopped, nil, w.leaseUntil)
 	}
 }
 
 // finish ends a running task and tells the owner.
-func (w *Worker) finish(t *task, state platform.TaskState, output []byte, at platform.WorkerClock) {
+func (w *Worker) finish(t *task, state devplatform.TaskState, output []byte, at devplatform.WorkerClock) {
 	delete(w.running, t.id())
 	t.status.State = state
 	t.status.Output = output
@@ -69,15 +69,15 @@
 	w.journal.end(t.run, string(state), w.wall(at))
 	if !t.waited || t.epoch != w.epoch {
 		w.lastSequence++
-		w.events = append(w.events, platform.TaskEvent{Sequence: w.lastSequence, Status: t.report()})
+		w.events = append(w.events, devplatform.TaskEvent{Sequence: w.lastSequence, Status: t.report()})
 		w.wake()
 	}
 	close(t.done)
 }
 
 // forgetOldRecords drops the tasks that ended before the record time.
-func (w *Worker) forgetOldRecords(now platform.WorkerClock) {
-	oldest := now - platform.WorkerClock(w.config.RecordTime)
+func (w *Worker) forgetOldRecords(now devplatform.WorkerClock) {
+	oldest := now - devplatform.WorkerClock(w.config.RecordTime)
 	n := 0
 	for n < len(w.ended) && w.tasks[w.ended[n]].status.EndedAt < oldest {
 		delete(w.tasks, w.ended[n])
@@ -87,14 +87,14 @@
 }
 
 // rearm sets the timer to the next end of a task or of the lease.
-func (w *Worker) rearm(now platform.WorkerClock) {
+func (w *Worker) rearm(now devplatform.WorkerClock) {
 	if len(w.running) == 0 {
 		w.timer.Stop()
 		return
 	}
 	next := w.leaseUntil
 	if w.faults.Ignore.LeaseEnds {
-		next = now + platform.WorkerClock(time.Hour)
+		next = now + devplatform.WorkerClock(time.Hour)
 	}
 	for _, t := range w.running {
 		if t.plan.ends {
--- a/standin/worker/calls.go
+++ b/standin/worker/calls.go
@@ -7,21 +7,21 @@
 	"slices"
 	"time"
 
-	"github.com/samphirerail/samphirerail/platform"
+	"github.com/samphirerail/samphirerail/standin/devplatform"
 )
 
 // MaxControlTasks is the most tasks of one Control call.
 const MaxControlTasks = 1000
 
-// Fence raises the epoch as platform.Worker documents.
-func (w *Worker) Fence(_ context.Context, req platform.FenceRequest) (platform.FenceReply, error) {
+// Fence raises the epoch as devplatform.Worker documents.
+func (w *Worker) Fence(_ context.Context, req devplatform.FenceRequest) (devplatform.FenceReply, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.advance()
 	if err := w.admitEpoch(req.Epoch); err != nil {
-		return platform.FenceReply{}, err
+		return devplatform.FenceReply{}, err
 	}
-	reply := platform.FenceReply{
+	reply := devplatform.FenceReply{
 		VMID:        w.config.VMID,
 		Incarnation: w.incarnation,
 		Clock:       w.clock(),
@@ -34,34 +34,34 @@
 	return reply, nil
 }
 
-// Start starts a task as platform.Worker documents.
-func (w *Worker) Start(ctx context.Context, req platform.StartRequest) (platform.StartReply, error) {
+// Start starts a task as devplatform.Worker documents.
+func (w *Worker) Start(ctx context.Context, req devplatform.StartRequest) (devplatform.StartReply, error) {
 	if req.Spec.TaskID == "" {
-		return platform.StartReply{}, fmt.Errorf("%w: spec.task_id must be set", platform.ErrInvalid)
+		return devplatform.StartReply{}, fmt.Errorf("%w: spec.task_id must be set", devplatform.ErrInvalid)
 	}
 	w.mu.Lock()
 	t, err := w.begin(req, traceParent(ctx))
 	lost := w.lost
 	w.mu.Unlock()
 	if err != nil {
-		return platform.StartReply{}, err
+		return devplatform.StartReply{}, err
 	}
 	if req.Wait {
 		select {
 		case <-t.done:
 		case <-lost:
-			return platform.StartReply{}, platform.ErrUnavailable
+			return devplatform.StartReply{}, devplatform.ErrUnavailable
 		case <-ctx.Done():
-			return platform.StartReply{}, platform.ErrUnavailable
+			return devplatform.StartReply{}, devplatform.ErrUnavailable
 		}
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return platform.StartReply{Status: t.report(), Clock: w.clock()}, nil
+	return devplatform.StartReply{Status: t.report(), Clock: w.clock()}, nil
 }
 
 // begin returns the task of a start, which it creates unless it is known.
-func (w *Worker) begin(req platform.StartRequest, traceParent string) (*task, error) {
+func (w *Worker) begin(req devplatform.StartRequest, traceParent string) (*task, error) {
 	w.advance()
 	if err := w.admit(req.Incarnation, req.Epoch); err != nil {
 		return nil, err
@@ -71,7 +71,7 @@
 		return t, nil
 	}
 	if w.faults.Leaving {
-		return nil, platform.ErrLeaving
+		return nil, devplatform.ErrLeaving
 	}
 	w.renew(req.LeaseUntil)
 	now := w.clock()
@@ -79,7 +79,7 @@
 		return w.refuse(req.Spec, now), nil
 	}
 	t := &task{
-		status: platform.TaskStatus{Spec: req.Spec, State: platform.TaskRunning, StartedAt: now},
+		status: devplatform.TaskStatus{Spec: req.Spec, State: devplatform.TaskRunning, StartedAt: now},
 		epoch:  req.Epoch,
 		waited: req.Wait,
 		plan:   makePlan(req.Spec, w.faults, now),
@@ -94,9 +94,9 @@
 }
 
 // refuse records that a task never runs here.
-func (w *Worker) refuse(spec platform.TaskSpec, now platform.WorkerClock) *task {
+func (w *Worker) refuse(spec devplatform.TaskSpec, now devplatform.WorkerClock) *task {
 	t := &task{
-		status: platform.TaskStatus{Spec: spec, State: platform.TaskRefused, StartedAt: now, EndedAt: now},
+		status: devplatform.TaskStatus{Spec: spec, State: devplatform.TaskRefused, StartedAt: now, EndedAt: now},
 		done:   make(chan struct{}),
 	}
 	close(t.done)
@@ -105,15 +105,15 @@
 	return t
 }
 
-// Sync renews the lease and waits for news as platform.Worker documents.
-func (w *Worker) Sync(ctx context.Context, req platform.SyncRequest) (platform.SyncReply, error) {
+// Sync renews the lease and waits for news as devplatform.Worker documents.
+func (w *Worker) Sync(ctx context.Context, req devplatform.SyncRequest) (devplatform.SyncReply, error) {
 	deadline := time.NewTimer(req.Wait)
 	defer deadline.Stop()
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.advance()
 	if err := w.admit(req.Incarnation, req.Epoch); err != nil {
-		return platform.SyncReply{}, err
+		return devplatform.SyncReply{}, err
 	}
 	w.renew(req.LeaseUntil)
 	w.acknowledge(req.AckEvent)
@@ -123,11 +123,11 @@
 			break
 		}
 		if err := w.current(req.Incarnation, req.Epoch); err != nil {
-			return platform.SyncReply{}, err
+			return devplatform.SyncReply{}, err
 		}
 	}
 	w.advance()
-	reply := platform.SyncReply{
+	reply := devplatform.SyncReply{
 		Incarnation: w.incarnation,
 		Clock:       w.clock(),
 		Events:      slices.Clone(w.events),
@@ -156,21 +156,21 @@
 	}
 }
 
-// Control applies a verb to tasks as platform.Worker documents.
-func (w *Worker) Control(_ context.Context, req platform.ControlRequest) (platform.ControlReply, error) {
+// Control applies a verb to tasks as devplatform.Worker documents.
+func (w *Worker) Control(_ context.Context, req devplatform.ControlRequest) (devplatform.ControlReply, error) {
 	if len(req.TaskIDs) > MaxControlTasks {
-		return platform.ControlReply{}, fmt.Errorf("%w: task_ids holds %d, at most %d", platform.ErrInvalid, len(req.TaskIDs), MaxControlTasks)
+		return devplatform.ControlReply{}, fmt.Errorf("%w: task_ids holds %d, at most %d", devplatform.ErrInvalid, len(req.TaskIDs), MaxControlTasks)
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.advance()
 	if !validVerb(req.Verb) {
-		return platform.ControlReply{}, fmt.Errorf("%w: verb %q is not known", platform.ErrInvalid, req.Verb)
+		return devplatform.ControlReply{}, fmt.Errorf("%w: verb %q is not known", devplatform.ErrInvalid, req.Verb)
 	}
 	if err := w.admit(req.Incarnation, req.Epoch); err != nil {
-		return platform.ControlReply{}, err
+		return devplatform.ControlReply{}, err
 	}
-	reply := platform.ControlReply{}
+	reply := devplatform.ControlReply{}
 	for _, id := range req.TaskIDs {
 		reply.Tasks = append(reply.Tasks, w.apply(req.Verb, id))
 	}
@@ -179,55 +179,55 @@
 	return reply, nil
 }
 
-func validVerb(verb platform.ControlVerb) bool {
+func validVerb(verb devplatform.ControlVerb) bool {
 	switch verb {
-	case platform.VerbStop, platform.VerbCancel, platform.VerbCheckpoint, platform.VerbThrottle:
+	case devplatform.VerbStop, devplatform.VerbCancel, devplatform.VerbCheckpoint, devplatform.VerbThrottle:
 		return true
 	}
 	return false
 }
 
 // apply applies a verb to one task and returns its state after that.
-func (w *Worker) apply(verb platform.ControlVerb, id string) platform.TaskStatus {
+func (w *Worker) apply(verb devplatform.ControlVerb, id string) devplatform.TaskStatus {
 	t, known := w.tasks[id]
-	if !known && verb == platform.VerbCancel {
+	if !known && verb == devplatform.VerbCancel {
 		return w.cancelEarly(id)
 	}
 	if !known {
 		return unknownTask(id)
 	}
-	if t.status.State != platform.TaskRunning {
+	if t.status.State != devplatform.TaskRunning {
 		return t.report()
 	}
 	now := w.clock()
-	if verb == platform.VerbThrottle {
+	if verb == devplatform.VerbThrottle {
 		t.plan.endAt = now + 2*(t.plan.endAt-now)
 	} else {
-		w.finish(t, platform.TaskStopped, nil, now)
+		w.finish(t, devplatform.TaskStopped, nil, now)
 	}
 	return t.report()
 }
 
 // cancelEarly cancels a task whose start has not arrived.
-func (w *Worker) cancelEarly(id string) platform.TaskStatus {
+func (w *Worker) cancelEarly(id string) devplatform.TaskStatus {
 	if w.faults.Ignore.EarlyCancels {
-		return platform.TaskStatus{Spec: platform.TaskSpec{TaskID: id}, State: platform.TaskRefused}
+		return devplatform.TaskStatus{Spec: devplatform.TaskSpec{TaskID: id}, State: devplatform.TaskRefused}
 	}
-	return w.refuse(platform.TaskSpec{TaskID: id}, w.clock()).report()
+	return w.refuse(devplatform.TaskSpec{TaskID: id}, w.clock()).report()
 }
 
 // Inspect returns the record of a task, with its payload.
-func (w *Worker) Inspect(_ context.Context, req platform.InspectRequest) (platform.StartReply, error) {
+func (w *Worker) Inspect(_ context.Context, req devplatform.InspectRequest) (devplatform.StartReply, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.advance()
 	t, known := w.tasks[req.TaskID]
 	if !known {
-		return platform.StartReply{Status: unknownTask(req.TaskID), Clock: w.clock()}, nil
+		return devplatform.StartReply{Status: unknownTask(req.TaskID), Clock: w.clock()}, nil
 	}
-	return platform.StartReply{Status: t.status, Clock: w.clock()}, nil
+	return devplatform.StartReply{Status: t.status, Clock: w.clock()}, nil
 }
 
-func unknownTask(id string) platform.TaskStatus {
-	return platform.TaskStatus{Spec: platform.TaskSpec{TaskID: id}, State: platform.TaskUnknown}
+func unknownTask(id string) devplatform.TaskStatus {
+	return devplatform.TaskStatus{Spec: devplatform.TaskSpec{TaskID: id}, State: devplatform.TaskUnknown}
 }
--- a/standin/worker/faults.go
+++ b/standin/worker/faults.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 
-	"github.com/samphirerail/samphirerail/platform"
+	"github.com/samphirerail/samphirerail/standin/devplatform"
 	"github.com/samphirerail/samphirerail/standin/faults"
 )
 
@@ -45,10 +45,10 @@
 	return current
 }
 
-// SetFaults replaces the switches. It fails with platform.ErrInvalid.
+// SetFaults replaces the switches. It fails with devplatform.ErrInvalid.
 func (w *Worker) SetFaults(f Faults) error {
 	if f.RunFactor < 0 {
-		return fmt.Errorf("%w: run_factor must not be negative", platform.ErrInvalid)
+		return fmt.Errorf("%w: run_factor must not be negative", devplatform.ErrInvalid)
 	}
 	w.gate.Set(f.Switches)
 	w.mu.Lock()
--- a/standin/worker/journal.go
+++ b/standin/worker/journal.go
@@ -4,7 +4,7 @@
 	"context"
 	"fmt"
 
-	"github.com/samphirerail/samphirerail/platform"
+	"github.com/samphirerail/samphirerail/standin/devplatform"
 )
 
 // HistoryPath is where the history of a worker is read.
@@ -19,8 +19,8 @@
 	JobID       string             `json:"job_id"`
 	Team        string             `json:"team"`
 	Class       string             `json:"class"`
-	Resources   platform.Resources `json:"resources"`
-	Epoch       platform.Epoch     `json:"epoch"`
+	Resources   devplatform.Resources `json:"resources"`
+	Epoch       devplatform.Epoch     `json:"epoch"`
 	Incarnation string             `json:"incarnation"`
 	// TraceParent is the W3C trace context of the start.
 	TraceParent string `json:"trace_parent,omitempty"`
@@ -28,7 +28,7 @@
 	// EndUnixNano is 0 while the task runs.
 	StartUnixNano int64 `json:"start_unix_nano"`
 	EndUnixNano   int64 `json:"end_unix_nano,omitempty"`
-	// End is the platform.TaskState of the ended task, or "lost" when the
+	// End is the devplatform.TaskState of the ended task, or "lost" when the
 	// worker was restarted under it.
 	End string `json:"end,omitempty"`
 }
@@ -61,7 +61,7 @@
 	VMID        string            `json:"vm_id"`
 	Domain      string            `json:"domain"`
 	Incarnation string            `json:"incarnation"`
-	Capacity    platform.Capacity `json:"capacity"`
+	Capacity    devplatform.Capacity `json:"capacity"`
 	Runs        []Run             `json:"runs"`
 	// DroppedRuns is the number of runs left out because of the limit.
 	DroppedRuns int         `json:"dropped_runs"`
@@ -124,7 +124,7 @@
 // checkCapacity records what the worker holds beyond its capacity after the
 // start of a task.
 func (w *Worker) checkCapacity(started *task) {
-	held := platform.Resources{}
+	held := devplatform.Resources{}
 	for _, t := range w.running {
 		held.CPUMilli += t.status.Spec.Resources.CPUMilli
 		held.MemoryMB += t.status.Spec.Resources.MemoryMB
--- a/standin/worker/task.go
+++ b/standin/worker/task.go
@@ -5,7 +5,7 @@
 	"encoding/json"
 	"time"
 
-	"github.com/samphirerail/samphirerail/platform"
+	"github.com/samphirerail/samphirerail/standin/devplatform"
 )
 
 // classStanding is the class of tasks that run until they are stopped.
@@ -31,16 +31,16 @@
 type plan struct {
 	// ends is false for a task that runs until it is stopped.
 	ends       bool
-	endAt      platform.WorkerClock
-	state      platform.TaskState
+	endAt      devplatform.WorkerClock
+	state      devplatform.TaskState
 	output     []byte
 	usePercent int64
 }
 
 // task is the worker's record of one task.
 type task struct {
-	status platform.TaskStatus
-	epoch  platform.Epoch
+	status devplatform.TaskStatus
+	epoch  devplatform.Epoch
 	waited bool
 	plan   plan
 	run    *Run
@@ -51,32 +51,32 @@
 func (t *task) id() string { return t.status.Spec.TaskID }
 
 // report returns the status without the payload.
-func (t *task) report() platform.TaskStatus {
+func (t *task) report() devplatform.TaskStatus {
 	status := t.status
 	status.Spec.Payload = nil
 	return status
 }
 
 // makePlan decides what a task will do.
-func makePlan(spec platform.TaskSpec, faults Faults, now platform.WorkerClock) plan {
+func makePlan(spec devplatform.TaskSpec, faults Faults, now devplatform.WorkerClock) plan {
 	if faults.BlackHole {
-		return plan{ends: true, endAt: now, state: platform.TaskFailed, output: []byte("worker: the task failed at once; try another upstream")}
+		return plan{ends: true, endAt: now, state: devplatform.TaskFailed, output: []byte("worker: the task failed at once; try another upstream")}
 	}
 	payload, ok := parsePayload(spec.Payload)
-	p := plan{ends: spec.Class != classStanding, state: platform.TaskSucceeded, usePercent: payload.UsePercent}
+	p := plan{ends: spec.Class != classStanding, state: devplatform.TaskSucceeded, usePercent: payload.UsePercent}
 	if !ok {
 		p.output = spec.Payload
 	} else {
 		p.output = payload.result()
 	}
 	if payload.Fail {
-		p.state = platform.TaskFailed
+		p.state = devplatform.TaskFailed
 	}
 	runs := time.Duration(payload.RunMilliseconds) * time.Millisecond
 	if faults.RunFactor > 0 {
 		runs = time.Duration(float64(max(runs, spec.RunTime)) * faults.RunFactor)
 	}
-	p.endAt = now + platform.WorkerClock(runs)
+	p.endAt = now + devplatform.WorkerClock(runs)
 	return p
 }
 
@@ -98,13 +98,13 @@
 }
 
 // usage returns what the task uses.
-func (t *task) usage() platform.TaskUsage {
+func (t *task) usage() devplatform.TaskUsage {
 	percent := t.plan.usePercent
 	if percent == 0 {
 		percent = 100
 	}
 	declared := t.status.Spec.Resources
-	return platform.TaskUsage{TaskID: t.id(), Resources: platform.Resources{
+	return devplatform.TaskUsage{TaskID: t.id(), Resources: devplatform.Resources{
 		CPUMilli:     declared.CPUMilli * percent / 100,
 		MemoryMB:     declared.MemoryMB * percent / 100,
 		Accelerators: declared.Accelerators,
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -1,5 +1,5 @@
 // Package worker is a stand-in for the runner of an upstream VM. It obeys the
-// protocol of platform.Worker and simulates its tasks. It does not enforce its
+// protocol of devplatform.Worker and simulates its tasks. It does not enforce its
 // capacity: it records what exceeds it, so that a test can judge the scheduler.
 package worker
 
@@ -11,7 +11,7 @@
 	"sync"
 	"time"
 
-	"github.com/samphirerail/samphirerail/platform"
+	"github.com/samphirerail/samphirerail/standin/devplatform"
 	"github.com/samphirerail/samphirerail/standin/faults"
 	"github.com/samphirerail/samphirerail/standin/internal/wire"
 )
@@ -30,7 +30,7 @@
 	Domain      string
 	Rack        string
 	Service     string
-	Capacity    platform.Capacity
+	Capacity    devplatform.Capacity
 	// RecordTime is how long the record of an ended or refused task is kept;
 	// 10 minutes when 0.
 	RecordTime time.Duration
@@ -54,14 +54,14 @@
 	restarts       int
 	incarnation    string
 	startedAt      time.Time
-	leaseUntil     platform.WorkerClock
-	epoch          platform.Epoch
-	contactAt      platform.WorkerClock
+	leaseUntil     devplatform.WorkerClock
+	epoch          devplatform.Epoch
+	contactAt      devplatform.WorkerClock
 	tasks          map[string]*task
 	running        map[string]*task
 	// ended holds the IDs of ended and refused tasks, oldest first.
 	ended        []string
-	events       []platform.TaskEvent
+	events       []devplatform.TaskEvent
 	lastSequence int64
 	// news is closed and replaced when a held Sync has to look again.
 	news chan struct{}
@@ -81,7 +81,7 @@
 	}
 	w := &Worker{
 		config:  config,
-		gate:    faults.NewGate(platform.PathStart),
+		gate:    faults.NewGate(devplatform.PathStart),
 		mux:     http.NewServeMux(),
 		news:    make(chan struct{}),
 		journal: journal{limit: config.HistoryLimit},
@@ -103,26 +103,26 @@
 func (w *Worker) Gate() *faults.Gate { return w.gate }
 
 // Row returns the worker's row in the platform's VM list.
-func (w *Worker) Row(address string) platform.VM {
+func (w *Worker) Row(address string) devplatform.VM {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	row := platform.VM{
-		ID: w.config.VMID, Incarnation: w.incarnation, Role: platform.RoleUpstream, State: platform.VMLive,
+	row := devplatform.VM{
+		ID: w.config.VMID, Incarnation: w.incarnation, Role: devplatform.RoleUpstream, State: devplatform.VMLive,
 		Region: w.config.Region, Domain: w.config.Domain, Rack: w.config.Rack, Service: w.config.Service,
 		Address: address, Capacity: w.config.Capacity,
 	}
 	if w.faults.Leaving {
-		row.State = platform.VMLeaving
+		row.State = devplatform.VMLeaving
 	}
 	return row
 }
 
 func (w *Worker) routes() {
-	w.route(platform.PathFence, wire.Handle(w.Fence))
-	w.route(platform.PathStart, wire.Handle(w.Start))
-	w.route(platform.PathSync, wire.Handle(w.Sync))
-	w.route(platform.PathControl, wire.Handle(w.Control))
-	w.route(platform.PathInspect, wire.Handle(w.Inspect))
+	w.route(devplatform.PathFence, wire.Handle(w.Fence))
+	w.route(devplatform.PathStart, wire.Handle(w.Start))
+	w.route(devplatform.PathSync, wire.Handle(w.Sync))
+	w.route(devplatform.PathControl, wire.Handle(w.Control))
+	w.route(devplatform.PathInspect, wire.Handle(w.Inspect))
 	w.mux.HandleFunc("GET "+HistoryPath, func(rw http.ResponseWriter, _ *http.Request) {
 		wire.WriteJSON(rw, http.StatusOK, w.History())
 	})
@@ -146,7 +146,7 @@
 	}
 	w.startedAt = time.Now()
 	w.leaseUntil = 0
-	w.epoch = platform.Epoch{}
+	w.epoch = devplatform.Epoch{}
 	w.contactAt = 0
 	w.tasks = map[string]*task{}
 	w.running = map[string]*task{}
--- a/standin/worker/worker_test.go
+++ b/standin/worker/worker_test.go
@@ -8,12 +8,12 @@
 
 	"github.com/matryer/is"
 
-	"github.com/samphirerail/samphirerail/platform"
+	"github.com/samphirerail/samphirerail/standin/devplatform"
 )
 
 var (
-	older = platform.Epoch{Number: 1, Owner: "a/1"}
-	newer = platform.Epoch{Number: 2, Owner: "b/1"}
+	older = devplatform.Epoch{Number: 1, Owner: "a/1"}
+	newer = devplatform.Epoch{Number: 2, Owner: "b/1"}
 )
 
 // testWorker drives a worker on virtual time, without a network.
@@ -23,33 +23,33 @@
 	is *is.I
 }
 
-func (w *testWorker) start(epoch platform.Epoch, id string, lease time.Duration, payload string) platform.TaskState {
+func (w *testWorker) start(epoch devplatform.Epoch, id string, lease time.Duration, payload string) devplatform.TaskState {
 	w.t.Helper()
-	reply, err := w.Start(w.t.Context(), platform.StartRequest{
-		Epoch: epoch, Incarnation: "i", LeaseUntil: platform.WorkerClock(lease),
-		Spec: platform.TaskSpec{TaskID: id, Payload: []byte(payload)},
+	reply, err := w.Start(w.t.Context(), devplatform.StartRequest{
+		Epoch: epoch, Incarnation: "i", LeaseUntil: devplatform.WorkerClock(lease),
+		Spec: devplatform.TaskSpec{TaskID: id, Payload: []byte(payload)},
 	})
 	if err != nil {
-		return platform.TaskState(err.Error())
+		return devplatform.TaskState(err.Error())
 	}
 	return reply.Status.State
 }
 
-func (w *testWorker) sync(epoch platform.Epoch, lease, wait time.Duration) (platform.SyncReply, error) {
-	return w.Sync(w.t.Context(), platform.SyncRequest{
-		Epoch: epoch, Incarnation: "i", LeaseUntil: platform.WorkerClock(lease), Wait: wait,
+func (w *testWorker) sync(epoch devplatform.Epoch, lease, wait time.Duration) (devplatform.SyncReply, error) {
+	return w.Sync(w.t.Context(), devplatform.SyncRequest{
+		Epoch: epoch, Incarnation: "i", LeaseUntil: devplatform.WorkerClock(lease), Wait: wait,
 	})
 }
 
-func (w *testWorker) control(epoch platform.Epoch, verb platform.ControlVerb, id string) {
+func (w *testWorker) control(epoch devplatform.Epoch, verb devplatform.ControlVerb, id string) {
 	w.t.Helper()
-	_, err := w.Control(w.t.Context(), platform.ControlRequest{Epoch: epoch, Incarnation: "i", Verb: verb, TaskIDs: []string{id}})
+	_, err := w.Control(w.t.Context(), devplatform.ControlRequest{Epoch: epoch, Incarnation: "i", Verb: verb, TaskIDs: []string{id}})
 	w.is.NoErr(err)
 }
 
-func (w *testWorker) inspect(id string) platform.TaskStatus {
+func (w *testWorker) inspect(id string) devplatform.TaskStatus {
 	w.t.Helper()
-	reply, err := w.Inspect(w.t.Context(), platform.InspectRequest{TaskID: id})
+	reply, err := w.Inspect(w.t.Context(), devplatform.InspectRequest{TaskID: id})
 	w.is.NoErr(err)
 	return reply.Status
 }
@@ -72,52 +72,52 @@
 		check  func(w *testWorker)
 	}{
 		{name: "a task ends at its time, before the lease", check: func(w *testWorker) {
-			w.is.Equal(w.start(older, "t1", 10*time.Second, `{"run_ms":3000}`), platform.TaskRunning)
+			w.is.Equal(w.start(older, "t1", 10*time.Second, `{"run_ms":3000}`), devplatform.TaskRunning)
 			reply, err := w.sync(older, 10*time.Second, time.Hour)
 			w.is.NoErr(err)
-			w.is.Equal(reply.Events[0].Status.EndedAt, platform.WorkerClock(3*time.Second))
-			w.is.Equal(reply.Events[0].Status.State, platform.TaskSucceeded)
+			w.is.Equal(reply.Events[0].Status.EndedAt, devplatform.WorkerClock(3*time.Second))
+			w.is.Equal(reply.Events[0].Status.State, devplatform.TaskSucceeded)
 		}},
 		{name: "the lease stops all tasks at its very end", check: func(w *testWorker) {
 			w.start(older, "t1", 10*time.Second, `{"run_ms":10001}`)
 			time.Sleep(10*time.Second - 1)
-			w.is.Equal(w.inspect("t1").State, platform.TaskRunning)
+			w.is.Equal(w.inspect("t1").State, devplatform.TaskRunning)
 			time.Sleep(time.Nanosecond)
-			w.is.Equal(w.inspect("t1").State, platform.TaskStopped)
-			w.is.Equal(w.inspect("t1").EndedAt, platform.WorkerClock(10*time.Second))
+			w.is.Equal(w.inspect("t1").State, devplatform.TaskStopped)
+			w.is.Equal(w.inspect("t1").EndedAt, devplatform.WorkerClock(10*time.Second))
 		}},
 		{name: "a sync brings the tasks that the lease stopped", check: func(w *testWorker) {
 			w.start(older, "t1", time.Second, `{"run_ms":5000}`)
 			reply, err := w.sync(older, time.Second, time.Hour)
 			w.is.NoErr(err)
-			w.is.Equal(reply.Events[0].Status.State, platform.TaskStopped)
-			w.is.Equal(reply.Clock, platform.WorkerClock(time.Second))
+			w.is.Equal(reply.Events[0].Status.State, devplatform.TaskStopped)
+			w.is.Equal(reply.Clock, devplatform.WorkerClock(time.Second))
 		}},
 		{name: "fencing keeps the lease, and the newer owner extends it", check: func(w *testWorker) {
 			w.start(older, "t1", 10*time.Second, `{"run_ms":20000}`)
-			fence, err := w.Fence(w.t.Context(), platform.FenceRequest{Epoch: newer})
+			fence, err := w.Fence(w.t.Context(), devplatform.FenceRequest{Epoch: newer})
 			w.is.NoErr(err)
-			w.is.Equal(fence.LeaseUntil, platform.WorkerClock(10*time.Second))
+			w.is.Equal(fence.LeaseUntil, devplatform.WorkerClock(10*time.Second))
 			_, err = w.sync(newer, 30*time.Second, 0)
 			w.is.NoErr(err)
 			time.Sleep(25 * time.Second)
-			w.is.Equal(w.inspect("t1").State, platform.TaskSucceeded)
+			w.is.Equal(w.inspect("t1").State, devplatform.TaskSucceeded)
 		}},
 		{name: "a fenced owner learns how long ago the newer one called", check: func(w *testWorker) {
 			_, err := w.sync(newer, time.Second, 0)
 			w.is.NoErr(err)
 			time.Sleep(7 * time.Second)
 			_, err = w.sync(older, time.Hour, 0)
-			var fenced *platform.FencedError
+			var fenced *devplatform.FencedError
 			w.is.True(errors.As(err, &fenced))
 			w.is.Equal(fenced.SinceContact, 7*time.Second)
 		}},
 		{name: "throttle doubles the rest of the run time", check: func(w *testWorker) {
 			w.start(older, "t1", time.Hour, `{"run_ms":10000}`)
 			time.Sleep(4 * time.Second)
-			w.control(older, platform.VerbThrottle, "t1")
+			w.control(older, devplatform.VerbThrottle, "t1")
 			time.Sleep(12 * time.Second)
-			w.is.Equal(w.inspect("t1").EndedAt, platform.WorkerClock(16*time.Second))
+			w.is.Equal(w.inspect("t1").EndedAt, devplatform.WorkerClock(16*time.Second))
 		}},
 		{name: "usage appears after its lag", config: Config{UsageLag: 5 * time.Second}, check: func(w *testWorker) {
 			w.start(older, "t1", time.Hour, `{"run_ms":60000}`)
@@ -130,13 +130,13 @@
 		}},
 		{name: "records are kept for the record time", config: Config{RecordTime: time.Minute}, check: func(w *testWorker) {
 			w.start(older, "t1", time.Hour, "x")
-			w.control(older, platform.VerbCancel, "t2")
+			w.control(older, devplatform.VerbCancel, "t2")
 			time.Sleep(time.Minute)
-			w.is.Equal(w.inspect("t1").State, platform.TaskSucceeded)
-			w.is.Equal(w.inspect("t2").State, platform.TaskRefused)
+			w.is.Equal(w.inspect("t1").State, devplatform.TaskSucceeded)
+			w.is.Equal(w.inspect("t2").State, devplatform.TaskRefused)
 			time.Sleep(time.Nanosecond)
-			w.is.Equal(w.inspect("t1").State, platform.TaskUnknown)
-			w.is.Equal(w.inspect("t2").State, platform.TaskUnknown)
+			w.is.Equal(w.inspect("t1").State, devplatform.TaskUnknown)
+			w.is.Equal(w.inspect("t2").State, devplatform.TaskUnknown)
 		}},
 		{name: "the history keeps the newest runs up to its limit", config: Config{HistoryLimit: 2}, check: func(w *testWorker) {
 			for _, id := range []string{"t1", "t2", "t3"} {
@@ -152,7 +152,7 @@
 			time.Sleep(time.Minute)
 			run := w.History().Runs[0]
 			w.is.Equal(run.EndUnixNano-run.StartUnixNano, (2 * time.Second).Nanoseconds())
-			w.is.Equal(run.End, string(platform.TaskSucceeded))
+			w.is.Equal(run.End, string(devplatform.TaskSucceeded))
 			w.is.Equal(run.Epoch, older)
 		}},
 	}
@@ -171,30 +171,30 @@
 		hazard func(w *testWorker) bool
 	}{
 		{name: "epochs keep a replaced owner from starting work", without: Ignore{Epochs: true}, hazard: func(w *testWorker) bool {
-			_, err := w.Fence(w.t.Context(), platform.FenceRequest{Epoch: newer})
+			_, err := w.Fence(w.t.Context(), devplatform.FenceRequest{Epoch: newer})
 			w.is.NoErr(err)
-			return w.start(older, "t1", time.Hour, `{"run_ms":1000}`) == platform.TaskRunning
+			return w.start(older, "t1", time.Hour, `{"run_ms":1000}`) == devplatform.TaskRunning
 		}},
 		{name: "epochs keep a replaced owner from extending the lease", without: Ignore{Epochs: true}, hazard: func(w *testWorker) bool {
 			w.start(older, "t1", time.Second, `{"run_ms":60000}`)
-			_, err := w.Fence(w.t.Context(), platform.FenceRequest{Epoch: newer})
+			_, err := w.Fence(w.t.Context(), devplatform.FenceRequest{Epoch: newer})
 			w.is.NoErr(err)
 			_, _ = w.sync(older, time.Minute, 0)
 			time.Sleep(30 * time.Second)
-			return w.inspect("t1").State == platform.TaskRunning
+			return w.inspect("t1").State == devplatform.TaskRunning
 		}},
 		{name: "the record of a cancel refuses a start still on its way", without: Ignore{EarlyCancels: true}, hazard: func(w *testWorker) bool {
-			w.control(older, platform.VerbCancel, "t1")
-			return w.start(older, "t1", time.Hour, `{"run_ms":1000}`) == platform.TaskRunning
+			w.control(older, devplatform.VerbCancel, "t1")
+			return w.start(older, "t1", time.Hour, `{"run_ms":1000}`) == devplatform.TaskRunning
 		}},
 		{name: "the end of the lease stops what its owner left", without: Ignore{LeaseEnds: true}, hazard: func(w *testWorker) bool {
 			w.start(older, "t1", time.Second, `{"run_ms":60000}`)
 			time.Sleep(30 * time.Second)
-			return w.inspect("t1").State == platform.TaskRunning
+			return w.inspect("t1").State == devplatform.TaskRunning
 		}},
 		{name: "the worker's clock refuses a start delayed past its lease", without: Ignore{LeaseEnds: true}, hazard: func(w *testWorker) bool {
 			time.Sleep(30 * time.Second)
-			return w.start(older, "t1", time.Second, `{"run_ms":60000}`) == platform.TaskRunning
+			return w.start(older, "t1", time.Second, `{"run_ms":60000}`) == devplatform.TaskRunning
 		}},
 	}
 	for _, tt := range tests {
