--- /dev/null
+++ b/internal/coordination/dispatch/looker.go
@@ -0,0 +1,149 @@
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"github.com/samphirerail/samphirerail/internal/coordination/port"
+	"github.com/samphirerail/samphirerail/internal/state/scheduler"
+	"github.com/samphirerail/samphirerail/internal/state/workload"
+)
+
+const (
+	// lookWait is how long an upstream may hold a look until a run ends. It
+	// must leave time to renew the lease.
+	lookWait = 1500 * time.Millisecond
+	// closeLookWait is used while serving and filling tasks share the upstream,
+	// or while an order got no answer.
+	closeLookWait = 400 * time.Millisecond
+	// idleLook is the interval of looks at an upstream without runs.
+	idleLook = 4 * time.Second
+	// recordWait bounds the wait for ends to be recorded before the next look.
+	recordWait = 250 * time.Millisecond
+	// callTimeout bounds an order and, beside its wait, a look.
+	callTimeout = 1200 * time.Millisecond
+	// silentRetry is the pause after a look without an answer.
+	silentRetry = 200 * time.Millisecond
+)
+
+// lookAll looks at one upstream until its link is removed.
+func (o *owner) lookAll(ctx context.Context, id workload.UpstreamID, l *link) {
+	known := false
+	for ctx.Err() == nil {
+		l.mu.Lock()
+		active, closely, removed := l.active, l.close, l.removed
+		unrecorded := l.reported > l.recorded
+		l.mu.Unlock()
+		if removed {
+			return
+		}
+		switch {
+		case !known:
+		case unrecorded:
+			if !o.sleep(ctx, l, recordWait) {
+				return
+			}
+		case !active:
+			if !o.sleep(ctx, l, idleLook) {
+				return
+			}
+		}
+		wait := time.Duration(0)
+		l.mu.Lock()
+		if known && l.active && l.reported <= l.recorded {
+			wait = lookWait
+			if closely || l.close {
+				wait = closeLookWait
+			}
+		}
+		l.mu.Unlock()
+		known = o.lookOnce(ctx, id, l, wait)
+		if !known && !o.sleep(ctx, l, silentRetry) {
+			return
+		}
+	}
+}
+
+// sleep waits for a kick or a time. It reports false when the context ended.
+func (o *owner) sleep(ctx context.Context, l *link, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-l.kick:
+	case <-timer.C:
+	}
+	return true
+}
+
+// lookOnce looks once and reports whether the upstream answered.
+func (o *owner) lookOnce(ctx context.Context, id workload.UpstreamID, l *link, wait time.Duration) bool {
+	l.mu.Lock()
+	order := port.LookOrder{Epoch: o.epoch, LastSeen: l.recorded, Wait: wait}
+	target, active, born := l.target, l.active, l.bornUnixMS
+	l.mu.Unlock()
+	sentAt := time.Now()
+	if active && o.mayExtend() {
+		order.DeadlineMS = l.deadline(sentAt, o.lease)
+	}
+	callCtx, cancel := context.WithTimeout(ctx, wait+callTimeout)
+	reply, status, err := o.upstreams.Look(callCtx, target, order)
+	cancel()
+	if ctx.Err() != nil {
+		return false
+	}
+	now := time.Now()
+	if err != nil || status.OtherLife || status.Outcome != scheduler.Accepted {
+		o.lookFailed(id, l, status, err)
+		return false
+	}
+	if status.Fenced {
+		o.post(func() { o.fenced("upstream " + string(id)) })
+		return false
+	}
+	restarted := l.sample(reply.ClockMS, now)
+	if restarted || (born != 0 && reply.BornUnixMS != 0 && reply.BornUnixMS != born) {
+		o.logger.Warn("upstream restarted", "upstream", id, "born", reply.BornUnixMS, "registered", born)
+		l.forgetLife()
+		l.sample(reply.ClockMS, now)
+		l.mu.Lock()
+		l.bornUnixMS = reply.BornUnixMS
+		l.mu.Unlock()
+		o.post(func() { o.newLife(id, reply.BornUnixMS) })
+	}
+	l.mu.Lock()
+	recovered := l.failures > 0
+	l.failures = 0
+	l.mu.Unlock()
+	if recovered {
+		o.logger.Info("upstream reached again", "upstream", id)
+	}
+	o.report(id, l, &reply, sentAt)
+	return true
+}
+
+// report hands what an upstream said to the control loop.
+func (o *owner) report(id workload.UpstreamID, l *link, reply *port.LookReply, sentAt time.Time) {
+	ends := l.fresh(reply.Ended)
+	look := scheduler.Look{SentAt: o.at(sentAt), Running: reply.Running, Partial: reply.Partial}
+	newest := int64(0)
+	for _, e := range ends {
+		look.Ended = append(look.Ended, e.EndedRow)
+		newest = max(newest, e.Number)
+	}
+	o.post(func() { o.looked(id, l, look, newest) })
+}
+
+// lookFailed counts a look without a usable answer.
+func (o *owner) lookFailed(id workload.UpstreamID, l *link, status port.Reply, err error) {
+	l.mu.Lock()
+	l.failures++
+	first := l.failures == 1
+	lapsed := l.lapseAt.IsZero() || time.Now().After(l.lapseAt)
+	l.mu.Unlock()
+	if first {
+		o.logger.Warn("upstream lost", "upstream", id, "outcome", status.Outcome, "reason", status.Reason, "other_life", status.OtherLife, "error", err)
+	}
+	o.post(func() { o.lost(id, l, lapsed) })
+}
--- /dev/null
+++ b/internal/coordination/dispatch/manager.go
@@ -0,0 +1,293 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"hash/fnv"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	metrics "github.com/rcrowley/go-metrics"
+
+	"github.com/samphirerail/samphirerail/internal/coordination/port"
+	"github.com/samphirerail/samphirerail/internal/coordination/replica"
+	"github.com/samphirerail/samphirerail/internal/state"
+	"github.com/samphirerail/samphirerail/internal/state/ledger"
+	"github.com/samphirerail/samphirerail/internal/state/workload"
+)
+
+const (
+	// ownerSilence is how long the log may show no sign of the owner until
+	// another entry claims; the owner writes at least every heartbeat.
+	ownerSilence = 1800 * time.Millisecond
+	// claimSpread keeps entries from claiming at the same moment; the
+	// preferred ones claim first.
+	claimSpread = 400 * time.Millisecond
+	// freshRead is the greatest age of the replica at which an entry claims.
+	freshRead = 1300 * time.Millisecond
+	// claimCheck is how often an entry looks whether it should claim.
+	claimCheck = 50 * time.Millisecond
+	// epochStep leaves room for a random part, so that two claims of the same
+	// generation differ.
+	epochStep = 1 << 16
+	// stopTimeout bounds the last append of an owner that stops.
+	stopTimeout = 1500 * time.Millisecond
+)
+
+// Config says who an entry is and what it uses.
+type Config struct {
+	Log         port.Log
+	Decoder     port.Decoder
+	Upstreams   port.Upstreams
+	Advisor     port.Advisor
+	Replica     *replica.Replica
+	Peers       Peers
+	Name        string
+	Incarnation string
+	Address     string
+	Domain      state.DomainID
+	// Preference orders the entries that could claim; less goes first, 0 to 1.
+	Preference float64
+	// Lease is how long runs go on without hearing from the owner.
+	Lease time.Duration
+	// Retention is how long the state of an ended job is kept.
+	Retention time.Duration
+	Logger    hclog.Logger
+	Registry  metrics.Registry
+}
+
+// Manager takes and gives up ownership.
+type Manager struct {
+	cfg   Config
+	parts *parts
+
+	mu      sync.Mutex
+	current *owner
+	stopped bool
+	done    chan struct{}
+}
+
+// NewManager returns a Manager that does nothing until Run.
+func NewManager(cfg Config) *Manager {
+	counter := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter(name, cfg.Registry) }
+	gauge := func(name string) metrics.Gauge { return metrics.GetOrRegisterGauge(name, cfg.Registry) }
+	histogram := func(name string) metrics.Histogram {
+		return metrics.GetOrRegisterHistogram(name, cfg.Registry, metrics.NewExpDecaySample(sampleSize, sampleAlpha))
+	}
+	return &Manager{cfg: cfg, done: make(chan struct{}), parts: &parts{
+		log: cfg.Log, decoder: cfg.Decoder, upstreams: cfg.Upstreams, replica: cfg.Replica, peers: cfg.Peers,
+		self: cfg.Name, advisor: cfg.Advisor, lease: cfg.Lease, retention: cfg.Retention, logger: cfg.Logger,
+		metrics: ownerMetrics{
+			starts: counter("owner.starts"), ends: counter("owner.ends"),
+			appends: counter("owner.appends"), appendFails: counter("owner.append_failures"),
+			asks: counter("owner.advice_calls"), askFails: counter("owner.advice_failures"),
+			startLatency: histogram("owner.start_us"), planTime: histogram("owner.plan_us"),
+			jobs: gauge("owner.jobs"), runs: gauge("owner.runs"), ready: gauge("owner.ready_steps"), silent: gauge("owner.silent_upstreams"),
+		},
+	}}
+}
+
+// Size and decay of the histograms' samples, as go-metrics recommends.
+const (
+	sampleSize  = 1028
+	sampleAlpha = 0.015
+)
+
+// Run claims ownership when it is free and serves it, until the context ends.
+func (m *Manager) Run(ctx context.Context) {
+	defer close(m.done)
+	delay := m.delay()
+	for ctx.Err() == nil && !m.isStopped() {
+		if m.shouldClaim(delay) {
+			if claim, ok := m.claim(ctx); ok {
+				m.serve(ctx, claim)
+			}
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(claimCheck):
+		}
+	}
+}
+
+// delay returns how much longer than others this entry waits before it claims.
+func (m *Manager) delay() time.Duration {
+	h := fnv.New32a()
+	h.Write([]byte(m.cfg.Name))
+	jitter := float64(h.Sum32()%1000) / 1000
+	return time.Duration((m.cfg.Preference + jitter*0.5) * float64(claimSpread))
+}
+
+func (m *Manager) isStopped() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.stopped
+}
+
+// shouldClaim reports whether the ownership is free as far as the log shows.
+func (m *Manager) shouldClaim(delay time.Duration) bool {
+	h := m.cfg.Replica.Health()
+	if !h.Loaded || h.Age > freshRead {
+		return false
+	}
+	claim := m.cfg.Replica.Claim()
+	if claim.Epoch == 0 || claim.Released {
+		return h.OwnerSilence > delay/4
+	}
+	return h.OwnerSilence > ownerSilence+delay
+}
+
+// claim appends a claim on the condition that nothing was missed.
+func (m *Manager) claim(ctx context.Context) (ledger.Claim, bool) {
+	var end int64
+	var old ledger.Claim
+	m.cfg.Replica.View(func(t *ledger.Table, next int64) {
+		end = next
+		old, _ = t.Claim()
+	})
+	generation := old.Generation + 1
+	claim := ledger.Claim{
+		Epoch: generation*epochStep + rand.Int64N(epochStep-1) + 1, Generation: generation,
+		Entry: m.cfg.Name, Incarnation: m.cfg.Incarnation, Address: m.cfg.Address, Domain: m.cfg.Domain,
+	}
+	record, err := ledger.ClaimRecord(&claim)
+	if err != nil {
+		m.cfg.Logger.Error("claim not encoded", "error", err)
+		return claim, false
+	}
+	callCtx, cancel := context.WithTimeout(ctx, appendTimeout)
+	defer cancel()
+	_, err = m.cfg.Log.Append(callCtx, port.Append{
+		Topic: port.TopicJobs, Records: []ledger.Record{record}, At: end, Fence: &port.Fence{Epoch: claim.Epoch},
+	})
+	m.cfg.Logger.Info("claim", "epoch", claim.Epoch, "generation", generation, "at", end, "previous", old.Entry, "error", err)
+	if err == nil {
+		return claim, true
+	}
+	var conflict *port.ConflictError
+	if errors.As(err, &conflict) || errors.Is(err, port.ErrNotDone) || errors.Is(err, port.ErrFenced) {
+		return claim, false
+	}
+	return claim, m.claimAppeared(ctx, claim)
+}
+
+// claimAppeared looks for a claim whose append got no answer.
+func (m *Manager) claimAppeared(ctx context.Context, claim ledger.Claim) bool {
+	deadline := time.Now().Add(appendTimeout)
+	for time.Now().Before(deadline) && ctx.Err() == nil {
+		if m.cfg.Replica.Claim().Epoch == claim.Epoch {
+			return true
+		}
+		time.Sleep(claimCheck)
+	}
+	return false
+}
+
+func (m *Manager) serve(ctx context.Context, claim ledger.Claim) {
+	o := m.parts.newOwner(ctx, claim)
+	m.mu.Lock()
+	if m.stopped {
+		o.cancel()
+	}
+	m.current = o
+	m.mu.Unlock()
+	o.run()
+	m.mu.Lock()
+	m.current = nil
+	m.mu.Unlock()
+}
+
+// Owning reports whether this entry is the owner now.
+func (m *Manager) Owning() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.current != nil && m.current.ctx.Err() == nil
+}
+
+// Phase returns the newest phase of a job if this entry is the owner.
+func (m *Manager) Phase(ctx context.Context, id workload.JobID) (ledger.Phase, bool) {
+	m.mu.Lock()
+	o := m.current
+	m.mu.Unlock()
+	if o == nil {
+		return 0, false
+	}
+	type answer struct {
+		phase ledger.Phase
+		ok    bool
+	}
+	result := make(chan answer, 1)
+	o.post(func() {
+		p, ok := o.sched.Phase(id)
+		result <- answer{p, ok}
+	})
+	select {
+	case a := <-result:
+		if row, recorded := m.cfg.Replica.Row(id); recorded && row.Phase().Final() {
+			return row.Phase(), true
+		}
+		return a.phase, a.ok
+	case <-o.ctx.Done():
+	case <-ctx.Done():
+	}
+	return 0, false
+}
+
+// Stop gives up ownership in order: what changed is recorded, and the next
+// owner may claim at once. Runs go on under their leases.
+func (m *Manager) Stop(ctx context.Context) {
+	m.mu.Lock()
+	m.stopped = true
+	o := m.current
+	m.mu.Unlock()
+	if o == nil {
+		return
+	}
+	released := make(chan struct{})
+	o.post(func() { o.release(released) })
+	select {
+	case <-released:
+	case <-o.ctx.Done():
+	case <-ctx.Done():
+		o.cancel()
+	case <-time.After(2 * stopTimeout):
+		o.cancel()
+	}
+	<-m.done
+}
+
+// release records the state and the end of the term. The control loop calls it.
+func (o *owner) release(done chan struct{}) {
+	o.releasing = true
+	if o.flushing {
+		time.AfterFunc(finalFlushGap, func() { o.post(func() { o.release(done) }) })
+		return
+	}
+	o.claim.Released = true
+	ids, states := o.sched.Changed(time.Now().UnixMilli())
+	var records []ledger.Record
+	for i := range ids {
+		if record, err := ledger.StateRecord(ids[i], &states[i]); err == nil {
+			records = append(records, record)
+		} else {
+			o.logger.Error("job state not encoded", "job", ids[i], "error", err)
+		}
+	}
+	last, err := ledger.ClaimRecord(&o.claim)
+	if err != nil {
+		o.logger.Error("release not encoded", "error", err)
+	} else {
+		records = append(records, last)
+	}
+	o.flushing = true
+	entry := port.Append{Topic: port.TopicJobs, Records: records, Fence: &port.Fence{Epoch: o.epoch, Seq: o.seq}, At: port.AnyOffset}
+	o.seq++
+	o.group.Go(func() {
+		o.append(entry, nil)
+		o.logger.Info("ownership released", "epoch", o.epoch, "records", len(records))
+		close(done)
+		o.cancel()
+	})
+}
--- /dev/null
+++ b/internal/coordination/dispatch/owner.go
@@ -0,0 +1,391 @@
+// Package dispatch runs the owner: the one entry that decides which task runs
+// where. It wins ownership by a claim in the ledger, drives the scheduler from
+// one control loop, carries its orders to the upstreams and records its state.
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	metrics "github.com/rcrowley/go-metrics"
+
+	"github.com/samphirerail/samphirerail/internal/coordination/port"
+	"github.com/samphirerail/samphirerail/internal/coordination/replica"
+	"github.com/samphirerail/samphirerail/internal/state"
+	"github.com/samphirerail/samphirerail/internal/state/ledger"
+	"github.com/samphirerail/samphirerail/internal/state/scheduler"
+	"github.com/samphirerail/samphirerail/internal/state/workload"
+)
+
+const (
+	// flushGap is the least time between two appends of the owner; each is
+	// priced. finalFlushGap holds when a job has ended.
+	flushGap      = 25 * time.Millisecond
+	finalFlushGap = 8 * time.Millisecond
+	// heartbeat is the longest time between two appends of the owner.
+	heartbeat = 500 * time.Millisecond
+	// planGap is the least time between two plans.
+	planGap = 3 * time.Millisecond
+	// tick is the longest time between two rounds of the control loop.
+	tick = 50 * time.Millisecond
+	// contactGrace is how long the owner goes on without hearing from the log.
+	// A new owner counts on it.
+	contactGrace = 5 * time.Second
+	// appendTimeout bounds an append of the owner.
+	appendTimeout = 1500 * time.Millisecond
+	// expireInterval is how often ended jobs are looked for.
+	expireInterval = 5 * time.Second
+)
+
+// owner is one term of ownership.
+type owner struct {
+	*parts
+	epoch      int64
+	generation int64
+	claim      ledger.Claim
+	base       time.Time
+	sched      *scheduler.Scheduler
+	links      map[workload.UpstreamID]*link
+	ctx        context.Context
+	cancel     context.CancelFunc
+	group      sync.WaitGroup
+
+	mu     sync.Mutex
+	queue  []func()
+	signal chan struct{}
+
+	seq       int64
+	flushing  bool
+	flushedAt time.Time
+	acks      []ack
+	drops     []ledger.Record
+	planDue   bool
+	plannedAt time.Time
+	expiredAt time.Time
+	// contactAt is the newest successful append, in nanoseconds since base.
+	contactAt atomic.Int64
+	advisors  advisorPool
+	releasing bool
+}
+
+// ack is an end that a link may forget once the log holds it.
+type ack struct {
+	link   *link
+	number int64
+}
+
+// parts are what every term of ownership uses.
+type parts struct {
+	log       port.Log
+	decoder   port.Decoder
+	upstreams port.Upstreams
+	replica   *replica.Replica
+	peers     Peers
+	self      string
+	advisor   port.Advisor
+	lease     time.Duration
+	retention time.Duration
+	logger    hclog.Logger
+	metrics   ownerMetrics
+}
+
+type ownerMetrics struct {
+	starts, ends, appends, appendFails, asks, askFails metrics.Counter
+	startLatency, planTime, acceptToStart              metrics.Histogram
+	jobs, runs, ready, silent                          metrics.Gauge
+}
+
+// Peers calls other entries.
+type Peers interface {
+	// Advise makes another entry ask the advice service.
+	Advise(ctx context.Context, address string, step workload.StepID, upstreams []workload.UpstreamID) (port.Tickets, error)
+}
+
+func (p *parts) newOwner(ctx context.Context, claim ledger.Claim) *owner {
+	o := &owner{
+		parts: p, epoch: claim.Epoch, generation: claim.Generation, claim: claim, base: time.Now(),
+		links: map[workload.UpstreamID]*link{}, signal: make(chan struct{}, 1), seq: 1,
+	}
+	o.ctx, o.cancel = context.WithCancel(ctx)
+	o.sched = scheduler.New(p.replica.Config(), scheduler.Options{
+		Generation:     claim.Generation,
+		UncertainUntil: contactGrace + time.Duration(float64(p.lease)*slowClock) + callTimeout,
+	})
+	o.advisors.init(p)
+	o.contactAt.Store(int64(o.now()))
+	return o
+}
+
+// at converts a time to the scheduler's.
+func (o *owner) at(t time.Time) state.Time { return t.Sub(o.base) + 1 }
+
+func (o *owner) now() state.Time { return o.at(time.Now()) }
+
+// mayExtend reports whether the owner heard from the log recently enough to act.
+func (o *owner) mayExtend() bool {
+	contact := max(o.contactAt.Load(), int64(o.now())-int64(o.replica.Health().Age))
+	return int64(o.now())-contact < int64(contactGrace)
+}
+
+// post queues an event for the control loop. It never blocks.
+func (o *owner) post(f func()) {
+	o.mu.Lock()
+	o.queue = append(o.queue, f)
+	o.mu.Unlock()
+	select {
+	case o.signal <- struct{}{}:
+	default:
+	}
+}
+
+// Folded implements replica.Observer.
+func (o *owner) Folded(changes []ledger.Change, _ int64) {
+	if len(changes) > 0 {
+		o.post(func() { o.fold(changes) })
+	}
+}
+
+// run serves the term until it ends.
+func (o *owner) run() {
+	defer o.group.Wait()
+	defer o.cancel()
+	o.replica.SetOwning(true)
+	defer o.replica.SetOwning(false)
+	o.replica.Observe(o, func(t *ledger.Table, _ int64) { o.seed(t) })
+	defer o.replica.Observe(nil, nil)
+	o.group.Go(func() { o.followUpstreams(o.ctx) })
+	timer := time.NewTicker(tick)
+	defer timer.Stop()
+	for o.ctx.Err() == nil {
+		select {
+		case <-o.ctx.Done():
+			return
+		case <-o.signal:
+		case <-timer.C:
+			o.planDue = true
+		}
+		o.drain()
+		o.round()
+	}
+}
+
+// seed takes up the jobs that are known at the takeover.
+func (o *owner) seed(t *ledger.Table) {
+	unix := time.Now().UnixMilli()
+	n := 0
+	t.Rows(func(row *ledger.Row) {
+		o.sched.AddJob(o.now(), unix, row.Job, &row.State, row.Cancelled, true)
+		n++
+	})
+	o.logger.Info("ownership taken", "epoch", o.epoch, "generation", o.generation, "jobs", n)
+}
+
+func (o *owner) drain() {
+	o.mu.Lock()
+	events := o.queue
+	o.queue = nil
+	o.mu.Unlock()
+	for _, f := range events {
+		f()
+	}
+	if len(events) > 0 {
+		o.planDue = true
+	}
+}
+
+// round plans and flushes what is due.
+func (o *owner) round() {
+	now := time.Now()
+	if o.planDue && now.Sub(o.plannedAt) >= planGap && o.mayExtend() && !o.releasing {
+		o.planDue = false
+		o.plannedAt = now
+		o.sched.SetConfig(o.replica.Config())
+		o.sched.Tick(now.UnixMilli())
+		quick, slow := o.advisors.limits(o.replica)
+		o.sched.SetAskLimits(quick, slow)
+		o.execute(o.sched.Plan(o.now()))
+		o.metrics.planTime.Update(time.Since(now).Microseconds())
+		o.refreshLinks()
+	}
+	o.flush(now)
+	if o.planDue {
+		time.AfterFunc(planGap, func() { o.post(func() {}) })
+	}
+}
+
+// fold takes in changes of the ledger.
+func (o *owner) fold(changes []ledger.Change) {
+	unix := time.Now().UnixMilli()
+	for _, c := range changes {
+		switch {
+		case c.NewClaim != nil && c.NewClaim.Epoch > o.epoch:
+			o.fenced("claim of " + c.NewClaim.Entry)
+		case c.NewJob != nil:
+			o.sched.AddJob(o.now(), unix, c.NewJob.Job, &c.NewJob.State, c.NewJob.Cancelled, false)
+			o.logger.Info("job taken up", "job", c.NewJob.Job.ID, "queue", c.NewJob.Job.Queue, "offset", c.NewJob.Offset, "age_ms", unix-c.NewJob.Job.SubmittedUnixMS)
+		case c.CancelledJob != "":
+			o.sched.Cancel(o.now(), c.CancelledJob)
+			o.logger.Info("job cancelled", "job", c.CancelledJob)
+		}
+	}
+}
+
+// fenced ends the term.
+func (o *owner) fenced(by string) {
+	if o.ctx.Err() == nil {
+		o.logger.Warn("ownership lost", "epoch", o.epoch, "to", by)
+		o.cancel()
+	}
+}
+
+// refreshLinks tells the lookers which upstreams have runs.
+func (o *owner) refreshLinks() {
+	for id, l := range o.links {
+		active, closely := o.sched.HasRuns(id)
+		l.mu.Lock()
+		wake := active && !l.active
+		l.active, l.close = active, closely
+		l.mu.Unlock()
+		if wake {
+			l.wake()
+		}
+	}
+	c := o.sched.Counts()
+	o.metrics.jobs.Update(int64(c.Jobs))
+	o.metrics.runs.Update(int64(c.Runs))
+	o.metrics.ready.Update(int64(c.Ready))
+	o.metrics.silent.Update(int64(c.Silent))
+}
+
+// looked takes in what an upstream said.
+func (o *owner) looked(id workload.UpstreamID, l *link, look scheduler.Look, newest int64) {
+	if o.links[id] != l {
+		return
+	}
+	for _, e := range look.Ended {
+		o.logger.Info("run ended", "task", e.Task, "run", e.Run, "upstream", id, "how", e.How)
+	}
+	o.metrics.ends.Inc(int64(len(look.Ended)))
+	o.sched.Looked(o.now(), id, look)
+	if newest > 0 {
+		o.acks = append(o.acks, ack{l, newest})
+	}
+}
+
+// lost takes in that an upstream did not answer.
+func (o *owner) lost(id workload.UpstreamID, l *link, lapsed bool) {
+	if o.links[id] != l {
+		return
+	}
+	o.sched.Silent(id)
+	any, _ := o.sched.HasRuns(id)
+	if any && lapsed && o.now() > o.sched.UncertainUntil() {
+		o.logger.Warn("leases lapsed", "upstream", id)
+		o.sched.Lapsed(o.now(), id)
+	}
+	o.dropLinkIfGone(id, l)
+	o.planDue = true
+}
+
+// newLife takes in that an upstream restarted before its registration said so.
+func (o *owner) newLife(id workload.UpstreamID, born int64) {
+	if reg, ok := o.sched.Registration(id); ok && reg.BornUnixMS != born {
+		reg.BornUnixMS = born
+		o.sched.SetUpstream(o.now(), reg)
+	}
+}
+
+// flush records what changed, one append at a time.
+func (o *owner) flush(now time.Time) {
+	if o.flushing {
+		return
+	}
+	dirty, final := o.sched.Dirty()
+	dirty = dirty || len(o.acks) > 0
+	since := now.Sub(o.flushedAt)
+	if !(dirty && (since >= flushGap || (final && since >= finalFlushGap))) && since < heartbeat {
+		if dirty {
+			time.AfterFunc(flushGap-since, func() { o.post(func() {}) })
+		}
+		return
+	}
+	records := o.drops
+	o.drops = nil
+	ids, states := o.sched.Changed(now.UnixMilli())
+	for i := range ids {
+		record, err := ledger.StateRecord(ids[i], &states[i])
+		if err != nil {
+			o.logger.Error("job state not encoded", "job", ids[i], "error", err)
+			continue
+		}
+		records = append(records, record)
+		if states[i].Phase.Final() {
+			o.logger.Info("job ended", "job", ids[i], "phase", states[i].Phase)
+		}
+	}
+	if now.Sub(o.expiredAt) > expireInterval {
+		o.expiredAt = now
+		o.expire(now)
+	}
+	if len(records) == 0 {
+		record, err := ledger.ClaimRecord(&o.claim)
+		if err != nil {
+			o.logger.Error("heartbeat not encoded", "error", err)
+			return
+		}
+		records = append(records, record)
+	}
+	acks := o.acks
+	o.acks = nil
+	o.flushing, o.flushedAt = true, now
+	entry := port.Append{Topic: port.TopicJobs, Records: records, Fence: &port.Fence{Epoch: o.epoch, Seq: o.seq}, At: port.AnyOffset}
+	o.seq++
+	o.group.Go(func() { o.append(entry, acks) })
+}
+
+// append repeats an append until it is done or the owner is fenced. A repeat
+// with the same sequence number changes nothing if the first one was done.
+func (o *owner) append(entry port.Append, acks []ack) {
+	for o.ctx.Err() == nil {
+		ctx, cancel := context.WithTimeout(o.ctx, appendTimeout)
+		_, err := o.log.Append(ctx, entry)
+		cancel()
+		switch {
+		case err == nil:
+			o.metrics.appends.Inc(1)
+			o.contactAt.Store(int64(o.now()))
+			for _, a := range acks {
+				a.link.acknowledge(a.number)
+			}
+			o.post(func() { o.flushing = false })
+			return
+		case errors.Is(err, port.ErrFenced):
+			o.post(func() { o.fenced("the log") })
+			return
+		}
+		if o.ctx.Err() == nil {
+			o.metrics.appendFails.Inc(1)
+			o.logger.Warn("state not recorded yet", "records", len(entry.Records), "seq", entry.Fence.Seq, "error", err)
+		}
+		select {
+		case <-o.ctx.Done():
+		case <-time.After(100 * time.Millisecond):
+		}
+	}
+}
+
+// expire drops jobs that ended long ago from the log.
+func (o *owner) expire(now time.Time) {
+	before := now.Add(-o.retention).UnixMilli()
+	o.replica.View(func(t *ledger.Table, _ int64) {
+		t.Rows(func(row *ledger.Row) {
+			if row.State.Phase.Final() && row.State.FinalUnixMS > 0 && row.State.FinalUnixMS < before {
+				o.drops = append(o.drops, ledger.DropRecords(row.Job.ID)...)
+			}
+		})
+	})
+}
--- /dev/null
+++ b/internal/coordination/relay/relay.go
@@ -0,0 +1,206 @@
+// Package relay reaches the platform's log through another entry while the log
+// does not serve this one.
+package relay
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	metrics "github.com/rcrowley/go-metrics"
+
+	"github.com/samphirerail/samphirerail/internal/coordination/port"
+)
+
+const (
+	// directAppend bounds an append made directly while the log is not known to
+	// refuse this entry; it leaves time for a relay within a caller's deadline.
+	directAppend = 900 * time.Millisecond
+	// relayAppend bounds an append through another entry.
+	relayAppend = 900 * time.Millisecond
+	// readMargin is added to the wait of a read.
+	readMargin = 700 * time.Millisecond
+	// directPause is how long an entry relies on others after a failed call
+	// until it tries the log itself again.
+	directPause = 1500 * time.Millisecond
+	// maxRelays is the most entries that one call is tried through.
+	maxRelays = 2
+)
+
+// Peers makes calls to the log at other entries.
+type Peers interface {
+	Append(ctx context.Context, address string, a port.Append) (int64, error)
+	Read(ctx context.Context, address string, q port.ReadQuery) (port.Batch, error)
+}
+
+// Log is a port.Log that falls back to other entries.
+type Log struct {
+	direct port.Log
+	peers  Peers
+	logger hclog.Logger
+	// addresses returns the other entries.
+	addresses func() []string
+	relayed   metrics.Counter
+
+	mu       sync.Mutex
+	badUntil time.Time
+	bad      bool
+	// prefer is the entry that relayed last.
+	prefer string
+}
+
+// New returns a Log. addresses returns the other entries that may relay.
+func New(direct port.Log, peers Peers, addresses func() []string, logger hclog.Logger, registry metrics.Registry) *Log {
+	return &Log{direct: direct, peers: peers, addresses: addresses, logger: logger, relayed: metrics.GetOrRegisterCounter("relay.calls", registry)}
+}
+
+// final reports whether an error is the log's own answer.
+func final(err error) bool {
+	var conflict *port.ConflictError
+	return err == nil || errors.Is(err, port.ErrFenced) || errors.Is(err, port.ErrExpired) || errors.As(err, &conflict)
+}
+
+// useDirect reports whether the log is tried directly first.
+func (l *Log) useDirect() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return time.Now().After(l.badUntil)
+}
+
+func (l *Log) directResult(err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if final(err) {
+		if l.bad {
+			l.logger.Info("log reached directly again")
+		}
+		l.bad, l.badUntil = false, time.Time{}
+		return
+	}
+	if !l.bad {
+		l.logger.Warn("log not reached directly", "error", err, "action", "ask other entries")
+	}
+	l.bad, l.badUntil = true, time.Now().Add(directPause)
+}
+
+// relays returns the entries to try, the one that last worked first.
+func (l *Log) relays() []string {
+	all := slices.Clone(l.addresses())
+	l.mu.Lock()
+	prefer := l.prefer
+	l.mu.Unlock()
+	if i := slices.Index(all, prefer); i > 0 {
+		all[0], all[i] = all[i], all[0]
+	}
+	return all[:min(len(all), maxRelays)]
+}
+
+func (l *Log) relayResult(address string, err error) {
+	l.relayed.Inc(1)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch {
+	case final(err):
+		l.prefer = address
+	case l.prefer == address:
+		l.prefer = ""
+	}
+}
+
+// Append implements port.Log. Repeating an append through another entry is
+// safe: plain records are the same, and fenced ones carry a sequence number.
+func (l *Log) Append(ctx context.Context, a port.Append) (int64, error) {
+	notDone := true
+	var last error
+	attempt := func(limit time.Duration, call func(ctx context.Context) (int64, error)) (int64, bool) {
+		callCtx, cancel := context.WithTimeout(ctx, limit)
+		defer cancel()
+		offset, err := call(callCtx)
+		if !final(err) && !errors.Is(err, port.ErrNotDone) {
+			notDone = false
+		}
+		last = err
+		return offset, final(err)
+	}
+	direct := func() (int64, bool) {
+		offset, ok := attempt(directAppend, func(ctx context.Context) (int64, error) { return l.direct.Append(ctx, a) })
+		l.directResult(last)
+		return offset, ok
+	}
+	triedDirect := l.useDirect()
+	if triedDirect {
+		if offset, ok := direct(); ok {
+			return offset, last
+		}
+	}
+	for _, address := range l.relays() {
+		if ctx.Err() != nil {
+			break
+		}
+		offset, ok := attempt(relayAppend, func(ctx context.Context) (int64, error) { return l.peers.Append(ctx, address, a) })
+		l.relayResult(address, last)
+		if ok {
+			return offset, last
+		}
+	}
+	if !triedDirect && ctx.Err() == nil {
+		if offset, ok := direct(); ok {
+			return offset, last
+		}
+	}
+	if notDone && last != nil {
+		return 0, port.ErrNotDone
+	}
+	return 0, last
+}
+
+// Read implements port.Log.
+func (l *Log) Read(ctx context.Context, topic port.Topic, from int64, wait time.Duration) (port.Batch, error) {
+	return l.read(ctx, port.ReadQuery{Topic: topic, From: from, Wait: wait}, wait+readMargin)
+}
+
+// Newest implements port.Log.
+func (l *Log) Newest(ctx context.Context, topic port.Topic) (port.Batch, error) {
+	return l.read(ctx, port.ReadQuery{Topic: topic, Newest: true}, newestTimeout)
+}
+
+// newestTimeout bounds the load of a topic.
+const newestTimeout = 4 * time.Second
+
+func (l *Log) read(ctx context.Context, q port.ReadQuery, limit time.Duration) (port.Batch, error) {
+	var last error
+	if l.useDirect() {
+		callCtx, cancel := context.WithTimeout(ctx, limit)
+		batch, err := l.readDirect(callCtx, q)
+		cancel()
+		l.directResult(err)
+		if final(err) || ctx.Err() != nil {
+			return batch, err
+		}
+		last = err
+	}
+	for _, address := range l.relays() {
+		callCtx, cancel := context.WithTimeout(ctx, limit)
+		batch, err := l.peers.Read(callCtx, address, q)
+		cancel()
+		l.relayResult(address, err)
+		if final(err) || ctx.Err() != nil {
+			return batch, err
+		}
+		last = err
+	}
+	if last == nil {
+		last = port.ErrNotDone
+	}
+	return port.Batch{}, last
+}
+
+func (l *Log) readDirect(ctx context.Context, q port.ReadQuery) (port.Batch, error) {
+	if q.Newest {
+		return l.direct.Newest(ctx, q.Topic)
+	}
+	return l.direct.Read(ctx, q.Topic, q.From, q.Wait)
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,259 @@
+// Package node assembles an entry on the users' platform with fx and runs it.
+package node
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/netip"
+	"runtime/debug"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/hashicorp/go-hclog"
+	metrics "github.com/rcrowley/go-metrics"
+	"go.uber.org/fx"
+	"go.uber.org/fx/fxevent"
+
+	"github.com/samphirerail/samphirerail/internal/coordination/dispatch"
+	"github.com/samphirerail/samphirerail/internal/coordination/intake"
+	"github.com/samphirerail/samphirerail/internal/coordination/port"
+	"github.com/samphirerail/samphirerail/internal/coordination/relay"
+	"github.com/samphirerail/samphirerail/internal/coordination/replica"
+	"github.com/samphirerail/samphirerail/internal/settings"
+	"github.com/samphirerail/samphirerail/internal/state"
+	"github.com/samphirerail/samphirerail/internal/state/ledger"
+	"github.com/samphirerail/samphirerail/internal/state/workload"
+	"github.com/samphirerail/samphirerail/internal/telemetry"
+	"github.com/samphirerail/samphirerail/internal/transport/peer"
+	"github.com/samphirerail/samphirerail/platform"
+)
+
+const (
+	// memoryShare is the part of the VM's memory at which the garbage collector
+	// works harder; stacks and buffers of the C library take the rest.
+	memoryShare = 0.6
+	// collectAt is how far the heap may grow between collections, in percent.
+	// The heap is small beside the VM's memory and processor time is scarce.
+	collectAt = 300
+	// announceRetry is the pause after a failed registration in the ledger.
+	announceRetry = 300 * time.Millisecond
+)
+
+// identity is who this process is.
+type identity struct {
+	name        string
+	incarnation string
+	address     string
+	local       net.Addr
+}
+
+func newIdentity(s settings.Node) identity {
+	id := identity{name: s.Entry.Name, incarnation: uuid.NewString()[:8], address: s.Listen.Internal}
+	if address, err := netip.ParseAddr(s.Entry.Address); err == nil {
+		id.local = &net.TCPAddr{IP: address.AsSlice()}
+	}
+	return id
+}
+
+// Node is one entry process.
+type Node struct {
+	app    *fx.App
+	logger hclog.Logger
+	parts  *parts
+}
+
+// parts are the running parts of a node.
+type parts struct {
+	settings atomic.Pointer[settings.Node]
+	id       identity
+	logger   hclog.Logger
+	replica  *replica.Replica
+	log      *relay.Log
+	direct   *platform.Log
+	manager  *dispatch.Manager
+	intake   *intake.Intake
+	peers    *peer.Client
+	advice   *platform.Advice
+	servers  *servers
+	registry metrics.Registry
+	stopping atomic.Bool
+	ctx      context.Context
+	cancel   context.CancelFunc
+	group    sync.WaitGroup
+}
+
+// New assembles a node that logs to out.
+func New(s settings.Node, out io.Writer) (*Node, error) {
+	debug.SetGCPercent(collectAt)
+	if s.Limits.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(float64(s.Limits.MemoryMB) * memoryShare * (1 << 20)))
+	}
+	n := &Node{}
+	n.app = fx.New(
+		fx.Supply(s),
+		fx.Provide(
+			func() hclog.Logger { return telemetry.NewLogger("samphirerail", s.Log.Level, telemetry.NewAsyncWriter(out)) },
+			metrics.NewRegistry, newIdentity, newParts,
+		),
+		fx.Invoke(func(lc fx.Lifecycle, p *parts) { lc.Append(fx.Hook{OnStart: p.start, OnStop: p.stop}) }),
+		fx.Invoke(func(lc fx.Lifecycle, p *parts) error {
+			stop, err := telemetry.StartTracing(s.Trace.Exporter, s.Trace.SampleRatio, p.id.name, out)
+			if err == nil {
+				lc.Append(fx.Hook{OnStop: stop})
+			}
+			return err
+		}),
+		fx.Populate(&n.parts, &n.logger),
+		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
+		fx.StartTimeout(s.Shutdown.Timeout.Std()),
+		fx.StopTimeout(s.Shutdown.Timeout.Std()),
+	)
+	return n, n.app.Err()
+}
+
+// Start starts the node.
+func (n *Node) Start(ctx context.Context) error { return n.app.Start(ctx) }
+
+// Stop stops the node in order.
+func (n *Node) Stop(ctx context.Context) error { return n.app.Stop(ctx) }
+
+// Reload reads the settings again. Listeners and endpoints keep their
+// addresses until the process is started again.
+func (n *Node) Reload(path string) {
+	s, err := settings.LoadNode(path)
+	if err != nil {
+		n.logger.Error("settings not reloaded", "path", path, "error", err)
+		return
+	}
+	n.parts.settings.Store(&s)
+	n.logger.Info("settings reloaded", "path", path, "seeds", len(s.Peers.Seeds))
+}
+
+func newParts(s settings.Node, id identity, logger hclog.Logger, registry metrics.Registry) *parts {
+	p := &parts{id: id, logger: logger, registry: registry}
+	p.settings.Store(&s)
+	p.ctx, p.cancel = context.WithCancel(context.Background())
+	p.peers = peer.NewClient(id.local)
+	p.direct = platform.NewLog(s.Platform.Log, id.local)
+	p.log = relay.New(p.direct, p.peers, p.relays, logger, registry)
+	p.replica = replica.New(p.log, platform.Decoder{}, logger, registry)
+	p.advice = platform.NewAdvice(s.Platform.Advice, id.local)
+	p.manager = dispatch.NewManager(dispatch.Config{
+		Log: p.log, Decoder: platform.Decoder{}, Upstreams: platform.NewRunners(id.local), Advisor: p.advice,
+		Replica: p.replica, Peers: p.peers, Name: id.name, Incarnation: id.incarnation, Address: id.address,
+		Domain: state.DomainID(s.Entry.Domain), Preference: preference(s.Limits.CPUShare),
+		Lease: s.Upstream.Lease.Std(), Retention: s.Upstream.Retention.Std(), Logger: logger, Registry: registry,
+	})
+	p.intake = intake.New(p.log, p.replica, p.manager, p.peers, id.address, logger, registry)
+	return p
+}
+
+// preference orders entries by their processor share; less is preferred.
+func preference(cpuShare float64) float64 { return 1 - min(1, cpuShare) }
+
+// relays returns the other entries that may reach the log.
+func (p *parts) relays() []string {
+	var out []string
+	p.replica.View(func(t *ledger.Table, _ int64) {
+		for _, e := range t.Entries() {
+			if e.Name != p.id.name {
+				out = append(out, e.Address)
+			}
+		}
+	})
+	for _, seed := range p.settings.Load().Peers.Seeds {
+		if seed != p.id.address && !slices.Contains(out, seed) {
+			out = append(out, seed)
+		}
+	}
+	slices.Sort(out)
+	return rotate(out, p.id.address)
+}
+
+// rotate starts the list after an address, so that entries do not all choose
+// the same relay.
+func rotate(sorted []string, after string) []string {
+	i, _ := slices.BinarySearch(sorted, after)
+	return append(slices.Clone(sorted[i:]), sorted[:i]...)
+}
+
+func (p *parts) start(context.Context) error {
+	servers, err := listen(p)
+	if err != nil {
+		return err
+	}
+	p.servers = servers
+	p.group.Go(func() { p.replica.Run(p.ctx) })
+	p.group.Go(func() { p.manager.Run(p.ctx) })
+	p.group.Go(func() { p.announce(p.ctx, false) })
+	s := p.settings.Load()
+	p.logger.Info("started", "entry", p.id.name, "incarnation", p.id.incarnation, "domain", s.Entry.Domain, "callers", s.Listen.Callers, "log", s.Platform.Log)
+	return nil
+}
+
+// announce registers this entry in the ledger, or takes the registration back.
+func (p *parts) announce(ctx context.Context, gone bool) {
+	s := p.settings.Load()
+	record, err := ledger.EntryRecord(&ledger.Entry{
+		Name: p.id.name, Incarnation: p.id.incarnation, Address: p.id.address, Domain: state.DomainID(s.Entry.Domain), Gone: gone,
+	})
+	if err != nil {
+		p.logger.Error("entry not announced", "error", err)
+		return
+	}
+	for ctx.Err() == nil {
+		_, err = p.log.Append(ctx, port.Append{Topic: port.TopicJobs, Records: []ledger.Record{record}, At: port.AnyOffset})
+		if err == nil || gone {
+			return
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(announceRetry):
+		}
+	}
+}
+
+// stop hands over what this entry does and lets open requests end.
+func (p *parts) stop(ctx context.Context) error {
+	began := time.Now()
+	p.stopping.Store(true)
+	p.logger.Info("stopping", "owning", p.manager.Owning())
+	p.manager.Stop(ctx)
+	p.announce(ctx, true)
+	delay := p.settings.Load().Shutdown.BalancerDelay.Std() - time.Since(began)
+	select {
+	case <-time.After(max(0, delay)):
+	case <-ctx.Done():
+	}
+	err := p.servers.shutdown(ctx)
+	p.cancel()
+	p.group.Wait()
+	p.logger.Info("stopped", "took_ms", time.Since(began).Milliseconds(), "error", err)
+	return err
+}
+
+// ready reports whether callers should be sent to this entry.
+func (p *parts) ready() bool {
+	h := p.replica.Health()
+	return !p.stopping.Load() && h.Loaded && h.Age < readyAge
+}
+
+// readyAge is the age of the replica from which an entry is not ready.
+const readyAge = 2500 * time.Millisecond
+
+// Phase implements peer.Backend.
+func (p *parts) Phase(ctx context.Context, id workload.JobID) (ledger.Phase, bool) {
+	return p.manager.Phase(ctx, id)
+}
+
+// Advise implements peer.Backend.
+func (p *parts) Advise(ctx context.Context, step workload.StepID, upstreams []workload.UpstreamID) (port.Tickets, error) {
+	return p.advice.Advise(ctx, step, upstreams)
+}
+
+// Log implements peer.Backend.
+func (p *parts) Log() port.Log { return p.direct }
--- /dev/null
+++ b/internal/node/servers.go
@@ -0,0 +1,112 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	metrics "github.com/rcrowley/go-metrics"
+
+	"github.com/samphirerail/samphirerail/internal/transport/peer"
+	"github.com/samphirerail/samphirerail/platform"
+)
+
+const (
+	// headerTimeout bounds the reading of a request's header.
+	headerTimeout = 3 * time.Second
+	// idleTimeout closes callers' connections without requests.
+	idleTimeout = 60 * time.Second
+	// maxHeader bounds a request's header.
+	maxHeader = 64 << 10
+)
+
+// servers are the listeners of a node.
+type servers struct {
+	http  []*http.Server
+	front *http.Server
+	peer  *peer.Server
+}
+
+func listen(p *parts) (*servers, error) {
+	s := p.settings.Load()
+	out := &servers{}
+	var err error
+	if out.peer, err = peer.Serve(s.Listen.Internal, p, p.logger); err != nil {
+		return nil, err
+	}
+	front := platform.NewFront(p.intake, p.replica.Config, p.logger)
+	if out.front, err = out.serve(p, s.Listen.Callers, p.whileStopping(front)); err != nil {
+		return nil, err
+	}
+	if _, err = out.serve(p, s.Listen.Ready, http.HandlerFunc(p.serveReady)); err != nil {
+		return nil, err
+	}
+	if s.Listen.Metrics != "" {
+		if _, err = out.serve(p, s.Listen.Metrics, http.HandlerFunc(p.serveMetrics)); err != nil {
+			return nil, err
+		}
+	}
+	return out, nil
+}
+
+func (s *servers) serve(p *parts, address string, handler http.Handler) (*http.Server, error) {
+	listener, err := net.Listen("tcp4", address)
+	if err != nil {
+		return nil, fmt.Errorf("node: cannot listen on %s: %w; check the listen settings", address, err)
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader}
+	s.http = append(s.http, server)
+	go func() {
+		if err := server.Serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
+			p.logger.Error("listener ended", "address", address, "error", err)
+		}
+	}()
+	return server, nil
+}
+
+// whileStopping asks callers to open their next connection elsewhere once this
+// entry stops.
+func (p *parts) whileStopping(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if p.stopping.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (p *parts) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if !p.ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// serveMetrics writes one line a metric: its name and its value.
+func (p *parts) serveMetrics(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "text/plain")
+	p.registry.Each(func(name string, metric any) {
+		switch m := metric.(type) {
+		case metrics.Counter:
+			fmt.Fprintf(w, "%s %d\n", name, m.Count())
+		case metrics.Gauge:
+			fmt.Fprintf(w, "%s %d\n", name, m.Value())
+		case metrics.Histogram:
+			snapshot := m.Snapshot()
+			q := snapshot.Percentiles([]float64{0.5, 0.9, 0.99})
+			fmt.Fprintf(w, "%s_count %d\n%s_p50 %.0f\n%s_p90 %.0f\n%s_p99 %.0f\n%s_max %d\n",
+				name, snapshot.Count(), name, q[0], name, q[1], name, q[2], name, snapshot.Max())
+		}
+	})
+}
+
+// shutdown lets open requests end and closes the listeners.
+func (s *servers) shutdown(ctx context.Context) error {
+	var err error
+	for _, server := range s.http {
+		err = errors.Join(err, server.Shutdown(ctx))
+	}
+	return errors.Join(err, s.peer.Close())
+}
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -46,20 +46,36 @@
 
 // Load reads and checks a file. It fails with a *FaultsError that holds every
 // fault, or with another error when the file can't be read.
-func Load(path string) (Settings, error) {
+func Load(path string) (Settings, error) { return load(path, Parse) }
+
+// LoadNode reads and checks the settings of an entry on the users' platform. It
+// fails as Load does.
+func LoadNode(path string) (Node, error) { return load(path, ParseNode) }
+
+func load[T any](path string, parse func(name, text string) (T, error)) (T, error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
-		return Settings{}, eris.Wrapf(err, "settings: can't read %s; name a readable file with --config", path)
+		var none T
+		return none, eris.Wrapf(err, "settings: can't read %s; name a readable file with --config", path)
 	}
-	return Parse(path, string(text))
+	return parse(path, string(text))
 }
 
 // Parse checks the text of a settings file; name is used in faults.
 func Parse(name, text string) (Settings, error) {
-	s := Default()
+	return parse(name, text, Default(), (*checker).check)
+}
+
+// ParseNode checks the text of the settings of an entry on the users' platform.
+func ParseNode(name, text string) (Node, error) {
+	return parse(name, text, DefaultNode(), (*checker).checkNode)
+}
+
+func parse[T any](name, text string, s T, check func(*checker, *T)) (T, error) {
+	var none T
 	meta, err := toml.Decode(text, &s)
 	if err != nil {
-		return Settings{}, &FaultsError{Faults: []Fault{{
+		return none, &FaultsError{Faults: []Fault{{
 			File: name, Key: "(syntax)", Got: err.Error(), Allowed: "TOML 1.0 with values of the documented types",
 			Remedy: "correct the line named",
 		}}}
@@ -68,9 +84,9 @@
 	for _, key := range meta.Undecoded() {
 		c.add(key.String(), "", "the keys of docs/CONFIGURATION.md", "remove or correct the key")
 	}
-	c.check(&s)
+	check(c, &s)
 	if len(c.faults) > 0 {
-		return Settings{}, &FaultsError{Faults: c.faults}
+		return none, &FaultsError{Faults: c.faults}
 	}
 	return s, nil
 }
--- /dev/null
+++ b/internal/state/ledger/table.go
@@ -0,0 +1,197 @@
+package ledger
+
+import (
+	"fmt"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/samphirerail/samphirerail/internal/state/workload"
+)
+
+// Row is a job with its newest recorded state. Its fields are replaced, never
+// changed in place.
+type Row struct {
+	// Job is nil while only a cancellation or a state is known.
+	Job *workload.Job
+	// Offset is where the job was first read.
+	Offset    int64
+	State     JobState
+	Cancelled bool
+}
+
+// Phase returns the phase as callers see it.
+func (r *Row) Phase() Phase {
+	if r.Cancelled && !r.State.Phase.Final() {
+		return Cancelled
+	}
+	return r.State.Phase
+}
+
+// Table is the fold of the log. It is not safe for concurrent use.
+type Table struct {
+	rows    map[workload.JobID]*Row
+	entries map[string]Entry
+	claim   Claim
+	// claimOffset is where the newest claim of a new epoch was read.
+	claimOffset int64
+	pending     map[workload.QueueName]int
+}
+
+// NewTable returns an empty table.
+func NewTable() *Table {
+	return &Table{
+		rows:    map[workload.JobID]*Row{},
+		entries: map[string]Entry{},
+		pending: map[workload.QueueName]int{},
+	}
+}
+
+// Row returns the row of a job, or nil.
+func (t *Table) Row(id workload.JobID) *Row { return t.rows[id] }
+
+// Len returns the number of rows.
+func (t *Table) Len() int { return len(t.rows) }
+
+// Rows calls f for each row with a job.
+func (t *Table) Rows(f func(*Row)) {
+	for _, row := range t.rows {
+		if row.Job != nil {
+			f(row)
+		}
+	}
+}
+
+// Claim returns the newest claim and where its epoch began.
+func (t *Table) Claim() (Claim, int64) { return t.claim, t.claimOffset }
+
+// Entries returns the entries that registered and have not left.
+func (t *Table) Entries() []Entry {
+	out := make([]Entry, 0, len(t.entries))
+	for _, e := range t.entries {
+		if !e.Gone {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+// Pending returns the number of jobs of a queue of which no task has started.
+func (t *Table) Pending(queue workload.QueueName) int { return t.pending[queue] }
+
+// Change says what a record changed.
+type Change struct {
+	// NewJob is a job that was not known before.
+	NewJob *Row
+	// CancelledJob is a job whose cancellation was not known before.
+	CancelledJob workload.JobID
+	// NewClaim is set when the epoch changed.
+	NewClaim *Claim
+	// OwnerAlive is set for every record that only the owner writes.
+	OwnerAlive bool
+}
+
+// Apply folds one record. A record that can't be read changes nothing.
+func (t *Table) Apply(r Record) (Change, error) {
+	if r.Key == keyOwner {
+		return t.applyClaim(r)
+	}
+	if r.Key == "" {
+		return Change{}, fmt.Errorf("ledger: the record at offset %d has an empty key", r.Offset)
+	}
+	id := workload.JobID(r.Key[1:])
+	switch r.Key[0] {
+	case kindEntry:
+		return Change{}, t.applyEntry(r)
+	case kindJob, kindCancel, kindState:
+		if !id.Valid() {
+			return Change{}, fmt.Errorf("ledger: the record at offset %d has the key %q, which names no job", r.Offset, r.Key)
+		}
+		return t.applyJob(r, id)
+	}
+	return Change{}, fmt.Errorf("ledger: the record at offset %d has an unknown key %q", r.Offset, r.Key)
+}
+
+func (t *Table) applyClaim(r Record) (Change, error) {
+	var c Claim
+	if err := decode(r, &c); err != nil {
+		return Change{}, err
+	}
+	if c.Epoch < t.claim.Epoch {
+		return Change{}, nil
+	}
+	change := Change{OwnerAlive: true}
+	if c.Epoch > t.claim.Epoch {
+		t.claimOffset = r.Offset
+		change.NewClaim = &c
+	}
+	t.claim = c
+	return change, nil
+}
+
+func (t *Table) applyEntry(r Record) error {
+	if len(r.Value) == 0 {
+		delete(t.entries, r.Key[1:])
+		return nil
+	}
+	var e Entry
+	if err := decode(r, &e); err != nil {
+		return err
+	}
+	t.entries[e.Name] = e
+	return nil
+}
+
+func (t *Table) applyJob(r Record, id workload.JobID) (Change, error) {
+	old := t.rows[id]
+	row := &Row{Offset: r.Offset}
+	if old != nil {
+		*row = *old
+	}
+	var change Change
+	switch {
+	case len(r.Value) == 0:
+		t.count(old, -1)
+		delete(t.rows, id)
+		return change, nil
+	case r.Key[0] == kindJob:
+		if row.Job != nil {
+			return change, nil
+		}
+		job := &workload.Job{}
+		if err := decode(r, job); err != nil {
+			return change, err
+		}
+		row.Job, row.Offset = job, r.Offset
+		change.NewJob = row
+	case r.Key[0] == kindCancel:
+		if !row.Cancelled {
+			change.CancelledJob = id
+		}
+		row.Cancelled = true
+	default:
+		var s JobState
+		if err := decode(r, &s); err != nil {
+			return change, err
+		}
+		row.State = s
+		change.OwnerAlive = true
+	}
+	t.count(old, -1)
+	t.count(row, 1)
+	t.rows[id] = row
+	return change, nil
+}
+
+// count keeps the number of pending jobs per queue.
+func (t *Table) count(row *Row, by int) {
+	if row != nil && row.Job != nil && row.Phase() == Queued {
+		t.pending[row.Job.Queue] += by
+	}
+}
+
+func decode(r Record, into any) error {
+	if err := msgpack.Unmarshal(r.Value, into); err != nil {
+		return fmt.Errorf("ledger: the record %q at offset %d cannot be read: %w", r.Key, r.Offset, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/state/scheduler/model.go
@@ -0,0 +1,185 @@
+// Package scheduler decides which task runs on which upstream. It is a state
+// machine without clock, I/O or goroutines: events change its state, and Plan
+// returns the orders that follow from it. Capacity is assumed taken from the
+// moment an order is planned until the upstream shows that the run is over.
+package scheduler
+
+import (
+	"github.com/samphirerail/samphirerail/internal/state"
+	"github.com/samphirerail/samphirerail/internal/state/ledger"
+	"github.com/samphirerail/samphirerail/internal/state/workload"
+)
+
+// Run names one run of a task.
+type Run struct {
+	Task     workload.TaskID
+	Number   int64
+	Upstream workload.UpstreamID
+}
+
+// Start is the order to start a run.
+type Start struct {
+	Run
+	Payload    string
+	Checkpoint string
+	Ticket     string
+}
+
+// Ask is a call for advice about a step.
+type Ask struct {
+	Step      workload.StepID
+	Upstreams []workload.UpstreamID
+	Advice    workload.Advice
+}
+
+// Slow reports whether the call is one of those that would delay quick ones.
+func (a *Ask) Slow() bool { return a.Advice.DecisionMS > quickAdviceMS }
+
+// Pace is the order to let a run work at a share of its speed.
+type Pace struct {
+	Run
+	Percent int
+}
+
+// Ended is a job that reached a final phase.
+type Ended struct {
+	Job   workload.JobID
+	Phase ledger.Phase
+}
+
+// Plan is what follows from the state.
+type Plan struct {
+	Starts []Start
+	Stops  []Run
+	Asks   []Ask
+	Paces  []Pace
+	Ended  []Ended
+}
+
+// phase is the progress of a run.
+type phase uint8
+
+const (
+	// awaiting: capacity is reserved until a ticket arrives.
+	awaiting phase = iota
+	// starting: the order was sent.
+	starting
+	// unsure: the order got no answer and may be carried out late.
+	unsure
+	// running: the upstream showed the run.
+	running
+	// stopping: a stop was ordered.
+	stopping
+)
+
+type run struct {
+	Run
+	task  *task
+	phase phase
+	// since is when the phase began.
+	since state.Time
+	// startedAt is when the start was ordered.
+	startedAt state.Time
+	// progress is the last figure that the upstream gave for the run, in
+	// percent, progressAt is when it last changed.
+	progress   int
+	progressAt state.Time
+	// figure is the tail in milliseconds of a serving run, and the processor
+	// use of any other run.
+	figure int64
+	// pace is the share at which the run was ordered to work, in percent.
+	pace int
+	// overAt is when a serving run was first seen over its target; 0 when it
+	// is not.
+	overAt state.Time
+	// stopAgain is when an unanswered stop is ordered again; 0 while one is
+	// under way or was answered.
+	stopAgain state.Time
+	// stopAcked is when a stop was answered; 0 before.
+	stopAcked state.Time
+}
+
+type task struct {
+	step       *step
+	index      int
+	done       bool
+	failures   int
+	// failedRun is the newest run whose failure is counted.
+	failedRun  int64
+	lastRun    int64
+	checkpoint string
+	runs       []*run
+	// avoid is the upstream on which the newest run ended badly.
+	avoid workload.UpstreamID
+	// uncertain tasks may run on an upstream that was not reached since the
+	// takeover.
+	uncertain bool
+}
+
+func (t *task) id() workload.TaskID {
+	return workload.TaskID{Job: t.step.job.id, Occurrence: t.step.occurrence, Step: t.step.index, Index: t.index}
+}
+
+type ticket struct {
+	token string
+	until state.Time
+	good  bool
+}
+
+type step struct {
+	job        *job
+	occurrence int
+	index      int
+	spec       *workload.Step
+	tasks      []*task
+	// left counts the tasks that have not ended well.
+	left int
+	// started is set once a task of the step was started.
+	started bool
+	// advised holds what the advice service said of each upstream.
+	advised map[workload.UpstreamID]ticket
+	asking  int
+	// askAfter holds back the next call for advice after a failed one.
+	askAfter state.Time
+	// perUpstream counts the runs of the step on each upstream.
+	perUpstream map[workload.UpstreamID]int
+}
+
+func (s *step) id() workload.StepID {
+	return workload.StepID{Job: s.job.id, Occurrence: s.occurrence, Step: s.index}
+}
+
+type job struct {
+	id        workload.JobID
+	spec      *workload.Job
+	steps     [][]*step // by occurrence, then by step
+	open      int       // steps that are not complete
+	phase     ledger.Phase
+	cancelled bool
+	// adopted jobs were accepted before the takeover.
+	adopted   bool
+	begun     bool
+	arrived   state.Time
+	dueBy     state.Time
+	overShare bool
+	dirty     bool
+	finalAt   int64
+}
+
+type upstream struct {
+	workload.Upstream
+	// listed is false once the platform's list has dropped the upstream.
+	listed bool
+	// known is set once a look under the owner's token succeeded.
+	known bool
+	// silent is set while calls to the upstream fail.
+	silent bool
+	used   state.Vector
+	// fillCPU is the processor share that filling runs asked for.
+	fillCPU int64
+	serving int
+	runs    map[workload.TaskID]*run
+	health  health
+}
+
+func (u *upstream) free() state.Vector { return u.Capacity.Sub(u.used) }
--- /dev/null
+++ b/internal/state/scheduler/plan.go
@@ -0,0 +1,333 @@
+package scheduler
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/samphirerail/samphirerail/internal/state"
+	"github.com/samphirerail/samphirerail/internal/state/ledger"
+	"github.com/samphirerail/samphirerail/internal/state/workload"
+)
+
+// lateFactor is how many objectives a job may take until its result is worth
+// nothing.
+const lateFactor = 3
+
+// Plan places what can be placed and returns all orders that are due.
+func (s *Scheduler) Plan(now state.Time) Plan {
+	var plan Plan
+	s.repeatStops(now)
+	s.evacuate(now)
+	s.pace(now, &plan)
+	blocked := s.uncertainServices(now)
+	for _, st := range s.order(now) {
+		s.placeStep(now, st, blocked, &plan)
+	}
+	plan.Stops, s.stops = s.stops, nil
+	plan.Ended, s.ended = s.ended, nil
+	return plan
+}
+
+// uncertainServices returns the services of which an upstream was not reached
+// since the takeover. Adopted tasks of theirs may run there.
+func (s *Scheduler) uncertainServices(now state.Time) map[workload.ServiceName]bool {
+	if now >= s.opts.UncertainUntil {
+		return nil
+	}
+	blocked := map[workload.ServiceName]bool{}
+	for _, u := range s.upstreams {
+		if !u.known {
+			blocked[u.Service] = true
+		}
+	}
+	return blocked
+}
+
+// rank orders steps; less goes first.
+type rank struct {
+	overShare bool
+	lateness  int
+	priority  int
+	dueBy     state.Time
+	id        workload.JobID
+	step      int
+}
+
+func (a rank) compare(b rank) int {
+	if a.overShare != b.overShare {
+		if b.overShare {
+			return -1
+		}
+		return 1
+	}
+	return cmp.Or(
+		cmp.Compare(a.lateness, b.lateness),
+		cmp.Compare(a.priority, b.priority),
+		cmp.Compare(a.dueBy, b.dueBy),
+		cmp.Compare(a.id, b.id),
+		cmp.Compare(a.step, b.step),
+	)
+}
+
+// rankOf ranks a step: work within its workspace's share first, then work that
+// can still be on time, then by priority and by the end of its objective.
+func (s *Scheduler) rankOf(now state.Time, st *step) rank {
+	j := st.job
+	r := rank{overShare: j.overShare, dueBy: j.dueBy, id: j.id, step: st.index}
+	if q := s.config.Queue(j.spec.Queue); q != nil {
+		r.priority = q.Priority
+	}
+	if st.spec.LongRunning {
+		r.priority = 0
+		return r
+	}
+	finish := now + st.spec.Estimate()
+	switch {
+	case finish <= j.dueBy:
+	case finish <= j.arrived+lateFactor*(j.dueBy-j.arrived):
+		r.lateness = 1
+	default:
+		r.lateness = 2
+	}
+	return r
+}
+
+func (s *Scheduler) order(now state.Time) []*step {
+	type ranked struct {
+		rank rank
+		step *step
+	}
+	all := make([]ranked, 0, len(s.ready))
+	for st := range s.ready {
+		all = append(all, ranked{s.rankOf(now, st), st})
+	}
+	slices.SortFunc(all, func(a, b ranked) int {
+		return cmp.Or(a.rank.compare(b.rank), cmp.Compare(a.step.occurrence, b.step.occurrence))
+	})
+	out := make([]*step, len(all))
+	for i := range all {
+		out[i] = all[i].step
+	}
+	return out
+}
+
+// placeStep places the waiting tasks of a step as far as there is room.
+func (s *Scheduler) placeStep(now state.Time, st *step, blocked map[workload.ServiceName]bool, plan *Plan) {
+	q := s.config.Queue(st.job.spec.Queue)
+	if q == nil || s.jobs[st.job.id] != st.job || st.job.phase.Final() {
+		return
+	}
+	waiting := st.waiting(blocked[q.Service])
+	if len(waiting) == 0 {
+		if !blocked[q.Service] {
+			delete(s.ready, st)
+		}
+		return
+	}
+	candidates := s.candidates(now, st, q)
+	if len(candidates) == 0 {
+		return
+	}
+	if q.Advice != nil {
+		s.askUnknown(now, st, q, candidates, len(waiting), plan)
+		candidates = st.onlyGood(candidates)
+	}
+	p := placement{s: s, now: now, step: st, advised: q.Advice != nil, plan: plan}
+	if st.spec.Gang {
+		p.gang(waiting, candidates)
+	} else {
+		p.single(waiting, candidates)
+	}
+	p.renew(q)
+}
+
+// waiting returns the tasks that have no run and may get one.
+func (st *step) waiting(blocked bool) []*task {
+	var out []*task
+	for _, t := range st.tasks {
+		if t.done || len(t.runs) > 0 {
+			if st.spec.Gang && len(t.runs) > 0 {
+				return nil
+			}
+			continue
+		}
+		if t.uncertain && blocked {
+			if st.spec.Gang {
+				return nil
+			}
+			continue
+		}
+		out = append(out, t)
+	}
+	return out
+}
+
+// candidates returns the upstreams on which a task of the step could run, with
+// room for it or not.
+func (s *Scheduler) candidates(now state.Time, st *step, q *workload.Queue) []candidate {
+	room := st.spec.Room()
+	var out []candidate
+	for _, u := range s.byService[q.Service] {
+		if !u.known || u.silent || u.Draining || !room.Fits(withSlots(u.Capacity)) {
+			continue
+		}
+		if st.spec.Constraint != "" && !u.HasLabel(st.spec.Constraint) {
+			continue
+		}
+		if u.health.recentFaults(now) >= avoidFaults {
+			continue
+		}
+		out = append(out, candidate{u: u, free: withSlots(u.free()), cost: s.cost(now, st, u)})
+	}
+	return out
+}
+
+// unboundedSlots stands for the slots of an upstream, which do not bound tasks.
+const unboundedSlots = 1 << 30
+
+func withSlots(v state.Vector) state.Vector {
+	v.Slots = unboundedSlots
+	return v
+}
+
+// candidate is an upstream in the course of a placement.
+type candidate struct {
+	u    *upstream
+	free state.Vector
+	cost float64
+	// added counts the tasks of the step that this placement puts there.
+	added int
+}
+
+const (
+	// farCost is added when the data is on another rack; such tasks take twice
+	// as long on the users' platform.
+	farCost = 1.0
+	// disturbCost is added when filling and serving tasks would share an upstream.
+	disturbCost = 3.0
+	// packCost orders upstreams of like speed by the room that they have left.
+	packCost = 0.08
+	// avoidCost is added for the upstream on which the task failed last.
+	avoidCost = 2.0
+	// costStep is the resolution of speeds; smaller differences do not count.
+	costStep = 0.15
+)
+
+// cost orders upstreams for a step; less is better.
+func (s *Scheduler) cost(now state.Time, st *step, u *upstream) float64 {
+	cost := float64(int(u.health.cost(now)/costStep)) * costStep
+	if st.spec.Affinity != "" && !u.HasLabel(st.spec.Affinity) {
+		cost += farCost
+	}
+	switch {
+	case st.spec.Fills:
+		if u.serving > 0 {
+			cost += disturbCost
+		}
+		cost += float64(u.used.CPUMilli+u.fillCPU) / float64(max(1, u.Capacity.CPUMilli))
+	case st.spec.TargetMS > 0:
+		if u.fillCPU > 0 {
+			cost += disturbCost
+		}
+	}
+	return cost + packCost*u.emptiness(st.spec.Each.Accelerators > 0)
+}
+
+// emptiness is the part of the upstream that is free, 0 to 1.
+func (u *upstream) emptiness(accelerators bool) float64 {
+	if accelerators && u.Capacity.Accelerators > 0 {
+		return float64(u.Capacity.Accelerators-u.used.Accelerators) / float64(u.Capacity.Accelerators)
+	}
+	return float64(u.Capacity.CPUMilli-u.used.CPUMilli) / float64(max(1, u.Capacity.CPUMilli))
+}
+
+// evacuate stops what would not end before its draining upstream leaves.
+func (s *Scheduler) evacuate(now state.Time) {
+	for _, u := range s.upstreams {
+		if !u.Draining || u.silent {
+			continue
+		}
+		for _, r := range u.sortedRuns() {
+			spec := r.task.step.spec
+			if r.phase != running || s.leavesInTime(now, u, r) {
+				continue
+			}
+			if spec.LongRunning || spec.Checkpoints {
+				s.stop(now, r)
+			}
+		}
+	}
+}
+
+// leavesInTime reports whether a run is expected to end before its upstream leaves.
+func (s *Scheduler) leavesInTime(now state.Time, u *upstream, r *run) bool {
+	spec := r.task.step.spec
+	if spec.LongRunning {
+		return false
+	}
+	left := time.Duration(float64(spec.Estimate())*u.health.slow(now)) - (now - r.startedAt)
+	return left < time.Duration(u.RemainingMS)*time.Millisecond
+}
+
+const (
+	// paceInterval is the least time between two changes of pace on an upstream.
+	paceInterval = 400 * time.Millisecond
+	// Filling tasks are slowed while a serving task beside them is above
+	// paceDownAt of its target, and sped up below paceUpAt.
+	paceDownAt, paceUpAt = 0.85, 0.5
+	// paceUpStep is by how many percent filling tasks are sped up at a time.
+	paceUpStep = 10
+	// pacePause is the share below which filling tasks are paused, in percent.
+	pacePause = 15
+)
+
+// pace slows filling tasks that disturb serving ones.
+func (s *Scheduler) pace(now state.Time, plan *Plan) {
+	for _, u := range s.upstreams {
+		if u.serving == 0 || u.fillCPU == 0 || u.silent {
+			continue
+		}
+		worst := 0.0
+		for _, r := range u.runs {
+			if target := r.task.step.spec.TargetMS; target > 0 && r.phase == running {
+				worst = max(worst, float64(r.figure)/float64(target))
+			}
+		}
+		for _, r := range u.sortedRuns() {
+			if r.task.step.spec.Fills && r.phase == running && now-r.overAt >= paceInterval {
+				s.setPace(now, r, worst, plan)
+			}
+		}
+	}
+}
+
+func (s *Scheduler) setPace(now state.Time, r *run, worst float64, plan *Plan) {
+	next := r.pace
+	switch {
+	case worst > paceDownAt:
+		next = r.pace / 2
+		if next < pacePause {
+			next = 0
+		}
+	case worst < paceUpAt:
+		next = min(100, r.pace+paceUpStep)
+	}
+	if next != r.pace {
+		r.pace, r.overAt = next, now
+		plan.Paces = append(plan.Paces, Pace{r.Run, next})
+	}
+}
+
+// Phase returns the phase of a job that callers may be shown. A final phase is
+// shown only once it is recorded; the scheduler has forgotten the job by then.
+func (s *Scheduler) Phase(id workload.JobID) (ledger.Phase, bool) {
+	j := s.jobs[id]
+	if j == nil {
+		return 0, false
+	}
+	if j.begun {
+		return ledger.Running, true
+	}
+	return ledger.Queued, true
+}
--- /dev/null
+++ b/internal/state/scheduler/scheduler.go
@@ -0,0 +1,319 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/samphirerail/samphirerail/internal/state"
+	"github.com/samphirerail/samphirerail/internal/state/ledger"
+	"github.com/samphirerail/samphirerail/internal/state/workload"
+)
+
+const (
+	// quickAdviceMS divides calls for advice into quick and slow ones.
+	quickAdviceMS = 60
+	// runsPerGeneration is the most runs of a task that one owner numbers.
+	runsPerGeneration = 1_000_000
+)
+
+// Options are the parameters of a Scheduler.
+type Options struct {
+	// Generation is the owner's claim number; run numbers start from it.
+	Generation int64
+	// UncertainUntil is when no run of a former owner can be alive any more.
+	UncertainUntil state.Time
+	// QuickAsks and SlowAsks bound the calls for advice in flight.
+	QuickAsks, SlowAsks int
+}
+
+// Scheduler is the decision core of the owner.
+type Scheduler struct {
+	opts      Options
+	config    *workload.Config
+	jobs      map[workload.JobID]*job
+	upstreams map[workload.UpstreamID]*upstream
+	byService map[workload.ServiceName][]*upstream
+	used      map[workload.WorkspaceName]state.Vector
+	shares    map[workload.WorkspaceName]*share
+	dirty     []*job
+	ended     []Ended
+	stops     []Run
+	quickAsks int
+	slowAsks  int
+	// ready are the steps that may have tasks to place.
+	ready map[*step]struct{}
+	// timed are the steps whose occurrence is not due yet.
+	timed map[*step]struct{}
+}
+
+// New returns a Scheduler without jobs and upstreams.
+func New(config *workload.Config, opts Options) *Scheduler {
+	return &Scheduler{
+		opts:      opts,
+		config:    config,
+		jobs:      map[workload.JobID]*job{},
+		upstreams: map[workload.UpstreamID]*upstream{},
+		byService: map[workload.ServiceName][]*upstream{},
+		used:      map[workload.WorkspaceName]state.Vector{},
+		shares:    map[workload.WorkspaceName]*share{},
+		ready:     map[*step]struct{}{},
+		timed:     map[*step]struct{}{},
+	}
+}
+
+// SetConfig replaces the configuration.
+func (s *Scheduler) SetConfig(config *workload.Config) { s.config = config }
+
+// SetAskLimits bounds the calls for advice in flight.
+func (s *Scheduler) SetAskLimits(quick, slow int) { s.opts.QuickAsks, s.opts.SlowAsks = quick, slow }
+
+// AddJob takes up a job. recorded is its state in the log; adopted says that a
+// former owner may have started tasks of it. unixNow is the time of day.
+func (s *Scheduler) AddJob(now state.Time, unixNow int64, spec *workload.Job, recorded *ledger.JobState, cancelled, adopted bool) {
+	if s.jobs[spec.ID] != nil || recorded.Phase.Final() {
+		return
+	}
+	waited := time.Duration(max(0, unixNow-spec.SubmittedUnixMS)) * time.Millisecond
+	j := &job{id: spec.ID, spec: spec, adopted: adopted, arrived: now - waited, phase: recorded.Phase, begun: recorded.Phase == ledger.Running}
+	j.steps = make([][]*step, spec.Occurrences())
+	for k := range j.steps {
+		j.steps[k] = make([]*step, len(spec.Steps))
+		for i := range spec.Steps {
+			j.steps[k][i] = newStep(j, k, i, adopted)
+		}
+	}
+	for i := range recorded.Steps {
+		j.restore(&recorded.Steps[i])
+	}
+	j.dueBy = j.arrived + s.objective(j)
+	j.overShare = s.takeShare(j)
+	s.jobs[j.id] = j
+	for _, steps := range j.steps {
+		for _, st := range steps {
+			if st.left > 0 {
+				j.open++
+			}
+		}
+	}
+	if cancelled {
+		s.cancel(now, j)
+		return
+	}
+	for k := range j.steps {
+		s.advance(j, k, unixNow)
+	}
+	s.finishIfComplete(j)
+}
+
+func newStep(j *job, occurrence, index int, uncertain bool) *step {
+	spec := &j.spec.Steps[index]
+	st := &step{job: j, occurrence: occurrence, index: index, spec: spec, left: spec.Count, tasks: make([]*task, spec.Count)}
+	for i := range st.tasks {
+		st.tasks[i] = &task{step: st, index: i, uncertain: uncertain}
+	}
+	return st
+}
+
+// restore applies the recorded progress of a step.
+func (j *job) restore(r *ledger.StepState) {
+	if r.Occurrence >= len(j.steps) || r.Step >= len(j.spec.Steps) {
+		return
+	}
+	st := j.steps[r.Occurrence][r.Step]
+	for i, t := range st.tasks {
+		if r.IsDone(i) {
+			t.done, t.uncertain = true, false
+			st.left--
+		}
+	}
+	for i := range r.Tasks {
+		if rt := &r.Tasks[i]; rt.Index < len(st.tasks) {
+			t := st.tasks[rt.Index]
+			t.lastRun, t.failures, t.failedRun, t.checkpoint = rt.Run, rt.Failures, rt.FailedRun, rt.Checkpoint
+			st.started = true
+		}
+	}
+}
+
+// advance makes the steps of an occurrence ready whose predecessors are done.
+func (s *Scheduler) advance(j *job, occurrence int, unixNow int64) {
+	if j.phase.Final() || j.cancelled {
+		return
+	}
+	for _, st := range j.steps[occurrence] {
+		if st.left == 0 || !st.predecessorsDone() {
+			continue
+		}
+		if due := j.spec.Due(occurrence); due > unixNow {
+			s.timed[st] = struct{}{}
+			continue
+		}
+		delete(s.timed, st)
+		s.ready[st] = struct{}{}
+	}
+}
+
+func (s *step) predecessorsDone() bool {
+	for _, before := range s.spec.After {
+		if s.job.steps[s.occurrence][before].left > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// Tick makes occurrences ready that have come due.
+func (s *Scheduler) Tick(unixNow int64) {
+	for st := range s.timed {
+		s.advance(st.job, st.occurrence, unixNow)
+	}
+}
+
+// Cancel ends a job: nothing of it is started any more and its runs are stopped.
+func (s *Scheduler) Cancel(now state.Time, id workload.JobID) {
+	if j := s.jobs[id]; j != nil && !j.cancelled {
+		s.cancel(now, j)
+	}
+}
+
+func (s *Scheduler) cancel(now state.Time, j *job) {
+	j.cancelled = true
+	s.finish(now, j, ledger.Cancelled)
+}
+
+// finish moves a job to a final phase and stops what still runs of it.
+func (s *Scheduler) finish(now state.Time, j *job, p ledger.Phase) {
+	if j.phase.Final() {
+		return
+	}
+	j.phase = p
+	s.touch(j)
+	s.ended = append(s.ended, Ended{j.id, p})
+	for _, steps := range j.steps {
+		for _, st := range steps {
+			delete(s.ready, st)
+			delete(s.timed, st)
+			for _, t := range st.tasks {
+				for _, r := range append([]*run(nil), t.runs...) {
+					s.stop(now, r)
+				}
+			}
+		}
+	}
+	s.forgetIfIdle(j)
+}
+
+// forgetIfIdle drops an ended job once nothing of it runs.
+func (s *Scheduler) forgetIfIdle(j *job) {
+	if !j.phase.Final() || j.dirty {
+		return
+	}
+	for _, steps := range j.steps {
+		for _, st := range steps {
+			for _, t := range st.tasks {
+				if len(t.runs) > 0 || t.uncertain {
+					return
+				}
+			}
+		}
+	}
+	delete(s.jobs, j.id)
+}
+
+func (s *Scheduler) finishIfComplete(j *job) {
+	if j.open == 0 && !j.phase.Final() && !j.spec.LongRunning() {
+		s.finish(0, j, ledger.Complete)
+	}
+}
+
+// touch marks a job whose recorded state must be written.
+func (s *Scheduler) touch(j *job) {
+	if !j.dirty {
+		j.dirty = true
+		s.dirty = append(s.dirty, j)
+	}
+}
+
+// Changed returns the records of the jobs that changed since the last call.
+// unixNow stamps jobs that became final.
+func (s *Scheduler) Changed(unixNow int64) (ids []workload.JobID, states []ledger.JobState) {
+	for _, j := range s.dirty {
+		j.dirty = false
+		if j.phase.Final() && j.finalAt == 0 {
+			j.finalAt = unixNow
+		}
+		ids = append(ids, j.id)
+		states = append(states, j.record())
+		s.forgetIfIdle(j)
+	}
+	s.dirty = s.dirty[:0]
+	return ids, states
+}
+
+// Dirty reports whether Changed has something to return, and whether a job
+// among it reached a final phase.
+func (s *Scheduler) Dirty() (any, final bool) {
+	for _, j := range s.dirty {
+		if j.phase.Final() {
+			return true, true
+		}
+	}
+	return len(s.dirty) > 0, false
+}
+
+// record returns what the log holds about the job.
+func (j *job) record() ledger.JobState {
+	out := ledger.JobState{Phase: j.phase, FinalUnixMS: j.finalAt}
+	if j.phase.Final() {
+		return out
+	}
+	if j.begun {
+		out.Phase = ledger.Running
+	}
+	for k, steps := range j.steps {
+		for i, st := range steps {
+			if rec, any := st.record(k, i); any {
+				out.Steps = append(out.Steps, rec)
+			}
+		}
+	}
+	return out
+}
+
+func (s *step) record(occurrence, index int) (rec ledger.StepState, any bool) {
+	rec = ledger.StepState{Occurrence: occurrence, Step: index}
+	for i, t := range s.tasks {
+		switch {
+		case t.done:
+			rec.SetDone(i)
+			any = true
+		case t.lastRun > 0:
+			ts := ledger.TaskState{Index: i, Run: t.lastRun, Failures: t.failures, FailedRun: t.failedRun, Checkpoint: t.checkpoint}
+			if n := len(t.runs); n > 0 {
+				ts.Upstream = t.runs[n-1].Upstream
+			}
+			rec.Tasks = append(rec.Tasks, ts)
+			any = true
+		}
+	}
+	return rec, any
+}
+
+// nextRun returns the number of a new run after the given newest one.
+func (s *Scheduler) nextRun(last int64) int64 {
+	return max(last+1, (s.opts.Generation-1)*runsPerGeneration+1)
+}
+
+// Counts are sizes for metrics and logs.
+type Counts struct{ Jobs, Ready, Upstreams, Runs, Silent int }
+
+// Counts returns the sizes of the state.
+func (s *Scheduler) Counts() Counts {
+	c := Counts{Jobs: len(s.jobs), Ready: len(s.ready), Upstreams: len(s.upstreams)}
+	for _, u := range s.upstreams {
+		c.Runs += len(u.runs)
+		if u.silent || !u.known {
+			c.Silent++
+		}
+	}
+	return c
+}
--- /dev/null
+++ b/internal/state/scheduler/share.go
@@ -0,0 +1,84 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/samphirerail/samphirerail/internal/state"
+	"github.com/samphirerail/samphirerail/internal/state/workload"
+)
+
+// shareBurst is how many seconds of its share a workspace may use at once.
+const shareBurst = 2.0
+
+// share is a token bucket that is filled at the workspace's weight.
+type share struct {
+	tokens float64
+	at     state.Time
+}
+
+// takeShare reports whether a job lies beyond what its workspace may submit at
+// the rate of its weight. Such jobs go after all others.
+func (s *Scheduler) takeShare(j *job) bool {
+	w := s.config.Workspace(j.spec.Workspace)
+	if w == nil || w.Weight <= 0 {
+		return false
+	}
+	sh := s.shares[w.Name]
+	if sh == nil {
+		sh = &share{tokens: w.Weight * shareBurst, at: j.arrived}
+		s.shares[w.Name] = sh
+	}
+	if j.arrived > sh.at {
+		sh.tokens = min(w.Weight*shareBurst, sh.tokens+w.Weight*(j.arrived-sh.at).Seconds())
+		sh.at = j.arrived
+	}
+	if sh.tokens < 1 {
+		return true
+	}
+	sh.tokens--
+	return false
+}
+
+// objective returns the time in which a job should be complete.
+func (s *Scheduler) objective(j *job) state.Time {
+	chain := longestChain(j.spec)
+	stretch, target := 1.0, int64(0)
+	if q := s.config.Queue(j.spec.Queue); q != nil {
+		stretch, target = max(1, q.Stretch), q.TargetMS
+		if q.Advice != nil {
+			chain += time.Duration(q.Advice.CallMS(objectiveAdvised)*float64(len(j.spec.Steps))) * time.Millisecond
+		}
+	}
+	return time.Duration(float64(chain)*stretch) + time.Duration(target)*time.Millisecond
+}
+
+// objectiveAdvised is the number of upstreams whose advice the objective covers.
+const objectiveAdvised = 30
+
+// longestChain returns the declared time of the longest chain of steps.
+func longestChain(spec *workload.Job) time.Duration {
+	ends := make([]time.Duration, len(spec.Steps))
+	longest := time.Duration(0)
+	for i := range spec.Steps {
+		begin := time.Duration(0)
+		for _, before := range spec.Steps[i].After {
+			begin = max(begin, ends[before])
+		}
+		ends[i] = begin + spec.Steps[i].Estimate()
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
+
+// limits reports whether the workspace may take more.
+func (s *Scheduler) withinMaximum(name workload.WorkspaceName, more state.Vector) bool {
+	w := s.config.Workspace(name)
+	if w == nil {
+		return true
+	}
+	used := s.used[name].Add(more)
+	m := w.Maximum
+	return (m.CPUMilli == 0 || used.CPUMilli <= m.CPUMilli) &&
+		(m.MemoryMB == 0 || used.MemoryMB <= m.MemoryMB) &&
+		(m.Accelerators == 0 || used.Accelerators <= m.Accelerators)
+}
--- /dev/null
+++ b/internal/state/workload/job.go
@@ -0,0 +1,230 @@
+// Package workload describes what callers submit and what operators configure:
+// jobs with their steps, queues, workspaces and the upstreams that run tasks.
+// It holds data and checks, no behaviour in time.
+package workload
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/samphirerail/samphirerail/internal/state"
+)
+
+// JobID is chosen by the caller: 16 hexadecimal digits.
+type JobID string
+
+// idDigits is the length of a JobID.
+const idDigits = 16
+
+// Valid reports whether id has the form of a JobID.
+func (id JobID) Valid() bool {
+	if len(id) != idDigits {
+		return false
+	}
+	for _, c := range id {
+		if (c < '0' || c > '9') && (c < 'a' || c > 'f') && (c < 'A' || c > 'F') {
+			return false
+		}
+	}
+	return true
+}
+
+// Names of things that operators configure.
+type (
+	// QueueName names a queue.
+	QueueName string
+	// WorkspaceName names a customer team's workspace.
+	WorkspaceName string
+	// ServiceName names a pool of upstreams.
+	ServiceName string
+	// UpstreamID names one registration of an upstream.
+	UpstreamID string
+)
+
+// Job is a job as it was accepted. It never changes.
+type Job struct {
+	ID        JobID
+	Queue     QueueName
+	Workspace WorkspaceName
+	// SubmittedUnixMS is the accepting entry's time of day.
+	SubmittedUnixMS int64
+	// Payload is handed to each task.
+	Payload string
+	Steps   []Step
+	// Repeat is the number of occurrences of a timed job; 0 when it runs once.
+	Repeat        int
+	FirstUnixMS   int64
+	PeriodMS      int64
+	PatienceUntil int64 `msgpack:",omitempty"`
+}
+
+// Occurrences returns how often the steps run.
+func (j *Job) Occurrences() int { return max(1, j.Repeat) }
+
+// Due returns when an occurrence may start, in Unix milliseconds; 0 when at once.
+func (j *Job) Due(occurrence int) int64 {
+	if j.Repeat == 0 {
+		return 0
+	}
+	return j.FirstUnixMS + int64(occurrence)*j.PeriodMS
+}
+
+// LongRunning reports whether any step of the job runs until it is cancelled.
+func (j *Job) LongRunning() bool {
+	for i := range j.Steps {
+		if j.Steps[i].LongRunning {
+			return true
+		}
+	}
+	return false
+}
+
+// Step is a set of like tasks.
+type Step struct {
+	Count int
+	// Each is what one task takes; Slots is 1.
+	Each state.Vector
+	// EstimateMS is the declared run time of a task; it is often wrong.
+	EstimateMS int64
+	// After lists earlier steps whose tasks must all be done first.
+	After []int
+	// Gang steps work only when all their tasks run together.
+	Gang bool
+	// SameRack asks for one rack for all tasks of the step.
+	SameRack bool
+	// Checkpoints says that tasks can resume from a checkpoint.
+	Checkpoints bool
+	// Constraint is a label that the upstream must have; empty for none.
+	Constraint string
+	// Affinity is the rack on which the tasks run fastest; empty for none.
+	Affinity string
+	// MaxPerUpstream bounds the tasks of the step on one upstream; 0 for no bound.
+	MaxPerUpstream int
+	// Speculative steps allow copies of a task to run in parallel.
+	Speculative bool
+	// LongRunning tasks run until the job is cancelled.
+	LongRunning bool
+	// Image names what the tasks run.
+	Image string
+	// TargetMS is the response time objective of a serving task; 0 for none.
+	TargetMS int64
+	// Fills says that the tasks take only processor time that others leave;
+	// their CPU does not count against an upstream.
+	Fills bool
+	// MayMiss is how many tasks of a long-running step may be away at once
+	// because of the scheduler.
+	MayMiss int
+}
+
+// Room returns what a task of the step takes of an upstream's capacity.
+func (s *Step) Room() state.Vector {
+	room := s.Each
+	if s.Fills {
+		room.CPUMilli = 0
+	}
+	return room
+}
+
+// Estimate returns the declared run time of a task.
+func (s *Step) Estimate() time.Duration { return time.Duration(s.EstimateMS) * time.Millisecond }
+
+// Limits of an accepted job. The encoded state of a job must fit one record.
+const (
+	maxSteps       = 256
+	maxTasksOfStep = 20_000
+	maxRepeat      = 1_000_000
+	maxPayload     = 4_000
+)
+
+// InvalidJobError says what is wrong with a submitted job.
+type InvalidJobError struct{ Reason string }
+
+func (e *InvalidJobError) Error() string {
+	return "workload: invalid job: " + e.Reason + "; correct the job and submit it again"
+}
+
+// Validate returns an *InvalidJobError for a job that can't be accepted.
+func (j *Job) Validate() error {
+	switch {
+	case len(j.Payload) > maxPayload:
+		return &InvalidJobError{fmt.Sprintf("the payload has %d bytes, the most is %d", len(j.Payload), maxPayload)}
+	case len(j.Steps) == 0 || len(j.Steps) > maxSteps:
+		return &InvalidJobError{fmt.Sprintf("%d steps, want 1 to %d", len(j.Steps), maxSteps)}
+	case j.Repeat < 0 || j.Repeat > maxRepeat || (j.Repeat > 1 && j.PeriodMS <= 0):
+		return &InvalidJobError{fmt.Sprintf("%d occurrences every %d ms", j.Repeat, j.PeriodMS)}
+	}
+	for i := range j.Steps {
+		if err := j.Steps[i].validate(i); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *Step) validate(index int) error {
+	if s.Count < 1 || s.Count > maxTasksOfStep {
+		return &InvalidJobError{fmt.Sprintf("step %d has %d tasks, want 1 to %d", index, s.Count, maxTasksOfStep)}
+	}
+	if s.Each.Negative() || s.EstimateMS < 0 || s.MaxPerUpstream < 0 || s.TargetMS < 0 || s.MayMiss < 0 {
+		return &InvalidJobError{fmt.Sprintf("step %d has a negative amount", index)}
+	}
+	for _, before := range s.After {
+		if before < 0 || before >= index {
+			return &InvalidJobError{fmt.Sprintf("step %d waits for step %d, which does not come before it", index, before)}
+		}
+	}
+	return nil
+}
+
+// TaskID names a task of a job.
+type TaskID struct {
+	Job        JobID
+	Occurrence int
+	Step       int
+	Index      int
+}
+
+// String renders the ID as it is sent to upstreams: JOB.OCCURRENCE.STEP.INDEX.
+func (t TaskID) String() string {
+	b := make([]byte, 0, idDigits+12)
+	b = append(b, t.Job...)
+	for _, n := range [...]int{t.Occurrence, t.Step, t.Index} {
+		b = append(b, '.')
+		b = strconv.AppendInt(b, int64(n), 10)
+	}
+	return string(b)
+}
+
+// StepID returns the ID of the task's step: JOB.OCCURRENCE.STEP.
+func (t TaskID) StepID() StepID { return StepID{t.Job, t.Occurrence, t.Step} }
+
+// StepID names a step of one occurrence of a job.
+type StepID struct {
+	Job        JobID
+	Occurrence int
+	Step       int
+}
+
+// String renders the ID as JOB.OCCURRENCE.STEP.
+func (s StepID) String() string {
+	return string(s.Job) + "." + strconv.Itoa(s.Occurrence) + "." + strconv.Itoa(s.Step)
+}
+
+// ParseTaskID reads the form that String gives.
+func ParseTaskID(text string) (TaskID, error) {
+	parts := strings.Split(text, ".")
+	if len(parts) != 4 || !JobID(parts[0]).Valid() {
+		return TaskID{}, fmt.Errorf("task ID %q does not have the form JOB.OCCURRENCE.STEP.INDEX", text)
+	}
+	id := TaskID{Job: JobID(parts[0])}
+	for i, field := range [...]*int{&id.Occurrence, &id.Step, &id.Index} {
+		n, err := strconv.Atoi(parts[i+1])
+		if err != nil || n < 0 {
+			return TaskID{}, fmt.Errorf("task ID %q: %q is not a number", text, parts[i+1])
+		}
+		*field = n
+	}
+	return id, nil
+}
