Record callers' jobs through the owner and count each job, step and failure once

Change: the owner records jobs with its own state in one append; entries append themselves only when they can't ask it; ledger records hold each failed run. Ruled out: lost records in the store; the records were never written.

--- a/internal/coordination/dispatch/manager.go
+++ b/internal/coordination/dispatch/manager.go
@@ -206,11 +206,16 @@
 	return m.current != nil && m.current.ctx.Err() == nil
 }
 
-// Phase returns the newest phase of a job if this entry is the owner.
-func (m *Manager) Phase(ctx context.Context, id workload.JobID) (ledger.Phase, bool) {
+// owner returns the current term, or nil.
+func (m *Manager) owner() *owner {
 	m.mu.Lock()
-	o := m.current
-	m.mu.Unlock()
+	defer m.mu.Unlock()
+	return m.current
+}
+
+// Phase returns the newest recorded phase of a job if this entry is the owner.
+func (m *Manager) Phase(ctx context.Context, id workload.JobID) (ledger.Phase, bool) {
+	o := m.owner()
 	if o == nil {
 		return 0, false
 	}
@@ -220,14 +225,11 @@
 	}
 	result := make(chan answer, 1)
 	o.post(func() {
-		p, ok := o.sched.Phase(id)
+		p, ok := o.phase(id)
 		result <- answer{p, ok}
 	})
 	select {
 	case a := <-result:
-		if row, recorded := m.cfg.Replica.Row(id); recorded && row.Phase().Final() {
-			return row.Phase(), true
-		}
 		return a.phase, a.ok
 	case <-o.ctx.Done():
 	case <-ctx.Done():
@@ -235,13 +237,38 @@
 	return 0, false
 }
 
+// Record records a job or a cancellation that a caller asked for. It returns
+// port.ErrNotOwner unless this entry is the owner; any other error means that
+// the record may still be written.
+func (m *Manager) Record(ctx context.Context, record ledger.Record) error {
+	o := m.owner()
+	if o == nil || !o.mayExtend() {
+		return port.ErrNotOwner
+	}
+	r := request{record: record, done: make(chan error, 1)}
+	var err error
+	if r.job, err = ledger.JobOf(record); err != nil {
+		return err
+	}
+	r.cancel, _ = ledger.CancelOf(record)
+	o.post(func() { o.record(r) })
+	select {
+	case err := <-r.done:
+		return err
+	case <-o.ctx.Done():
+		return errNotRecorded
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 // Stop gives up ownership in order: what changed is recorded, and the next
 // owner may claim at once. Runs go on under their leases.
 func (m *Manager) Stop(ctx context.Context) {
 	m.mu.Lock()
 	m.stopped = true
-	o := m.current
 	m.mu.Unlock()
+	o := m.owner()
 	if o == nil {
 		return
 	}
@@ -261,7 +288,8 @@
 // release records the state and the end of the term. The control loop calls it.
 func (o *owner) release(done chan struct{}) {
 	o.releasing = true
-	if o.flushing {
+	if o.flushing || len(o.requests) > 0 {
+		o.flush(time.Now().Add(heartbeat))
 		time.AfterFunc(finalFlushGap, func() { o.post(func() { o.release(done) }) })
 		return
 	}
@@ -285,7 +313,7 @@
 	entry := port.Append{Topic: port.TopicJobs, Records: records, Fence: &port.Fence{Epoch: o.epoch, Seq: o.seq}, At: port.AnyOffset}
 	o.seq++
 	o.group.Go(func() {
-		o.append(entry, nil)
+		o.append(entry)
 		o.logger.Info("ownership released", "epoch", o.epoch, "records", len(records))
 		close(done)
 		o.cancel()
--- a/internal/coordination/dispatch/owner.go
+++ b/internal/coordination/dispatch/owner.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -70,6 +71,27 @@
 	contactAt atomic.Int64
 	advisors  advisorPool
 	releasing bool
+
+	// requests are callers' records that wait for the next append.
+	requests []request
+	// taken holds the jobs that this term took up, so that none is taken up
+	// again when the replica reads it or a repeated request is recorded.
+	taken map[workload.JobID]struct{}
+	// final holds the phases of ended jobs that the replica may not show yet.
+	final map[workload.JobID]finalPhase
+}
+
+// request is a caller's record that waits to be recorded.
+type request struct {
+	record ledger.Record
+	job    *workload.Job
+	cancel workload.JobID
+	done   chan error
+}
+
+type finalPhase struct {
+	phase ledger.Phase
+	at    time.Time
 }
 
 // ack is an end that a link may forget once the log holds it.
@@ -108,6 +130,7 @@
 func (p *parts) newOwner(ctx context.Context, claim ledger.Claim) *owner {
 	o := &owner{
 		parts: p, epoch: claim.Epoch, generation: claim.Generation, claim: claim, base: time.Now(),
+		taken: map[workload.JobID]struct{}{}, final: map[workload.JobID]finalPhase{},
 		links: map[workload.UpstreamID]*link{}, signal: make(chan struct{}, 1), seq: 1,
 	}
 	o.ctx, o.cancel = context.WithCancel(ctx)
@@ -175,15 +198,27 @@
 
 // seed takes up the jobs that are known at the takeover.
 func (o *owner) seed(t *ledger.Table) {
-	unix := time.Now().UnixMilli()
 	n := 0
 	t.Rows(func(row *ledger.Row) {
-		o.sched.AddJob(o.now(), unix, row.Job, &row.State, row.Cancelled, true)
+		o.take(row.Job, &row.State, row.Cancelled, true)
 		n++
 	})
 	o.logger.Info("ownership taken", "epoch", o.epoch, "generation", o.generation, "jobs", n)
 }
 
+// take hands a job to the scheduler, once in a term.
+func (o *owner) take(job *workload.Job, recorded *ledger.JobState, cancelled, adopted bool) {
+	if _, ok := o.taken[job.ID]; ok {
+		return
+	}
+	o.taken[job.ID] = struct{}{}
+	unix := time.Now().UnixMilli()
+	o.sched.AddJob(o.now(), unix, job, recorded, cancelled, adopted)
+	if !adopted {
+		o.logger.Info("job taken up", "job", job.ID, "queue", job.Queue, "workspace", job.Workspace, "cancelled", cancelled, "age_ms", unix-job.SubmittedUnixMS)
+	}
+}
+
 func (o *owner) drain() {
 	o.mu.Lock()
 	events := o.queue
@@ -219,14 +254,12 @@
 
 // fold takes in changes of the ledger.
 func (o *owner) fold(changes []ledger.Change) {
-	unix := time.Now().UnixMilli()
 	for _, c := range changes {
 		switch {
 		case c.NewClaim != nil && c.NewClaim.Epoch > o.epoch:
 			o.fenced("claim of " + c.NewClaim.Entry)
 		case c.NewJob != nil:
-			o.sched.AddJob(o.now(), unix, c.NewJob.Job, &c.NewJob.State, c.NewJob.Cancelled, false)
-			o.logger.Info("job taken up", "job", c.NewJob.Job.ID, "queue", c.NewJob.Job.Queue, "offset", c.NewJob.Offset, "age_ms", unix-c.NewJob.Job.SubmittedUnixMS)
+			o.take(c.NewJob.Job, &c.NewJob.State, c.NewJob.Cancelled, false)
 		case c.CancelledJob != "":
 			o.sched.Cancel(o.now(), c.CancelledJob)
 			o.logger.Info("job cancelled", "job", c.CancelledJob)
@@ -306,15 +339,32 @@
 	}
 	dirty, final := o.sched.Dirty()
 	dirty = dirty || len(o.acks) > 0
+	final = final || len(o.requests) > 0
+	dirty = dirty || final
 	since := now.Sub(o.flushedAt)
 	if !(dirty && (since >= flushGap || (final && since >= finalFlushGap))) && since < heartbeat {
 		if dirty {
-			time.AfterFunc(flushGap-since, func() { o.post(func() {}) })
+			gap := flushGap
+			if final {
+				gap = finalFlushGap
+			}
+			time.AfterFunc(gap-since, func() { o.post(func() {}) })
 		}
 		return
 	}
+	o.startFlush(now)
+}
+
+// startFlush appends everything that waits to be recorded.
+func (o *owner) startFlush(now time.Time) {
 	records := o.drops
 	o.drops = nil
+	requests := o.requests
+	o.requests = nil
+	for i := range requests {
+		records = append(records, requests[i].record)
+	}
+	var ended []scheduler.Ended
 	ids, states := o.sched.Changed(now.UnixMilli())
 	for i := range ids {
 		record, err := ledger.StateRecord(ids[i], &states[i])
@@ -325,10 +375,12 @@
 		records = append(records, record)
 		if states[i].Phase.Final() {
 			o.logger.Info("job ended", "job", ids[i], "phase", states[i].Phase)
+			ended = append(ended, scheduler.Ended{Job: ids[i], Phase: states[i].Phase})
 		}
 	}
 	if now.Sub(o.expiredAt) > expireInterval {
 		o.expiredAt = now
+		maps.DeleteFunc(o.final, func(_ workload.JobID, f finalPhase) bool { return now.Sub(f.at) > expireInterval })
 		o.expire(now)
 	}
 	if len(records) == 0 {
@@ -344,12 +396,77 @@
 	o.flushing, o.flushedAt = true, now
 	entry := port.Append{Topic: port.TopicJobs, Records: records, Fence: &port.Fence{Epoch: o.epoch, Seq: o.seq}, At: port.AnyOffset}
 	o.seq++
-	o.group.Go(func() { o.append(entry, acks) })
+	o.group.Go(func() {
+		if !o.append(entry) {
+			for i := range requests {
+				requests[i].done <- errNotRecorded
+			}
+			return
+		}
+		for _, a := range acks {
+			a.link.acknowledge(a.number)
+		}
+		o.post(func() { o.flushed(requests, ended) })
+	})
+}
+
+// errNotRecorded: the term ended before the log answered.
+var errNotRecorded = errors.New("dispatch: ownership ended before the log answered; the record may still be written")
+
+// flushed takes in that an append is done.
+func (o *owner) flushed(requests []request, ended []scheduler.Ended) {
+	o.flushing = false
+	for _, e := range ended {
+		o.final[e.Job] = finalPhase{e.Phase, time.Now()}
+	}
+	for _, r := range requests {
+		switch {
+		case r.job != nil:
+			o.take(r.job, &ledger.JobState{}, false, false)
+		case r.cancel != "":
+			o.sched.Cancel(o.now(), r.cancel)
+			o.logger.Info("job cancelled", "job", r.cancel)
+		}
+		r.done <- nil
+	}
+}
+
+// record takes in a caller's record. The control loop calls it.
+func (o *owner) record(r request) {
+	if r.job != nil && o.knows(r.job.ID) {
+		r.done <- nil
+		return
+	}
+	if o.releasing {
+		r.done <- port.ErrNotOwner
+		return
+	}
+	o.requests = append(o.requests, r)
+}
+
+// knows reports whether a job was accepted before.
+func (o *owner) knows(id workload.JobID) bool {
+	_, ok := o.phase(id)
+	return ok
+}
+
+// phase returns the newest recorded phase of a job.
+func (o *owner) phase(id workload.JobID) (ledger.Phase, bool) {
+	if f, ok := o.final[id]; ok {
+		return f.phase, true
+	}
+	if p, ok := o.sched.Phase(id); ok {
+		return p, true
+	}
+	if row, ok := o.replica.Row(id); ok && row.Job != nil {
+		return row.Phase(), true
+	}
+	return 0, false
 }
 
 // append repeats an append until it is done or the owner is fenced. A repeat
 // with the same sequence number changes nothing if the first one was done.
-func (o *owner) append(entry port.Append, acks []ack) {
+func (o *owner) append(entry port.Append) bool {
 	for o.ctx.Err() == nil {
 		ctx, cancel := context.WithTimeout(o.ctx, appendTimeout)
 		_, err := o.log.Append(ctx, entry)
@@ -358,14 +475,10 @@
 		case err == nil:
 			o.metrics.appends.Inc(1)
 			o.contactAt.Store(int64(o.now()))
-			for _, a := range acks {
-				a.link.acknowledge(a.number)
-			}
-			o.post(func() { o.flushing = false })
-			return
+			return true
 		case errors.Is(err, port.ErrFenced):
 			o.post(func() { o.fenced("the log") })
-			return
+			return false
 		}
 		if o.ctx.Err() == nil {
 			o.metrics.appendFails.Inc(1)
@@ -376,6 +489,7 @@
 		case <-time.After(100 * time.Millisecond):
 		}
 	}
+	return false
 }
 
 // expire drops jobs that ended long ago from the log.
@@ -385,6 +499,7 @@
 		t.Rows(func(row *ledger.Row) {
 			if row.State.Phase.Final() && row.State.FinalUnixMS > 0 && row.State.FinalUnixMS < before {
 				o.drops = append(o.drops, ledger.DropRecords(row.Job.ID)...)
+				delete(o.taken, row.Job.ID)
 			}
 		})
 	})
--- a/internal/coordination/intake/intake.go
+++ b/internal/coordination/intake/intake.go
@@ -21,8 +21,9 @@
 	// staleReplica is the age from which the replica does not prove that a job
 	// is unknown.
 	staleReplica = 2500 * time.Millisecond
-	// freshReplica is the age up to which the replica answers for the owner.
-	freshReplica = 30 * time.Millisecond
+	// ownerTimeout bounds the wait for the owner to record something; it leaves
+	// time to append directly within a caller's deadline.
+	ownerTimeout = 1200 * time.Millisecond
 	// phaseTimeout bounds a question to the owner.
 	phaseTimeout = 250 * time.Millisecond
 	// retryAfter is what a caller is told when the log refuses a job.
@@ -49,11 +50,14 @@
 type Owner interface {
 	// Phase asks this entry's own scheduler.
 	Phase(ctx context.Context, id workload.JobID) (ledger.Phase, bool)
+	// Record returns port.ErrNotOwner unless this entry is the owner.
+	Record(ctx context.Context, r ledger.Record) error
 }
 
 // Peers asks the owner when it is another entry.
 type Peers interface {
 	Phase(ctx context.Context, address string, id workload.JobID) (ledger.Phase, bool, error)
+	Record(ctx context.Context, address string, r ledger.Record) error
 }
 
 // Intake serves callers.
@@ -92,24 +96,58 @@
 		return err
 	}
 	began := time.Now()
-	offset, err := in.log.Append(ctx, port.Append{Topic: port.TopicJobs, Records: []ledger.Record{record}, At: port.AnyOffset})
+	via, err := in.record(ctx, record)
 	took := time.Since(began)
 	in.latency.Update(took.Microseconds())
 	switch {
 	case err == nil:
 		in.accepted.Inc(1)
-		in.logger.Info("job accepted", "job", job.ID, "queue", job.Queue, "workspace", job.Workspace, "offset", offset, "took_ms", took.Milliseconds())
+		in.logger.Info("job accepted", "job", job.ID, "queue", job.Queue, "workspace", job.Workspace, "via", via, "took_ms", took.Milliseconds())
 		return nil
 	case errors.Is(err, port.ErrNotDone):
 		in.rejected.Inc(1)
-		in.logger.Warn("job rejected", "job", job.ID, "queue", job.Queue, "workspace", job.Workspace, "reason", "log refused", "took_ms", took.Milliseconds())
+		in.logger.Warn("job rejected", "job", job.ID, "queue", job.Queue, "workspace", job.Workspace, "via", via, "took_ms", took.Milliseconds(), "error", err)
 		return &NotAcceptedError{Reason: "the log does not take new jobs now", RetryAfter: retryAfter}
 	}
 	in.unknown.Inc(1)
-	in.logger.Warn("job outcome unknown", "job", job.ID, "queue", job.Queue, "took_ms", took.Milliseconds(), "error", err)
+	in.logger.Warn("job outcome unknown", "job", job.ID, "queue", job.Queue, "via", via, "took_ms", took.Milliseconds(), "error", err)
 	return err
 }
 
+// record has the owner record something, in one append with other records. An
+// entry that can't ask the owner appends itself; writing the same record twice
+// changes nothing.
+func (in *Intake) record(ctx context.Context, record ledger.Record) (via string, err error) {
+	ownerCtx, cancel := context.WithTimeout(ctx, ownerTimeout)
+	defer cancel()
+	err = in.owner.Record(ownerCtx, record)
+	if errors.Is(err, port.ErrNotOwner) {
+		claim := in.replica.Claim()
+		if claim.Address != "" && claim.Address != in.self && !claim.Released {
+			via = claim.Entry
+			err = in.peers.Record(ownerCtx, claim.Address, record)
+		}
+	}
+	if err == nil {
+		return via, nil
+	}
+	notAsked := errors.Is(err, port.ErrNotOwner) || notSent(err)
+	if !notAsked {
+		in.logger.Debug("owner gave no answer", "key", record.Key, "owner", via, "error", err)
+	}
+	_, direct := in.log.Append(ctx, port.Append{Topic: port.TopicJobs, Records: []ledger.Record{record}, At: port.AnyOffset})
+	if errors.Is(direct, port.ErrNotDone) && !notAsked {
+		return "log", fmt.Errorf("intake: the owner may still record it: %w", err)
+	}
+	return "log", direct
+}
+
+// notSent reports whether a call never reached the other entry.
+func notSent(err error) bool {
+	var reached interface{ NotSent() bool }
+	return errors.As(err, &reached) && reached.NotSent()
+}
+
 // Cancel cancels a job.
 func (in *Intake) Cancel(ctx context.Context, id workload.JobID) error {
 	row, ok := in.replica.Row(id)
@@ -117,44 +155,50 @@
 	case ok && (row.Cancelled || row.State.Phase.Final()):
 		return nil
 	case !ok:
-		if in.replica.Health().Age > staleReplica {
-			return ErrNotReady
+		if _, known := in.ask(ctx, id); !known {
+			return in.absent()
 		}
-		return ErrUnknownJob
 	}
 	record, err := ledger.CancelRecord(id, time.Now().UnixMilli())
 	if err != nil {
 		return err
 	}
 	began := time.Now()
-	_, err = in.log.Append(ctx, port.Append{Topic: port.TopicJobs, Records: []ledger.Record{record}, At: port.AnyOffset})
-	in.logger.Info("cancellation", "job", id, "took_ms", time.Since(began).Milliseconds(), "error", err)
+	via, err := in.record(ctx, record)
+	in.logger.Info("cancellation", "job", id, "via", via, "took_ms", time.Since(began).Milliseconds(), "error", err)
 	return err
 }
 
+// absent returns the error for a job that neither the owner nor the replica
+// knows.
+func (in *Intake) absent() error {
+	if h := in.replica.Health(); h.Age > staleReplica || !h.Loaded {
+		return ErrNotReady
+	}
+	return ErrUnknownJob
+}
+
 // Phase returns the newest phase of a job that this entry can learn.
 func (in *Intake) Phase(ctx context.Context, id workload.JobID) (ledger.Phase, error) {
 	row, ok := in.replica.Row(id)
-	age := in.replica.Health().Age
-	if !ok || row.Job == nil {
-		if age > staleReplica || !in.replica.Health().Loaded {
-			return 0, ErrNotReady
-		}
-		return 0, ErrUnknownJob
-	}
+	ok = ok && row.Job != nil
 	phase := row.Phase()
-	if phase.Final() || age < freshReplica {
+	if ok && phase.Final() {
 		return phase, nil
 	}
-	callCtx, cancel := context.WithTimeout(ctx, phaseTimeout)
-	defer cancel()
-	if newer, ok := in.ask(callCtx, id); ok && newer >= phase {
+	if newer, known := in.ask(ctx, id); known && (!ok || newer >= phase) {
 		return newer, nil
 	}
+	if !ok {
+		return 0, in.absent()
+	}
 	return phase, nil
 }
 
+// ask asks the owner for the phase of a job.
 func (in *Intake) ask(ctx context.Context, id workload.JobID) (ledger.Phase, bool) {
+	ctx, cancel := context.WithTimeout(ctx, phaseTimeout)
+	defer cancel()
 	if phase, ok := in.owner.Phase(ctx, id); ok {
 		return phase, true
 	}
--- a/internal/coordination/port/port.go
+++ b/internal/coordination/port/port.go
@@ -82,6 +82,8 @@
 	ErrNotDone = errors.New("port: the log refused the call and did nothing; try again later")
 	// ErrFenced: a larger epoch was seen; stop acting as the owner.
 	ErrFenced = errors.New("port: a newer owner holds the log; give up ownership")
+	// ErrNotOwner: another entry must be asked; nothing was done.
+	ErrNotOwner = errors.New("port: the entry does not own the placement; ask the owner")
 	// ErrExpired: the records from the offset on are gone; read Newest.
 	ErrExpired = errors.New("port: the log has dropped the records at this offset; load the newest of each key")
 )
--- a/internal/coordination/relay/relay.go
+++ b/internal/coordination/relay/relay.go
@@ -114,13 +114,13 @@
 // safe: plain records are the same, and fenced ones carry a sequence number.
 func (l *Log) Append(ctx context.Context, a port.Append) (int64, error) {
 	notDone := true
-	var last error
+	var last, unanswered error
 	attempt := func(limit time.Duration, call func(ctx context.Context) (int64, error)) (int64, bool) {
 		callCtx, cancel := context.WithTimeout(ctx, limit)
 		defer cancel()
 		offset, err := call(callCtx)
 		if !final(err) && !errors.Is(err, port.ErrNotDone) {
-			notDone = false
+			notDone, unanswered = false, err
 		}
 		last = err
 		return offset, final(err)
@@ -151,10 +151,10 @@
 			return offset, last
 		}
 	}
-	if notDone && last != nil {
+	if notDone {
 		return 0, port.ErrNotDone
 	}
-	return 0, last
+	return 0, unanswered
 }
 
 // Read implements port.Log.
--- a/internal/coordination/replica/replica.go
+++ b/internal/coordination/replica/replica.go
@@ -29,9 +29,9 @@
 	retryPause = 100 * time.Millisecond
 	// followerPause is the least time between two reads of an entry that is not
 	// the owner; each read is priced.
-	followerPause = 80 * time.Millisecond
+	followerPause = 250 * time.Millisecond
 	// ownerPause is the least time between two reads of the owner.
-	ownerPause = 4 * time.Millisecond
+	ownerPause = 100 * time.Millisecond
 )
 
 // Observer is told of each folded change. It must not block.
@@ -136,13 +136,19 @@
 	OwnerSilence time.Duration
 }
 
+// neverRead is the age of a replica that has read nothing.
+const neverRead = time.Hour
+
 // Health returns how fresh the replica is.
 func (r *Replica) Health() Health {
 	r.mu.RLock()
 	loaded := r.loaded
 	r.mu.RUnlock()
 	now := r.sinceStart()
-	h := Health{Loaded: loaded && r.config.Load() != nil, Age: time.Duration(now - r.readAt.Load())}
+	h := Health{Loaded: loaded && r.config.Load() != nil, Age: neverRead}
+	if at := r.readAt.Load(); at > 0 {
+		h.Age = time.Duration(now - at)
+	}
 	if since := r.okSince.Load(); since > 0 {
 		h.OwnerSilence = time.Duration(now - max(since, r.aliveAt.Load()))
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -255,5 +255,8 @@
 	return p.advice.Advise(ctx, step, upstreams)
 }
 
+// Record implements peer.Backend.
+func (p *parts) Record(ctx context.Context, r ledger.Record) error { return p.manager.Record(ctx, r) }
+
 // Log implements peer.Backend.
 func (p *parts) Log() port.Log { return p.direct }
--- a/internal/state/ledger/record.go
+++ b/internal/state/ledger/record.go
@@ -105,9 +105,8 @@
 	// Run is the number of the newest run.
 	Run int64
 	// Failures counts the runs that ended by a fault.
-	Failures int
-	// FailedRun is the newest run whose failure is counted.
-	FailedRun  int64
+	// Failed holds the runs that ended by a fault.
+	Failed     []int64
 	Checkpoint string
 	// Upstream runs the newest run, as far as the owner knew; "" for none.
 	Upstream workload.UpstreamID
@@ -147,6 +146,23 @@
 // EntryRecord returns the record of an entry.
 func EntryRecord(e *Entry) (Record, error) { return encode(string(kindEntry)+e.Name, e) }
 
+// JobOf returns the job in a record, or nil if the record holds something else.
+func JobOf(r Record) (*workload.Job, error) {
+	if r.Key == "" || r.Key[0] != kindJob {
+		return nil, nil
+	}
+	job := &workload.Job{}
+	return job, decode(r, job)
+}
+
+// CancelOf returns the job that a record cancels.
+func CancelOf(r Record) (workload.JobID, bool) {
+	if r.Key == "" || r.Key[0] != kindCancel {
+		return "", false
+	}
+	return workload.JobID(r.Key[1:]), true
+}
+
 // DropRecords returns the records that remove a job from the log.
 func DropRecords(id workload.JobID) []Record {
 	return []Record{
--- a/internal/state/scheduler/look.go
+++ b/internal/state/scheduler/look.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"github.com/samphirerail/samphirerail/internal/state"
@@ -235,6 +236,9 @@
 	if st.spec.Gang {
 		tasks = st.tasks
 	}
+	if t.done {
+		return
+	}
 	for _, member := range tasks {
 		if member.done {
 			continue
@@ -269,19 +273,18 @@
 	if t.step.spec.Gang {
 		counted = t.step.tasks[0]
 	}
-	if number <= counted.failedRun {
+	if slices.Contains(counted.failed, number) {
 		return
 	}
 	weight := 1.0
-	if counted.failures > 0 && t.avoid != u.ID {
+	if len(counted.failed) > 0 && t.avoid != u.ID {
 		weight = repeatedFault
 	}
 	u.health.fault(now, weight)
 	t.avoid = u.ID
-	counted.failures++
-	counted.failedRun = number
+	counted.failed = append(slices.Clone(counted.failed), number)
 	q := s.config.Queue(t.step.job.spec.Queue)
-	if !t.done && q != nil && q.MaxAttempts > 0 && counted.failures >= q.MaxAttempts {
+	if !t.done && q != nil && q.MaxAttempts > 0 && len(counted.failed) >= q.MaxAttempts {
 		s.finish(now, t.step.job, ledger.Failed)
 	}
 }
--- a/internal/state/scheduler/model.go
+++ b/internal/state/scheduler/model.go
@@ -103,9 +103,9 @@
 	step       *step
 	index      int
 	done       bool
-	failures   int
-	// failedRun is the newest run whose failure is counted.
-	failedRun  int64
+	// failed holds the runs whose failure is counted. Ends of several runs may
+	// be listed in any order, and again after a takeover.
+	failed     []int64
 	lastRun    int64
 	checkpoint string
 	runs       []*run
--- a/internal/state/scheduler/scheduler.go
+++ b/internal/state/scheduler/scheduler.go
@@ -128,7 +128,7 @@
 	for i := range r.Tasks {
 		if rt := &r.Tasks[i]; rt.Index < len(st.tasks) {
 			t := st.tasks[rt.Index]
-			t.lastRun, t.failures, t.failedRun, t.checkpoint = rt.Run, rt.Failures, rt.FailedRun, rt.Checkpoint
+			t.lastRun, t.failed, t.checkpoint = rt.Run, rt.Failed, rt.Checkpoint
 			st.started = true
 		}
 	}
@@ -286,8 +286,8 @@
 		case t.done:
 			rec.SetDone(i)
 			any = true
-		case t.lastRun > 0:
-			ts := ledger.TaskState{Index: i, Run: t.lastRun, Failures: t.failures, FailedRun: t.failedRun, Checkpoint: t.checkpoint}
+		case t.lastRun > 0 || len(t.failed) > 0:
+			ts := ledger.TaskState{Index: i, Run: t.lastRun, Failed: t.failed, Checkpoint: t.checkpoint}
 			if n := len(t.runs); n > 0 {
 				ts.Upstream = t.runs[n-1].Upstream
 			}
--- a/internal/transport/peer/peer.go
+++ b/internal/transport/peer/peer.go
@@ -33,6 +33,9 @@
 type Backend interface {
 	Phase(ctx context.Context, id workload.JobID) (ledger.Phase, bool)
 	Advise(ctx context.Context, step workload.StepID, upstreams []workload.UpstreamID) (port.Tickets, error)
+	// Record records what callers asked of another entry. It returns
+	// port.ErrNotOwner unless this entry is the owner.
+	Record(ctx context.Context, r ledger.Record) error
 	// Log is the log as this entry reaches it itself.
 	Log() port.Log
 }
@@ -79,6 +82,7 @@
 	faultFenced
 	faultExpired
 	faultConflict
+	faultNotOwner
 	faultUnknown
 )
 
@@ -89,6 +93,8 @@
 		return Fault{}
 	case errors.Is(err, port.ErrNotDone):
 		return Fault{Kind: faultNotDone}
+	case errors.Is(err, port.ErrNotOwner):
+		return Fault{Kind: faultNotOwner}
 	case errors.Is(err, port.ErrFenced):
 		return Fault{Kind: faultFenced}
 	case errors.Is(err, port.ErrExpired):
@@ -106,6 +112,8 @@
 		return nil
 	case faultNotDone:
 		return port.ErrNotDone
+	case faultNotOwner:
+		return port.ErrNotOwner
 	case faultFenced:
 		return port.ErrFenced
 	case faultExpired:
@@ -148,6 +156,14 @@
 	return nil
 }
 
+// Record records what a caller asked of another entry.
+func (s *service) Record(args ledger.Record, reply *AppendReply) error {
+	ctx, cancel := context.WithTimeout(s.ctx, maxRelayTime)
+	defer cancel()
+	reply.Fault = faultOf(s.backend.Record(ctx, args))
+	return nil
+}
+
 // Read reads the log for another entry.
 func (s *service) Read(args port.ReadQuery, reply *ReadReply) error {
 	ctx, cancel := context.WithTimeout(s.ctx, maxRelayTime)
@@ -286,6 +302,9 @@
 	return fmt.Sprintf("peer: entry %s not reached: %v; the call was not made", e.Address, e.Cause)
 }
 
+// NotSent reports that the call did not reach the other entry.
+func (e *NotSentError) NotSent() bool { return true }
+
 // Unwrap returns the cause.
 func (e *NotSentError) Unwrap() error { return e.Cause }
 
@@ -331,6 +350,15 @@
 	return *reply, nil
 }
 
+// Record makes the owner at an address record what a caller asked.
+func (c *Client) Record(ctx context.Context, address string, r ledger.Record) error {
+	reply := &AppendReply{}
+	if err := c.call(ctx, address, "Record", r, reply); err != nil {
+		return err
+	}
+	return reply.Fault.Err()
+}
+
 // Append appends to the log through the entry at an address.
 func (c *Client) Append(ctx context.Context, address string, a port.Append) (int64, error) {
 	reply := &AppendReply{}
