Plan only with upstreams that have room

Ruled out: logs (one line a decision), the store (appends took 6 ms). Change: one pool of usable upstreams a plan with the largest free amounts, so that a step without room costs one comparison; calls for advice only when room is there or the call is slow; the pause between plans follows the time of the newest one.

--- a/internal/coordination/dispatch/owner.go
+++ b/internal/coordination/dispatch/owner.go
@@ -31,6 +31,9 @@
 	heartbeat = 500 * time.Millisecond
 	// planGap is the least time between two plans.
 	planGap = 3 * time.Millisecond
+	// planShare bounds the part of the time that plans take: the next one waits
+	// this many times as long as the newest took.
+	planShare = 4
 	// tick is the longest time between two rounds of the control loop.
 	tick = 50 * time.Millisecond
 	// contactGrace is how long the owner goes on without hearing from the log.
@@ -66,6 +69,7 @@
 	drops     []ledger.Record
 	planDue   bool
 	plannedAt time.Time
+	planPause time.Duration
 	expiredAt time.Time
 	// contactAt is the newest successful append, in nanoseconds since base.
 	contactAt atomic.Int64
@@ -235,7 +239,7 @@
 // round plans and flushes what is due.
 func (o *owner) round() {
 	now := time.Now()
-	if o.planDue && now.Sub(o.plannedAt) >= planGap && o.mayExtend() && !o.releasing {
+	if o.planDue && now.Sub(o.plannedAt) >= o.planPause && o.mayExtend() && !o.releasing {
 		o.planDue = false
 		o.plannedAt = now
 		o.sched.SetConfig(o.replica.Config())
@@ -243,12 +247,14 @@
 		quick, slow := o.advisors.limits(o.replica)
 		o.sched.SetAskLimits(quick, slow)
 		o.execute(o.sched.Plan(o.now()))
-		o.metrics.planTime.Update(time.Since(now).Microseconds())
 		o.refreshLinks()
+		took := time.Since(now)
+		o.metrics.planTime.Update(took.Microseconds())
+		o.planPause = max(planGap, planShare*took)
 	}
 	o.flush(now)
 	if o.planDue {
-		time.AfterFunc(planGap, func() { o.post(func() {}) })
+		time.AfterFunc(o.planPause, func() { o.post(func() {}) })
 	}
 }
 
--- a/internal/state/scheduler/place.go
+++ b/internal/state/scheduler/place.go
@@ -238,12 +238,23 @@
 	}
 }
 
+// askBudget returns the count of the calls of a kind in flight and its limit.
+func (s *Scheduler) askBudget(slow bool) (inFlight *int, limit int) {
+	if slow {
+		return &s.slowAsks, s.opts.SlowAsks
+	}
+	return &s.quickAsks, s.opts.QuickAsks
+}
+
+// mayAsk reports whether another call of the queue's kind may be in flight.
+func (s *Scheduler) mayAsk(advice *workload.Advice) bool {
+	inFlight, limit := s.askBudget(advice.DecisionMS > quickAdviceMS)
+	return *inFlight < limit
+}
+
 // admitAsk counts a call for advice if its kind has room in flight.
 func (s *Scheduler) admitAsk(a *Ask) bool {
-	inFlight, limit := &s.quickAsks, s.opts.QuickAsks
-	if a.Slow() {
-		inFlight, limit = &s.slowAsks, s.opts.SlowAsks
-	}
+	inFlight, limit := s.askBudget(a.Slow())
 	if *inFlight >= limit {
 		return false
 	}
@@ -251,24 +262,27 @@
 	return true
 }
 
-// askUnknown asks which upstreams may run a step, if too few are known.
-func (s *Scheduler) askUnknown(now state.Time, st *step, q *workload.Queue, candidates []candidate, waiting int, plan *Plan) {
-	if st.asking > 0 || now < st.askAfter {
+// askUnknown asks which upstreams may run a step, if none is known to have room
+// for it.
+func (s *Scheduler) askUnknown(now state.Time, st *step, q *workload.Queue, pl *pool, waiting int, plan *Plan) {
+	if st.asking > 0 || now < st.askAfter || len(st.advised) >= len(pl.members) || !s.mayAsk(q.Advice) {
 		return
 	}
-	var unknown []candidate
-	good := 0
 	room := st.spec.Room()
-	for _, c := range candidates {
-		tk, ok := st.advised[c.u.ID]
-		switch {
-		case !ok:
-			unknown = append(unknown, c)
-		case tk.good && room.Fits(c.free):
-			good++
+	var unknown []candidate
+	for i := range pl.members {
+		u := pl.members[i].u
+		if !st.allows(u) || !room.Fits(withSlots(u.Capacity)) {
+			continue
+		}
+		free := withSlots(u.free())
+		if tk, ok := st.advised[u.ID]; !ok {
+			unknown = append(unknown, candidate{u: u, free: free, cost: pl.members[i].cost})
+		} else if tk.good && room.Fits(free) {
+			return
 		}
 	}
-	if len(unknown) == 0 || (len(st.advised) > 0 && good > 0) {
+	if len(unknown) == 0 {
 		return
 	}
 	slices.SortFunc(unknown, func(a, b candidate) int {
@@ -279,11 +293,10 @@
 	for _, c := range unknown[:n] {
 		ask.Upstreams = append(ask.Upstreams, c.u.ID)
 	}
-	if !s.admitAsk(&ask) {
-		return
+	if s.admitAsk(&ask) {
+		st.asking++
+		plan.Asks = append(plan.Asks, ask)
 	}
-	st.asking++
-	plan.Asks = append(plan.Asks, ask)
 }
 
 func boolInt(b bool) int {
@@ -293,19 +306,11 @@
 	return 0
 }
 
-// onlyGood returns the candidates that the advice allows.
-func (st *step) onlyGood(candidates []candidate) []candidate {
-	return slices.DeleteFunc(candidates, func(c candidate) bool { return !st.advised[c.u.ID].good })
-}
-
 // Advised takes in the answer to a call for advice. tickets holds the token for
 // each upstream that may run the step; until is how long the tokens hold.
 func (s *Scheduler) Advised(now state.Time, ask *Ask, tickets map[workload.UpstreamID]string, until state.Time, failed bool) []Start {
-	if ask.Slow() {
-		s.slowAsks--
-	} else {
-		s.quickAsks--
-	}
+	inFlight, _ := s.askBudget(ask.Slow())
+	*inFlight--
 	j := s.jobs[ask.Step.Job]
 	if j == nil || ask.Step.Occurrence >= len(j.steps) {
 		return nil
--- a/internal/state/scheduler/plan.go
+++ b/internal/state/scheduler/plan.go
@@ -21,6 +21,7 @@
 	s.evacuate(now)
 	s.pace(now, &plan)
 	blocked := s.uncertainServices(now)
+	s.pools = map[workload.ServiceName]*pool{}
 	for _, st := range s.order(now) {
 		s.placeStep(now, st, blocked, &plan)
 	}
@@ -125,14 +126,22 @@
 		}
 		return
 	}
-	candidates := s.candidates(now, st, q)
-	if len(candidates) == 0 {
+	if !s.withinMaximum(st.job.spec.Workspace, st.spec.Each) {
 		return
 	}
-	if q.Advice != nil {
-		s.askUnknown(now, st, q, candidates, len(waiting), plan)
-		candidates = st.onlyGood(candidates)
+	pl := s.pool(now, q.Service)
+	fits := st.spec.Room().Fits(pl.most)
+	if q.Advice != nil && (fits || q.Advice.DecisionMS > quickAdviceMS) {
+		s.askUnknown(now, st, q, pl, len(waiting), plan)
+	}
+	if !fits {
+		return
 	}
+	candidates := s.candidates(now, st, pl, q.Advice != nil)
+	if len(candidates) == 0 {
+		return
+	}
+	defer pl.measure()
 	p := placement{s: s, now: now, step: st, advised: q.Advice != nil, plan: plan}
 	if st.spec.Gang {
 		p.gang(waiting, candidates)
@@ -163,26 +172,66 @@
 	return out
 }
 
-// candidates returns the upstreams on which a task of the step could run, with
-// room for it or not.
-func (s *Scheduler) candidates(now state.Time, st *step, q *workload.Queue) []candidate {
-	room := st.spec.Room()
-	var out []candidate
-	for _, u := range s.byService[q.Service] {
-		if !u.known || u.silent || u.Draining || !room.Fits(withSlots(u.Capacity)) {
-			continue
-		}
-		if st.spec.Constraint != "" && !u.HasLabel(st.spec.Constraint) {
+// pool is the usable part of a service in the course of a plan.
+type pool struct {
+	members []member
+	// most is the largest free amount of each kind, not all on one upstream.
+	most state.Vector
+}
+
+// member is a usable upstream with the cost that its health adds.
+type member struct {
+	u    *upstream
+	cost float64
+}
+
+// pool returns the usable upstreams of a service.
+func (s *Scheduler) pool(now state.Time, service workload.ServiceName) *pool {
+	if pl := s.pools[service]; pl != nil {
+		return pl
+	}
+	pl := &pool{}
+	for _, u := range s.byService[service] {
+		if !u.known || u.silent || u.Draining || u.health.recentFaults(now) >= avoidFaults {
 			continue
 		}
-		if u.health.recentFaults(now) >= avoidFaults {
+		pl.members = append(pl.members, member{u, float64(int(u.health.cost(now)/costStep)) * costStep})
+	}
+	pl.measure()
+	s.pools[service] = pl
+	return pl
+}
+
+// measure finds the largest free amounts.
+func (p *pool) measure() {
+	p.most = state.Vector{}
+	for i := range p.members {
+		p.most = p.most.Max(p.members[i].u.free())
+	}
+	p.most.Slots = unboundedSlots
+}
+
+// candidates returns the upstreams that have room for a task of the step. Of an
+// advised step only those are returned that the advice allows.
+func (s *Scheduler) candidates(now state.Time, st *step, pl *pool, advised bool) []candidate {
+	room := st.spec.Room()
+	var out []candidate
+	for i := range pl.members {
+		m := &pl.members[i]
+		free := withSlots(m.u.free())
+		if !room.Fits(free) || !st.allows(m.u) || (advised && !st.advised[m.u.ID].good) {
 			continue
 		}
-		out = append(out, candidate{u: u, free: withSlots(u.free()), cost: s.cost(now, st, u)})
+		out = append(out, candidate{u: m.u, free: free, cost: m.cost + st.cost(m.u)})
 	}
 	return out
 }
 
+// allows reports whether the step's label lets it run on an upstream.
+func (st *step) allows(u *upstream) bool {
+	return st.spec.Constraint == "" || u.HasLabel(st.spec.Constraint)
+}
+
 // unboundedSlots stands for the slots of an upstream, which do not bound tasks.
 const unboundedSlots = 1 << 30
 
@@ -214,9 +263,9 @@
 	costStep = 0.15
 )
 
-// cost orders upstreams for a step; less is better.
-func (s *Scheduler) cost(now state.Time, st *step, u *upstream) float64 {
-	cost := float64(int(u.health.cost(now)/costStep)) * costStep
+// cost orders upstreams of like health for a step; less is better.
+func (st *step) cost(u *upstream) float64 {
+	cost := 0.0
 	if st.spec.Affinity != "" && !u.HasLabel(st.spec.Affinity) {
 		cost += farCost
 	}
--- a/internal/state/scheduler/runs.go
+++ b/internal/state/scheduler/runs.go
@@ -230,7 +230,10 @@
 	for _, r := range u.runs {
 		out = append(out, r)
 	}
-	slices.SortFunc(out, func(a, b *run) int { return cmp.Compare(a.Task.String(), b.Task.String()) })
+	slices.SortFunc(out, func(a, b *run) int {
+		return cmp.Or(cmp.Compare(a.Task.Job, b.Task.Job), cmp.Compare(a.Task.Occurrence, b.Task.Occurrence),
+			cmp.Compare(a.Task.Step, b.Task.Step), cmp.Compare(a.Task.Index, b.Task.Index))
+	})
 	return out
 }
 
--- a/internal/state/scheduler/scheduler.go
+++ b/internal/state/scheduler/scheduler.go
@@ -41,6 +41,8 @@
 	slowAsks  int
 	// ready are the steps that may have tasks to place.
 	ready map[*step]struct{}
+	// pools are the usable upstreams during a plan.
+	pools map[workload.ServiceName]*pool
 	// timed are the steps whose occurrence is not due yet.
 	timed map[*step]struct{}
 }
