Count runs of ended jobs against their upstream after a takeover; test the core

Found beside it: the last run of a completing job got a stop although its end was listed in the same look. Change: the scheduler looks up the ended job in the ledger and keeps the run until it is gone; a run whose end is listed is never stopped.

--- a/internal/coordination/dispatch/owner.go
+++ b/internal/coordination/dispatch/owner.go
@@ -140,6 +140,7 @@
 	o.ctx, o.cancel = context.WithCancel(ctx)
 	o.sched = scheduler.New(p.replica.Config(), scheduler.Options{
 		Generation:     claim.Generation,
+		Lookup:         o.lookup,
 		UncertainUntil: contactGrace + time.Duration(float64(p.lease)*slowClock) + callTimeout,
 	})
 	o.advisors.init(p)
@@ -210,6 +211,12 @@
 	o.logger.Info("ownership taken", "epoch", o.epoch, "generation", o.generation, "jobs", n)
 }
 
+// lookup returns a job that the ledger holds.
+func (o *owner) lookup(id workload.JobID) *workload.Job {
+	row, _ := o.replica.Row(id)
+	return row.Job
+}
+
 // take hands a job to the scheduler, once in a term.
 func (o *owner) take(job *workload.Job, recorded *ledger.JobState, cancelled, adopted bool) {
 	if _, ok := o.taken[job.ID]; ok {
--- a/internal/state/scheduler/look.go
+++ b/internal/state/scheduler/look.go
@@ -117,7 +117,7 @@
 		if r.stopAcked > 0 && sentAt > r.stopAcked {
 			s.release(now, r, false)
 		}
-	case awaiting, starting:
+	case awaiting, starting, over:
 	}
 }
 
@@ -168,6 +168,9 @@
 // if the run is not wanted.
 func (s *Scheduler) adopt(now state.Time, u *upstream, row *RunningRow) *run {
 	t := s.task(row.Task)
+	if t == nil {
+		t = s.ghostTask(row.Task)
+	}
 	if t == nil || u.runs[row.Task] != nil {
 		s.stops = append(s.stops, Run{row.Task, row.Run, u.ID})
 		return nil
@@ -186,6 +189,26 @@
 	return r
 }
 
+// ghostTask returns a task of a job that ended before the takeover, or nil.
+func (s *Scheduler) ghostTask(id workload.TaskID) *task {
+	if s.opts.Lookup == nil || s.jobs[id.Job] != nil {
+		return nil
+	}
+	spec := s.opts.Lookup(id.Job)
+	if spec == nil || id.Occurrence >= spec.Occurrences() || id.Step >= len(spec.Steps) {
+		return nil
+	}
+	j := &job{id: spec.ID, spec: spec, phase: ledger.Cancelled, cancelled: true, ghost: true, begun: true, steps: make([][]*step, spec.Occurrences())}
+	for k := range j.steps {
+		j.steps[k] = make([]*step, len(spec.Steps))
+		for i := range spec.Steps {
+			j.steps[k][i] = newStep(j, k, i, false)
+		}
+	}
+	s.jobs[j.id] = j
+	return s.task(id)
+}
+
 // endedRow takes in one run that is listed as ended.
 func (s *Scheduler) endedRow(now state.Time, u *upstream, row *EndedRow) {
 	t := s.task(row.Task)
@@ -202,6 +225,9 @@
 	}
 	s.touch(t.step.job)
 	s.begin(t.step.job)
+	if r != nil {
+		r.phase = over
+	}
 	switch {
 	case row.How == HowDone && !t.step.spec.LongRunning:
 		if r != nil {
--- a/internal/state/scheduler/model.go
+++ b/internal/state/scheduler/model.go
@@ -70,6 +70,8 @@
 	running
 	// stopping: a stop was ordered.
 	stopping
+	// over: the upstream listed the end.
+	over
 )
 
 type run struct {
@@ -159,6 +161,9 @@
 	// adopted jobs were accepted before the takeover.
 	adopted   bool
 	begun     bool
+	// ghost jobs ended before the takeover; runs of theirs are still being
+	// stopped. Nothing is recorded about them.
+	ghost bool
 	arrived   state.Time
 	dueBy     state.Time
 	overShare bool
--- a/internal/state/scheduler/runs.go
+++ b/internal/state/scheduler/runs.go
@@ -84,7 +84,7 @@
 	switch r.phase {
 	case awaiting:
 		s.release(now, r, false)
-	case stopping:
+	case stopping, over:
 	default:
 		r.phase, r.since = stopping, now
 		s.stops = append(s.stops, r.Run)
@@ -208,7 +208,7 @@
 		switch r.phase {
 		case starting, unsure:
 			s.stop(now, r)
-		case awaiting, running, stopping:
+		case awaiting, running, stopping, over:
 			s.release(now, r, false)
 		}
 	}
--- a/internal/state/scheduler/scheduler.go
+++ b/internal/state/scheduler/scheduler.go
@@ -21,6 +21,9 @@
 	Generation int64
 	// UncertainUntil is when no run of a former owner can be alive any more.
 	UncertainUntil state.Time
+	// Lookup returns a job that the ledger holds but the scheduler does not, or
+	// nil. Runs of such a job take room until they are stopped.
+	Lookup func(id workload.JobID) *workload.Job
 	// QuickAsks and SlowAsks bound the calls for advice in flight.
 	QuickAsks, SlowAsks int
 }
@@ -229,7 +232,7 @@
 
 // touch marks a job whose recorded state must be written.
 func (s *Scheduler) touch(j *job) {
-	if !j.dirty {
+	if !j.dirty && !j.ghost {
 		j.dirty = true
 		s.dirty = append(s.dirty, j)
 	}
--- a/internal/state/scheduler/world_test.go
+++ b/internal/state/scheduler/world_test.go
@@ -24,6 +24,9 @@
 	events    []event
 	seq       int
 	rand      *rand.Rand
+	// recorded is what the log holds of each job.
+	recorded   map[workload.JobID]ledger.JobState
+	generation int64
 	// lossy is the share of starts that get no answer and run late.
 	lossy float64
 	// failing lets a run of a task on an upstream fail.
@@ -57,6 +60,10 @@
 	ended  []EndedRow
 	looked int
 	down   bool
+	// shown is set once the upstream was looked at in this term.
+	shown bool
+	// slowStop delays the end of stopped runs.
+	slowStop state.Time
 }
 
 type simRun struct {
@@ -68,7 +75,7 @@
 
 func newWorld(t testing.TB, config *workload.Config) *world {
 	config.Index()
-	w := &world{t: t, config: config, jobs: map[workload.JobID]*simJob{}, rand: rand.New(rand.NewPCG(1, 2))}
+	w := &world{t: t, config: config, jobs: map[workload.JobID]*simJob{}, rand: rand.New(rand.NewPCG(1, 2)), recorded: map[workload.JobID]ledger.JobState{}, generation: 1}
 	w.s = New(config, Options{Generation: 1, QuickAsks: 100, SlowAsks: 100})
 	w.now = time.Second
 	w.failing = func(Run) bool { return false }
@@ -165,7 +172,31 @@
 	for _, e := range p.Ended {
 		w.jobs[e.Job].phase, w.jobs[e.Job].ended = e.Phase, w.now
 	}
-	w.s.Changed(w.unix())
+	ids, states := w.s.Changed(w.unix())
+	for i := range ids {
+		w.recorded[ids[i]] = states[i]
+	}
+}
+
+// takeOver replaces the owner. Every upstream but the unreached ones lists all
+// its ends again, also those that are recorded.
+func (w *world) takeOver(unreached ...*simUpstream) {
+	w.generation++
+	w.s = New(w.config, Options{
+		Generation: w.generation, QuickAsks: 100, SlowAsks: 100, UncertainUntil: w.now + 5*time.Second,
+		Lookup: func(id workload.JobID) *workload.Job { return w.jobs[id].spec },
+	})
+	for id, j := range w.jobs {
+		state := w.recorded[id]
+		w.s.AddJob(w.now, w.unix(), j.spec, &state, false, true)
+	}
+	for _, u := range w.upstreams {
+		w.s.SetUpstream(w.now, u.reg)
+		u.looked, u.shown = 0, false
+		if slices.Contains(unreached, u) {
+			u.down = true
+		}
+	}
 }
 
 // advise allows two upstreams of three.
@@ -252,7 +283,11 @@
 	u := w.upstream(run.Upstream)
 	u.barred[run.Task] = max(u.barred[run.Task], run.Number)
 	if r := u.running[run.Task]; r != nil && r.run == run.Number {
-		w.end(u, run.Task, HowStopped)
+		w.at(u.slowStop, func() {
+			if u.running[run.Task] == r {
+				w.end(u, run.Task, HowStopped)
+			}
+		})
 	}
 	w.s.StopResult(w.now, run, true)
 }
@@ -302,7 +337,8 @@
 		}
 		look.Ended = u.ended[u.looked:]
 		u.looked = len(u.ended)
-		if len(look.Ended) > 0 || len(look.Running) > 0 || len(u.running) > 0 {
+		if len(look.Ended) > 0 || len(look.Running) > 0 || len(u.running) > 0 || !u.shown {
+			u.shown = true
 			w.s.Looked(w.now, u.reg.ID, look)
 		}
 	}
