Claim at once when the owner's process was replaced; refuse clearly while cut off

Change: a new registration of the owner's VM frees the ownership; the silence until a claim is 1.3 s; appends never probe a log that does not answer, are given up after six times their usual time, and calls that were not sent count as not done; an entry that could not be dialled is left alone for 400 ms; entries are unready after 1.4 s without the log. Claims and states are encoded without field names.

--- a/internal/coordination/dispatch/manager.go
+++ b/internal/coordination/dispatch/manager.go
@@ -21,10 +21,13 @@
 const (
 	// ownerSilence is how long the log may show no sign of the owner until
 	// another entry claims; the owner writes at least every heartbeat.
-	ownerSilence = 1800 * time.Millisecond
+	ownerSilence = 1300 * time.Millisecond
 	// claimSpread keeps entries from claiming at the same moment; the
 	// preferred ones claim first.
 	claimSpread = 400 * time.Millisecond
+	// freeSpread divides the spread when the ownership is known to be free, so
+	// that little time is lost.
+	freeSpread = 4
 	// freshRead is the greatest age of the replica at which an entry claims.
 	freshRead = 1300 * time.Millisecond
 	// claimCheck is how often an entry looks whether it should claim.
@@ -132,9 +135,17 @@
 	if !h.Loaded || h.Age > freshRead {
 		return false
 	}
-	claim := m.cfg.Replica.Claim()
-	if claim.Epoch == 0 || claim.Released {
-		return h.OwnerSilence > delay/4
+	var claim ledger.Claim
+	var free bool
+	m.cfg.Replica.View(func(t *ledger.Table, _ int64) {
+		claim, _ = t.Claim()
+		free = claim.Epoch == 0 || claim.Released || t.OwnerGone()
+	})
+	if claim.Entry == m.cfg.Name && claim.Incarnation != m.cfg.Incarnation {
+		free = true
+	}
+	if free {
+		return h.OwnerSilence > delay/freeSpread
 	}
 	return h.OwnerSilence > ownerSilence+delay
 }
--- a/internal/coordination/dispatch/owner.go
+++ b/internal/coordination/dispatch/owner.go
@@ -121,7 +121,7 @@
 
 type ownerMetrics struct {
 	starts, ends, appends, appendFails, asks, askFails metrics.Counter
-	startLatency, planTime, acceptToStart              metrics.Histogram
+	startLatency, planTime                             metrics.Histogram
 	jobs, runs, ready, silent                          metrics.Gauge
 }
 
@@ -355,12 +355,15 @@
 	final = final || len(o.requests) > 0
 	dirty = dirty || final
 	since := now.Sub(o.flushedAt)
-	if !(dirty && (since >= flushGap || (final && since >= finalFlushGap))) && since < heartbeat {
+	gap := heartbeat
+	switch {
+	case final:
+		gap = finalFlushGap
+	case dirty:
+		gap = flushGap
+	}
+	if since < gap {
 		if dirty {
-			gap := flushGap
-			if final {
-				gap = finalFlushGap
-			}
 			time.AfterFunc(gap-since, func() { o.post(func() {}) })
 		}
 		return
--- a/internal/coordination/intake/intake.go
+++ b/internal/coordination/intake/intake.go
@@ -23,7 +23,7 @@
 	staleReplica = 2500 * time.Millisecond
 	// ownerTimeout bounds the wait for the owner to record something; it leaves
 	// time to append directly within a caller's deadline.
-	ownerTimeout = 1200 * time.Millisecond
+	ownerTimeout = 800 * time.Millisecond
 	// phaseTimeout bounds a question to the owner.
 	phaseTimeout = 250 * time.Millisecond
 	// retryAfter is what a caller is told when the log refuses a job.
@@ -131,7 +131,7 @@
 	if err == nil {
 		return via, nil
 	}
-	notAsked := errors.Is(err, port.ErrNotOwner) || notSent(err)
+	notAsked := errors.Is(err, port.ErrNotOwner) || port.NotSent(err)
 	if !notAsked {
 		in.logger.Debug("owner gave no answer", "key", record.Key, "owner", via, "error", err)
 	}
@@ -142,12 +142,6 @@
 	return "log", direct
 }
 
-// notSent reports whether a call never reached the other entry.
-func notSent(err error) bool {
-	var reached interface{ NotSent() bool }
-	return errors.As(err, &reached) && reached.NotSent()
-}
-
 // Cancel cancels a job.
 func (in *Intake) Cancel(ctx context.Context, id workload.JobID) error {
 	row, ok := in.replica.Row(id)
--- a/internal/coordination/ownership/bounded.go
+++ b/internal/coordination/ownership/bounded.go
@@ -30,7 +30,7 @@
 // Grant is a record of the ownership stream in the mode without fencing.
 type Grant struct {
 	// ID is unique to the write.
-	ID    string         `json:"id"`
+	ID    string            `json:"id"`
 	Epoch devplatform.Epoch `json:"epoch"`
 	// Term is how long the grant lasts from the moment that it was sent.
 	Term time.Duration `json:"term"`
--- a/internal/coordination/ownership/claimlog.go
+++ b/internal/coordination/ownership/claimlog.go
@@ -28,7 +28,7 @@
 // claimRecord is a record of the ownership stream of a domain.
 type claimRecord struct {
 	Shard coordination.ShardID `json:"shard"`
-	Epoch devplatform.Epoch       `json:"epoch"`
+	Epoch devplatform.Epoch    `json:"epoch"`
 }
 
 // claimLog is the stream of the claims in a domain.
--- a/internal/coordination/port/port.go
+++ b/internal/coordination/port/port.go
@@ -88,6 +88,12 @@
 	ErrExpired = errors.New("port: the log has dropped the records at this offset; load the newest of each key")
 )
 
+// NotSent reports whether a call never reached the other side.
+func NotSent(err error) bool {
+	var call interface{ NotSent() bool }
+	return errors.As(err, &call) && call.NotSent()
+}
+
 // ConflictError says that the log does not end where the append required.
 type ConflictError struct{ End int64 }
 
--- a/internal/coordination/relay/relay.go
+++ b/internal/coordination/relay/relay.go
@@ -16,16 +16,22 @@
 )
 
 const (
-	// directAppend bounds an append made directly while the log is not known to
-	// refuse this entry; it leaves time for a relay within a caller's deadline.
-	directAppend = 900 * time.Millisecond
+	// A direct append is given up after appendPatience times the usual time of
+	// an append, within minAppend and maxAppend. The latter leaves time for a
+	// relay within a caller's deadline.
+	appendPatience = 6
+	minAppend      = 250 * time.Millisecond
+	maxAppend      = 900 * time.Millisecond
+	// usualWeight is the share of the newest append in the usual time.
+	usualWeight = 0.2
 	// relayAppend bounds an append through another entry.
 	relayAppend = 900 * time.Millisecond
 	// readMargin is added to the wait of a read.
 	readMargin = 700 * time.Millisecond
-	// directPause is how long an entry relies on others after a failed call
-	// until it tries the log itself again.
-	directPause = 1500 * time.Millisecond
+	// After a failed read, and after a failed append, reads are made through
+	// others for a while; the next direct read then shows how things are.
+	readPause   = 1200 * time.Millisecond
+	appendPause = 250 * time.Millisecond
 	// maxRelays is the most entries that one call is tried through.
 	maxRelays = 2
 )
@@ -48,6 +54,8 @@
 	mu       sync.Mutex
 	badUntil time.Time
 	bad      bool
+	// usual is the smoothed time of a direct append.
+	usual time.Duration
 	// prefer is the entry that relayed last.
 	prefer string
 }
@@ -63,14 +71,24 @@
 	return err == nil || errors.Is(err, port.ErrFenced) || errors.Is(err, port.ErrExpired) || errors.As(err, &conflict)
 }
 
-// useDirect reports whether the log is tried directly first.
+// useDirect reports whether a read is tried directly.
 func (l *Log) useDirect() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return time.Now().After(l.badUntil)
 }
 
-func (l *Log) directResult(err error) {
+// appendDirect reports whether an append is tried directly, and for how long.
+// Appends never probe a log that does not answer: one without an answer may
+// have been carried out, which leaves its caller without a clear outcome.
+func (l *Log) appendDirect() (bool, time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return !l.bad, min(max(appendPatience*l.usual, minAppend), maxAppend)
+}
+
+// directResult takes in the outcome of a direct call.
+func (l *Log) directResult(err error, pause time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if final(err) {
@@ -83,7 +101,13 @@
 	if !l.bad {
 		l.logger.Warn("log not reached directly", "error", err, "action", "ask other entries")
 	}
-	l.bad, l.badUntil = true, time.Now().Add(directPause)
+	l.bad, l.badUntil = true, time.Now().Add(pause)
+}
+
+func (l *Log) appendTook(d time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.usual += time.Duration(usualWeight * float64(d-l.usual))
 }
 
 // relays returns the entries to try, the one that last worked first.
@@ -119,22 +143,23 @@
 		callCtx, cancel := context.WithTimeout(ctx, limit)
 		defer cancel()
 		offset, err := call(callCtx)
-		if !final(err) && !errors.Is(err, port.ErrNotDone) {
+		if !final(err) && !errors.Is(err, port.ErrNotDone) && !port.NotSent(err) {
 			notDone, unanswered = false, err
 		}
 		last = err
 		return offset, final(err)
 	}
-	direct := func() (int64, bool) {
-		offset, ok := attempt(directAppend, func(ctx context.Context) (int64, error) { return l.direct.Append(ctx, a) })
-		l.directResult(last)
-		return offset, ok
-	}
-	triedDirect := l.useDirect()
-	if triedDirect {
-		if offset, ok := direct(); ok {
+	if direct, patience := l.appendDirect(); direct && ctx.Err() == nil {
+		began := time.Now()
+		offset, ok := attempt(patience, func(ctx context.Context) (int64, error) { return l.direct.Append(ctx, a) })
+		if ok {
+			l.appendTook(time.Since(began))
 			return offset, last
 		}
+		l.appendTook(time.Since(began))
+		if ctx.Err() == nil {
+			l.directResult(last, appendPause)
+		}
 	}
 	for _, address := range l.relays() {
 		if ctx.Err() != nil {
@@ -146,11 +171,6 @@
 			return offset, last
 		}
 	}
-	if !triedDirect && ctx.Err() == nil {
-		if offset, ok := direct(); ok {
-			return offset, last
-		}
-	}
 	if notDone {
 		return 0, port.ErrNotDone
 	}
@@ -176,7 +196,9 @@
 		callCtx, cancel := context.WithTimeout(ctx, limit)
 		batch, err := l.readDirect(callCtx, q)
 		cancel()
-		l.directResult(err)
+		if final(err) || ctx.Err() == nil {
+			l.directResult(err, readPause)
+		}
 		if final(err) || ctx.Err() != nil {
 			return batch, err
 		}
--- a/internal/devmode/fleet.go
+++ b/internal/devmode/fleet.go
@@ -7,8 +7,8 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/samphirerail/samphirerail/standin/devplatform"
 	"github.com/samphirerail/samphirerail/standin"
+	"github.com/samphirerail/samphirerail/standin/devplatform"
 	"github.com/samphirerail/samphirerail/standin/worker"
 )
 
--- a/internal/devmode/standins.go
+++ b/internal/devmode/standins.go
@@ -11,8 +11,8 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/samphirerail/samphirerail/standin/devplatform"
 	"github.com/samphirerail/samphirerail/standin"
+	"github.com/samphirerail/samphirerail/standin/devplatform"
 	"github.com/samphirerail/samphirerail/standin/logservice"
 	"github.com/samphirerail/samphirerail/standin/vmlist"
 	"github.com/samphirerail/samphirerail/standin/worker"
--- a/internal/devmode/system.go
+++ b/internal/devmode/system.go
@@ -14,8 +14,8 @@
 
 	"github.com/samphirerail/samphirerail/internal/agent"
 	"github.com/samphirerail/samphirerail/internal/settings"
-	"github.com/samphirerail/samphirerail/standin/devplatform"
 	"github.com/samphirerail/samphirerail/standin"
+	"github.com/samphirerail/samphirerail/standin/devplatform"
 	"github.com/samphirerail/samphirerail/standin/logservice"
 	"github.com/samphirerail/samphirerail/standin/vmlist"
 	"github.com/samphirerail/samphirerail/standin/worker"
--- a/internal/e2e/journal_test.go
+++ b/internal/e2e/journal_test.go
@@ -12,8 +12,8 @@
 
 	v1 "github.com/samphirerail/samphirerail/internal/protocol/v1"
 	"github.com/samphirerail/samphirerail/internal/state"
-	"github.com/samphirerail/samphirerail/standin/devplatform"
 	"github.com/samphirerail/samphirerail/standin"
+	"github.com/samphirerail/samphirerail/standin/devplatform"
 	"github.com/samphirerail/samphirerail/standin/faults"
 	"github.com/samphirerail/samphirerail/standin/logservice"
 )
--- a/internal/measure/measure_test.go
+++ b/internal/measure/measure_test.go
@@ -11,8 +11,8 @@
 
 	"github.com/samphirerail/samphirerail/internal/coordination/configlog"
 	"github.com/samphirerail/samphirerail/internal/state/config"
-	"github.com/samphirerail/samphirerail/standin/devplatform"
 	"github.com/samphirerail/samphirerail/standin"
+	"github.com/samphirerail/samphirerail/standin/devplatform"
 	"github.com/samphirerail/samphirerail/standin/logservice"
 	"github.com/samphirerail/samphirerail/standin/vmlist"
 )
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -96,7 +96,9 @@
 	n.app = fx.New(
 		fx.Supply(s),
 		fx.Provide(
-			func() hclog.Logger { return telemetry.NewLogger("samphirerail", s.Log.Level, telemetry.NewAsyncWriter(out)) },
+			func() hclog.Logger {
+				return telemetry.NewLogger("samphirerail", s.Log.Level, telemetry.NewAsyncWriter(out))
+			},
 			metrics.NewRegistry, newIdentity, newParts,
 		),
 		fx.Invoke(func(lc fx.Lifecycle, p *parts) { lc.Append(fx.Hook{OnStart: p.start, OnStop: p.stop}) }),
@@ -243,7 +245,7 @@
 }
 
 // readyAge is the age of the replica from which an entry is not ready.
-const readyAge = 2500 * time.Millisecond
+const readyAge = 1400 * time.Millisecond
 
 // Phase implements peer.Backend.
 func (p *parts) Phase(ctx context.Context, id workload.JobID) (ledger.Phase, bool) {
--- /dev/null
+++ b/internal/state/ledger/ledger_test.go
@@ -0,0 +1,161 @@
+package ledger
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/samphirerail/samphirerail/internal/state"
+	"github.com/samphirerail/samphirerail/internal/state/workload"
+)
+
+const id workload.JobID = "00000000000000ab"
+
+func must(r Record, err error) Record {
+	if err != nil {
+		panic(err)
+	}
+	return r
+}
+
+func testJob() *workload.Job {
+	return &workload.Job{ID: id, Queue: "q", Workspace: "w", SubmittedUnixMS: 5, Payload: "p", Steps: []workload.Step{{
+		Count: 3, Each: state.Vector{CPUMilli: 1, MemoryMB: 2, Accelerators: 3, Slots: 1}, EstimateMS: 9, After: []int{}, Gang: true, MayMiss: 1,
+	}}}
+}
+
+// fold applies records at offsets from 0 on.
+func fold(t *testing.T, records ...Record) *Table {
+	table := NewTable()
+	for i, r := range records {
+		r.Offset = int64(i)
+		if _, err := table.Apply(r); err != nil {
+			t.Fatalf("record %d: %v", i, err)
+		}
+	}
+	return table
+}
+
+func TestJobSurvivesItsRecord(t *testing.T) {
+	is := is.New(t)
+	got, err := JobOf(must(JobRecord(testJob())))
+	is.NoErr(err)
+	is.Equal(got, testJob())
+}
+
+func TestTable(t *testing.T) {
+	job := must(JobRecord(testJob()))
+	cancel := must(CancelRecord(id, 7))
+	running := must(StateRecord(id, &JobState{Phase: Running}))
+	complete := must(StateRecord(id, &JobState{Phase: Complete, FinalUnixMS: 9}))
+	cases := []struct {
+		name    string
+		records []Record
+		phase   Phase
+		pending int
+		known   bool
+	}{
+		{name: "accepted", records: []Record{job}, known: true, pending: 1},
+		{name: "accepted twice", records: []Record{job, job}, known: true, pending: 1},
+		{name: "begun", records: []Record{job, running}, known: true, phase: Running},
+		{name: "submitted again after it was begun", records: []Record{job, running, job}, known: true, phase: Running},
+		{name: "cancelled", records: []Record{job, cancel}, known: true, phase: Cancelled},
+		{name: "cancelled before the job is read", records: []Record{cancel, job}, known: true, phase: Cancelled},
+		{name: "cancelled after its end", records: []Record{job, complete, cancel}, known: true, phase: Complete},
+		{name: "state before the job, as the newest of each key may be listed", records: []Record{complete, job}, known: true, phase: Complete},
+		{name: "dropped", records: append([]Record{job, complete}, DropRecords(id)...)},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			table := fold(t, c.records...)
+			row := table.Row(id)
+			is.Equal(row != nil && row.Job != nil, c.known)
+			is.Equal(table.Pending("q"), c.pending)
+			if row != nil {
+				is.Equal(row.Phase(), c.phase)
+			}
+		})
+	}
+}
+
+func TestClaimsOnlyRise(t *testing.T) {
+	is := is.New(t)
+	first := must(ClaimRecord(&Claim{Epoch: 5, Entry: "a"}))
+	older := must(ClaimRecord(&Claim{Epoch: 4, Entry: "b"}))
+	released := must(ClaimRecord(&Claim{Epoch: 5, Entry: "a", Released: true}))
+	newer := must(ClaimRecord(&Claim{Epoch: 9, Entry: "c"}))
+	claim, at := fold(t, first, older).Claim()
+	is.Equal(claim.Entry, "a")
+	is.Equal(at, int64(0))
+	claim, _ = fold(t, first, released).Claim()
+	is.True(claim.Released)
+	claim, at = fold(t, first, released, newer, older).Claim()
+	is.Equal(claim.Entry, "c")
+	is.Equal(at, int64(2))
+}
+
+func TestOwnerGone(t *testing.T) {
+	claim := must(ClaimRecord(&Claim{Epoch: 5, Entry: "a", Incarnation: "1"}))
+	entry := func(incarnation string) Record { return must(EntryRecord(&Entry{Name: "a", Incarnation: incarnation})) }
+	cases := []struct {
+		name    string
+		records []Record
+		gone    bool
+	}{
+		{name: "alive", records: []Record{entry("1"), claim}},
+		{name: "registered after its claim", records: []Record{claim, entry("1")}},
+		{name: "claimed before the registration of its former process was replaced", records: []Record{entry("0"), claim}},
+		{name: "restarted", records: []Record{entry("1"), claim, entry("2")}, gone: true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is.New(t).Equal(fold(t, c.records...).OwnerGone(), c.gone)
+		})
+	}
+}
+
+func TestUnreadableRecordsChangeNothing(t *testing.T) {
+	is := is.New(t)
+	table := fold(t, must(JobRecord(testJob())))
+	for _, r := range []Record{
+		{},
+		{Key: "?"},
+		{Key: "jshort", Value: []byte{1}},
+		{Key: "s" + string(id), Value: []byte("no state")},
+		{Key: keyOwner, Value: []byte{0xc1}},
+		{Key: "nentry", Value: []byte{0xff, 0xff}},
+	} {
+		_, err := table.Apply(r)
+		is.True(err != nil)
+	}
+	is.Equal(table.Row(id).Phase(), Queued)
+	is.Equal(len(table.Entries()), 0)
+}
+
+func TestEntriesComeAndGo(t *testing.T) {
+	is := is.New(t)
+	table := fold(t, must(EntryRecord(&Entry{Name: "a", Address: "x"})), must(EntryRecord(&Entry{Name: "b"})), must(EntryRecord(&Entry{Name: "b", Gone: true})))
+	is.Equal(len(table.Entries()), 1)
+	is.Equal(table.Entries()[0].Address, "x")
+}
+
+func TestDoneTasksAreBits(t *testing.T) {
+	is := is.New(t)
+	var s StepState
+	for _, i := range []int{0, 9, 64} {
+		s.SetDone(i)
+	}
+	for i := range 70 {
+		is.Equal(s.IsDone(i), i == 0 || i == 9 || i == 64)
+	}
+}
+
+func FuzzApply(f *testing.F) {
+	f.Add(must(JobRecord(testJob())).Key, must(JobRecord(testJob())).Value)
+	f.Add("owner", []byte{0x91, 0x01})
+	f.Fuzz(func(_ *testing.T, key string, value []byte) {
+		// A record of another writer may hold anything.
+		_, _ = NewTable().Apply(Record{Key: key, Value: value})
+	})
+}
--- a/internal/state/ledger/record.go
+++ b/internal/state/ledger/record.go
@@ -4,6 +4,7 @@
 package ledger
 
 import (
+	"bytes"
 	"fmt"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -33,7 +34,6 @@
 
 // Claim says that an entry owns the placement of tasks.
 type Claim struct {
-	_msgpack struct{} `msgpack:",as_array"`
 	// Epoch rises with each claim and fences the store and the upstreams.
 	Epoch int64
 	// Generation counts claims; run numbers are derived from it.
@@ -49,7 +49,6 @@
 
 // Entry is an entry process that takes part.
 type Entry struct {
-	_msgpack    struct{} `msgpack:",as_array"`
 	Name        string
 	Incarnation string
 	// Address serves the calls between entries.
@@ -80,8 +79,7 @@
 
 // JobState is what the owner records about a job.
 type JobState struct {
-	_msgpack struct{} `msgpack:",as_array"`
-	Phase    Phase
+	Phase Phase
 	// FinalUnixMS is when the phase became final.
 	FinalUnixMS int64
 	Steps       []StepState
@@ -89,7 +87,6 @@
 
 // StepState is the progress of a step of one occurrence.
 type StepState struct {
-	_msgpack   struct{} `msgpack:",as_array"`
 	Occurrence int
 	Step       int
 	// Done has a bit for each task that ended well.
@@ -100,8 +97,7 @@
 
 // TaskState is the progress of a task that has not ended well.
 type TaskState struct {
-	_msgpack struct{} `msgpack:",as_array"`
-	Index    int
+	Index int
 	// Run is the number of the newest run.
 	Run int64
 	// Failures counts the runs that ended by a fault.
@@ -173,9 +169,13 @@
 }
 
 func encode(key string, value any) (Record, error) {
-	data, err := msgpack.Marshal(value)
-	if err != nil {
+	var data bytes.Buffer
+	encoder := msgpack.NewEncoder(&data)
+	// Field names would take most of a record; fields are only ever appended.
+	encoder.UseArrayEncodedStructs(true)
+	encoder.UseCompactInts(true)
+	if err := encoder.Encode(value); err != nil {
 		return Record{}, fmt.Errorf("ledger: cannot encode the record %q: %w", key, err)
 	}
-	return Record{Key: key, Value: data}, nil
+	return Record{Key: key, Value: data.Bytes()}, nil
 }
--- a/internal/state/ledger/table.go
+++ b/internal/state/ledger/table.go
@@ -31,7 +31,9 @@
 type Table struct {
 	rows    map[workload.JobID]*Row
 	entries map[string]Entry
-	claim   Claim
+	// entryOffsets holds where the entries' registrations were read.
+	entryOffsets map[string]int64
+	claim        Claim
 	// claimOffset is where the newest claim of a new epoch was read.
 	claimOffset int64
 	pending     map[workload.QueueName]int
@@ -40,9 +42,10 @@
 // NewTable returns an empty table.
 func NewTable() *Table {
 	return &Table{
-		rows:    map[workload.JobID]*Row{},
-		entries: map[string]Entry{},
-		pending: map[workload.QueueName]int{},
+		rows:         map[workload.JobID]*Row{},
+		entries:      map[string]Entry{},
+		entryOffsets: map[string]int64{},
+		pending:      map[workload.QueueName]int{},
 	}
 }
 
@@ -64,6 +67,13 @@
 // Claim returns the newest claim and where its epoch began.
 func (t *Table) Claim() (Claim, int64) { return t.claim, t.claimOffset }
 
+// OwnerGone reports whether the owner's process has ended: its VM registered
+// another process after the claim.
+func (t *Table) OwnerGone() bool {
+	e, ok := t.entries[t.claim.Entry]
+	return ok && e.Incarnation != t.claim.Incarnation && t.entryOffsets[e.Name] > t.claimOffset
+}
+
 // Entries returns the entries that registered and have not left.
 func (t *Table) Entries() []Entry {
 	out := make([]Entry, 0, len(t.entries))
@@ -138,6 +148,7 @@
 		return err
 	}
 	t.entries[e.Name] = e
+	t.entryOffsets[e.Name] = r.Offset
 	return nil
 }
 
@@ -161,6 +172,9 @@
 		if err := decode(r, job); err != nil {
 			return change, err
 		}
+		if err := job.Validate(); err != nil {
+			return change, fmt.Errorf("ledger: the job at offset %d is left aside: %w", r.Offset, err)
+		}
 		row.Job, row.Offset = job, r.Offset
 		change.NewJob = row
 	case r.Key[0] == kindCancel:
--- a/internal/state/scheduler/look.go
+++ b/internal/state/scheduler/look.go
@@ -278,9 +278,7 @@
 }
 
 func (s *Scheduler) stepDone(now state.Time, st *step) {
-	if _, wasReady := s.ready[st]; wasReady {
-		delete(s.ready, st)
-	}
+	delete(s.ready, st)
 	st.job.open--
 	if st.job.open == 0 {
 		s.finish(now, st.job, ledger.Complete)
--- a/internal/state/scheduler/model.go
+++ b/internal/state/scheduler/model.go
@@ -102,9 +102,9 @@
 }
 
 type task struct {
-	step       *step
-	index      int
-	done       bool
+	step  *step
+	index int
+	done  bool
 	// failed holds the runs whose failure is counted. Ends of several runs may
 	// be listed in any order, and again after a takeover.
 	failed     []int64
@@ -159,11 +159,11 @@
 	phase     ledger.Phase
 	cancelled bool
 	// adopted jobs were accepted before the takeover.
-	adopted   bool
-	begun     bool
+	adopted bool
+	begun   bool
 	// ghost jobs ended before the takeover; runs of theirs are still being
 	// stopped. Nothing is recorded about them.
-	ghost bool
+	ghost     bool
 	arrived   state.Time
 	dueBy     state.Time
 	overShare bool
--- a/internal/state/scheduler/plan.go
+++ b/internal/state/scheduler/plan.go
@@ -137,7 +137,7 @@
 	if !fits {
 		return
 	}
-	candidates := s.candidates(now, st, pl, q.Advice != nil)
+	candidates := s.candidates(st, pl, q.Advice != nil)
 	if len(candidates) == 0 {
 		return
 	}
@@ -213,7 +213,7 @@
 
 // candidates returns the upstreams that have room for a task of the step. Of an
 // advised step only those are returned that the advice allows.
-func (s *Scheduler) candidates(now state.Time, st *step, pl *pool, advised bool) []candidate {
+func (s *Scheduler) candidates(st *step, pl *pool, advised bool) []candidate {
 	room := st.spec.Room()
 	var out []candidate
 	for i := range pl.members {
--- a/internal/state/scheduler/takeover_test.go
+++ b/internal/state/scheduler/takeover_test.go
@@ -105,7 +105,7 @@
 	}
 	w.takeOver(holder)
 	w.submit(&workload.Job{ID: jobID(2), Steps: []workload.Step{tasksOf(1, cores(1), 100)}})
-	w.play(4 * time.Second) // the world reports a second run of the adopted task
+	w.play(4 * time.Second)                           // the world reports a second run of the adopted task
 	is.Equal(w.jobs[jobID(2)].phase, ledger.Complete) // new work goes on
 	clear(holder.running)                             // its lease has run out
 	w.play(2 * time.Second)
--- a/internal/state/workload/job.go
+++ b/internal/state/workload/job.go
@@ -54,10 +54,9 @@
 	Payload string
 	Steps   []Step
 	// Repeat is the number of occurrences of a timed job; 0 when it runs once.
-	Repeat        int
-	FirstUnixMS   int64
-	PeriodMS      int64
-	PatienceUntil int64 `msgpack:",omitempty"`
+	Repeat      int
+	FirstUnixMS int64
+	PeriodMS    int64
 }
 
 // Occurrences returns how often the steps run.
--- a/internal/transport/peer/peer.go
+++ b/internal/transport/peer/peer.go
@@ -25,6 +25,9 @@
 	serviceName = "Entry"
 	// dialTimeout bounds the opening of a connection within a region.
 	dialTimeout = 500 * time.Millisecond
+	// downPause is how long an entry that could not be dialled is left alone, so
+	// that callers are not kept waiting for it.
+	downPause = 400 * time.Millisecond
 	// maxRelayTime bounds a call to the log that is made for another entry.
 	maxRelayTime = 5 * time.Second
 )
@@ -242,11 +245,13 @@
 	dialer net.Dialer
 	mu     sync.Mutex
 	conns  map[string]*rpc.Client
+	// downUntil holds until when an address that could not be dialled is left alone.
+	downUntil map[string]time.Time
 }
 
 // NewClient returns a client that dials from a local address; nil for any.
 func NewClient(local net.Addr) *Client {
-	return &Client{dialer: netopt.Dialer(local, dialTimeout), conns: map[string]*rpc.Client{}}
+	return &Client{dialer: netopt.Dialer(local, dialTimeout), conns: map[string]*rpc.Client{}, downUntil: map[string]time.Time{}}
 }
 
 // Close ends every connection.
@@ -264,12 +269,19 @@
 func (c *Client) conn(ctx context.Context, address string) (*rpc.Client, error) {
 	c.mu.Lock()
 	existing := c.conns[address]
+	down := time.Now().Before(c.downUntil[address])
 	c.mu.Unlock()
 	if existing != nil {
 		return existing, nil
 	}
+	if down {
+		return nil, &NotSentError{Address: address, Cause: errDown}
+	}
 	raw, err := c.dialer.DialContext(ctx, "tcp4", address)
 	if err != nil {
+		c.mu.Lock()
+		c.downUntil[address] = time.Now().Add(downPause)
+		c.mu.Unlock()
 		return nil, &NotSentError{Address: address, Cause: err}
 	}
 	fresh := rpc.NewClient(raw)
@@ -282,6 +294,9 @@
 	return fresh, nil
 }
 
+// errDown: an attempt to connect has just failed.
+var errDown = errors.New("a connection could not be opened a moment ago")
+
 func (c *Client) drop(address string, conn *rpc.Client) {
 	c.mu.Lock()
 	if c.conns[address] == conn {
--- a/internal/transport/platformclient/bench_test.go
+++ b/internal/transport/platformclient/bench_test.go
@@ -5,8 +5,8 @@
 	"testing"
 	"time"
 
-	"github.com/samphirerail/samphirerail/standin/devplatform"
 	"github.com/samphirerail/samphirerail/standin"
+	"github.com/samphirerail/samphirerail/standin/devplatform"
 	"github.com/samphirerail/samphirerail/standin/worker"
 )
 
--- a/internal/transport/platformclient/helpers_test.go
+++ b/internal/transport/platformclient/helpers_test.go
@@ -8,8 +8,8 @@
 	"github.com/matryer/is"
 	"go.uber.org/goleak"
 
-	"github.com/samphirerail/samphirerail/standin/devplatform"
 	"github.com/samphirerail/samphirerail/standin"
+	"github.com/samphirerail/samphirerail/standin/devplatform"
 	"github.com/samphirerail/samphirerail/standin/worker"
 )
 
--- a/internal/transport/platformclient/vmlist_test.go
+++ b/internal/transport/platformclient/vmlist_test.go
@@ -9,9 +9,9 @@
 
 	"github.com/matryer/is"
 
-	"github.com/samphirerail/samphirerail/standin/devplatform"
 	"github.com/samphirerail/samphirerail/standin"
 	"github.com/samphirerail/samphirerail/standin/admin"
+	"github.com/samphirerail/samphirerail/standin/devplatform"
 	"github.com/samphirerail/samphirerail/standin/faults"
 	"github.com/samphirerail/samphirerail/standin/logservice"
 	"github.com/samphirerail/samphirerail/standin/vmlist"
--- a/standin/server_test.go
+++ b/standin/server_test.go
@@ -11,9 +11,9 @@
 	"github.com/matryer/is"
 	"go.uber.org/goleak"
 
-	"github.com/samphirerail/samphirerail/standin/devplatform"
 	"github.com/samphirerail/samphirerail/standin"
 	"github.com/samphirerail/samphirerail/standin/admin"
+	"github.com/samphirerail/samphirerail/standin/devplatform"
 	"github.com/samphirerail/samphirerail/standin/logservice"
 	"github.com/samphirerail/samphirerail/standin/vmlist"
 	"github.com/samphirerail/samphirerail/standin/worker"
--- a/standin/worker/journal.go
+++ b/standin/worker/journal.go
@@ -15,13 +15,13 @@
 
 // Run is the record of one task that the worker ran.
 type Run struct {
-	TaskID      string             `json:"task_id"`
-	JobID       string             `json:"job_id"`
-	Team        string             `json:"team"`
-	Class       string             `json:"class"`
+	TaskID      string                `json:"task_id"`
+	JobID       string                `json:"job_id"`
+	Team        string                `json:"team"`
+	Class       string                `json:"class"`
 	Resources   devplatform.Resources `json:"resources"`
 	Epoch       devplatform.Epoch     `json:"epoch"`
-	Incarnation string             `json:"incarnation"`
+	Incarnation string                `json:"incarnation"`
 	// TraceParent is the W3C trace context of the start.
 	TraceParent string `json:"trace_parent,omitempty"`
 	// StartUnixNano and EndUnixNano are wall time, in Unix nanoseconds;
@@ -58,11 +58,11 @@
 
 // History is what a worker has run.
 type History struct {
-	VMID        string            `json:"vm_id"`
-	Domain      string            `json:"domain"`
-	Incarnation string            `json:"incarnation"`
+	VMID        string               `json:"vm_id"`
+	Domain      string               `json:"domain"`
+	Incarnation string               `json:"incarnation"`
 	Capacity    devplatform.Capacity `json:"capacity"`
-	Runs        []Run             `json:"runs"`
+	Runs        []Run                `json:"runs"`
 	// DroppedRuns is the number of runs left out because of the limit.
 	DroppedRuns int         `json:"dropped_runs"`
 	Violations  []Violation `json:"violations"`
