Hold together while the log is slow

Change: a claim is fenced by its epoch alone and serves once the replica has read it; run numbers follow from the epoch; a leaving owner names its successor; claims that do not hold back off; an entry waits for an owner that still answers probes, and batches its own appends when it must make them; an append without an answer is repeated with a longer wait learnt from the log's usual time. Ruled out: slow reads (they returned within 0.4 s all the while).

--- a/internal/coordination/dispatch/looker.go
+++ b/internal/coordination/dispatch/looker.go
@@ -19,7 +19,7 @@
 	// idleLook is the interval of looks at an upstream without runs.
 	idleLook = 4 * time.Second
 	// recordWait bounds the wait for ends to be recorded before the next look.
-	recordWait = 250 * time.Millisecond
+	recordWait = 120 * time.Millisecond
 	// callTimeout bounds an order and, beside its wait, a look.
 	callTimeout = 1200 * time.Millisecond
 	// silentRetry is the pause after a look without an answer.
--- a/internal/coordination/dispatch/manager.go
+++ b/internal/coordination/dispatch/manager.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/cenkalti/backoff/v5"
 	"github.com/hashicorp/go-hclog"
 	metrics "github.com/rcrowley/go-metrics"
 
@@ -32,11 +33,19 @@
 	freshRead = 1300 * time.Millisecond
 	// claimCheck is how often an entry looks whether it should claim.
 	claimCheck = 50 * time.Millisecond
-	// epochStep leaves room for a random part, so that two claims of the same
-	// generation differ.
+	// epochStep leaves room for a random part, so that two claims that follow
+	// the same one differ.
 	epochStep = 1 << 16
+	// claimTimeout bounds a claim until the replica has read it.
+	claimTimeout = 3 * time.Second
+	// The pause after a claim that did not hold grows from firstClaimRetry to
+	// lastClaimRetry.
+	firstClaimRetry = 200 * time.Millisecond
+	lastClaimRetry  = 2 * time.Second
+	// claimPoll is how often an entry looks whether it has read its claim.
+	claimPoll = 5 * time.Millisecond
 	// stopTimeout bounds the last append of an owner that stops.
-	stopTimeout = 1500 * time.Millisecond
+	stopTimeout = 1200 * time.Millisecond
 )
 
 // Config says who an entry is and what it uses.
@@ -102,19 +111,33 @@
 func (m *Manager) Run(ctx context.Context) {
 	defer close(m.done)
 	delay := m.delay()
+	retries := newClaimBackOff()
 	for ctx.Err() == nil && !m.isStopped() {
+		pause := claimCheck
 		if m.shouldClaim(delay) {
 			if claim, ok := m.claim(ctx); ok {
+				retries.Reset()
 				m.serve(ctx, claim)
+			} else {
+				pause = retries.NextBackOff()
 			}
 		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(claimCheck):
+		case <-time.After(pause):
 		}
 	}
 }
 
+// newClaimBackOff spaces the claims of an entry that others overtake, as
+// happens when all claim at once and the log is slow.
+func newClaimBackOff() *backoff.ExponentialBackOff {
+	b := backoff.NewExponentialBackOff()
+	b.InitialInterval = firstClaimRetry
+	b.MaxInterval = lastClaimRetry
+	return b
+}
+
 // delay returns how much longer than others this entry waits before it claims.
 func (m *Manager) delay() time.Duration {
 	h := fnv.New32a()
@@ -144,23 +167,25 @@
 	if claim.Entry == m.cfg.Name && claim.Incarnation != m.cfg.Incarnation {
 		free = true
 	}
+	if claim.Released && claim.Successor == m.cfg.Name {
+		return true
+	}
+	if claim.Released && claim.Successor != "" && claim.Entry != m.cfg.Name {
+		free = false
+	}
 	if free {
 		return h.OwnerSilence > delay/freeSpread
 	}
 	return h.OwnerSilence > ownerSilence+delay
 }
 
-// claim appends a claim on the condition that nothing was missed.
+// claim appends a claim and waits until the replica has read everything before
+// it. From the claim on the log refuses what former owners append. Of claims
+// that cross, the one with the largest epoch holds.
 func (m *Manager) claim(ctx context.Context) (ledger.Claim, bool) {
-	var end int64
-	var old ledger.Claim
-	m.cfg.Replica.View(func(t *ledger.Table, next int64) {
-		end = next
-		old, _ = t.Claim()
-	})
-	generation := old.Generation + 1
+	old := m.cfg.Replica.Claim()
 	claim := ledger.Claim{
-		Epoch: generation*epochStep + rand.Int64N(epochStep-1) + 1, Generation: generation,
+		Epoch: (old.Epoch/epochStep+1)*epochStep + rand.Int64N(epochStep-1) + 1,
 		Entry: m.cfg.Name, Incarnation: m.cfg.Incarnation, Address: m.cfg.Address, Domain: m.cfg.Domain,
 	}
 	record, err := ledger.ClaimRecord(&claim)
@@ -168,30 +193,34 @@
 		m.cfg.Logger.Error("claim not encoded", "error", err)
 		return claim, false
 	}
-	callCtx, cancel := context.WithTimeout(ctx, appendTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
 	_, err = m.cfg.Log.Append(callCtx, port.Append{
-		Topic: port.TopicJobs, Records: []ledger.Record{record}, At: end, Fence: &port.Fence{Epoch: claim.Epoch},
+		Topic: port.TopicJobs, Records: []ledger.Record{record}, At: port.AnyOffset, Fence: &port.Fence{Epoch: claim.Epoch},
 	})
-	m.cfg.Logger.Info("claim", "epoch", claim.Epoch, "generation", generation, "at", end, "previous", old.Entry, "error", err)
-	if err == nil {
-		return claim, true
-	}
-	var conflict *port.ConflictError
-	if errors.As(err, &conflict) || errors.Is(err, port.ErrNotDone) || errors.Is(err, port.ErrFenced) {
+	m.cfg.Logger.Info("claim", "epoch", claim.Epoch, "previous", old.Entry, "previous_epoch", old.Epoch, "error", err)
+	if errors.Is(err, port.ErrNotDone) || errors.Is(err, port.ErrFenced) {
 		return claim, false
 	}
-	return claim, m.claimAppeared(ctx, claim)
+	return claim, m.claimRead(callCtx, claim)
 }
 
-// claimAppeared looks for a claim whose append got no answer.
-func (m *Manager) claimAppeared(ctx context.Context, claim ledger.Claim) bool {
-	deadline := time.Now().Add(appendTimeout)
-	for time.Now().Before(deadline) && ctx.Err() == nil {
-		if m.cfg.Replica.Claim().Epoch == claim.Epoch {
+// claimRead waits until the replica has read the claim, which may also have
+// been appended without an answer. It reports whether the claim still holds.
+func (m *Manager) claimRead(ctx context.Context, claim ledger.Claim) bool {
+	m.cfg.Replica.SetOwning(true)
+	defer m.cfg.Replica.SetOwning(false)
+	for ctx.Err() == nil {
+		switch newest := m.cfg.Replica.Claim().Epoch; {
+		case newest == claim.Epoch:
 			return true
+		case newest > claim.Epoch:
+			return false
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(claimPoll):
 		}
-		time.Sleep(claimCheck)
 	}
 	return false
 }
@@ -296,6 +325,22 @@
 	<-m.done
 }
 
+// successor returns the entry that should claim next, or "" if there is none.
+func (o *owner) successor() string {
+	var others []string
+	o.replica.View(func(t *ledger.Table, _ int64) {
+		for _, e := range t.Entries() {
+			if e.Name != o.self {
+				others = append(others, e.Name)
+			}
+		}
+	})
+	if len(others) == 0 {
+		return ""
+	}
+	return others[rand.IntN(len(others))]
+}
+
 // release records the state and the end of the term. The control loop calls it.
 func (o *owner) release(done chan struct{}) {
 	o.releasing = true
@@ -304,7 +349,7 @@
 		time.AfterFunc(finalFlushGap, func() { o.post(func() { o.release(done) }) })
 		return
 	}
-	o.claim.Released = true
+	o.claim.Released, o.claim.Successor = true, o.successor()
 	ids, states := o.sched.Changed(time.Now().UnixMilli())
 	var records []ledger.Record
 	for i := range ids {
--- a/internal/coordination/dispatch/owner.go
+++ b/internal/coordination/dispatch/owner.go
@@ -40,7 +40,7 @@
 	// A new owner counts on it.
 	contactGrace = 5 * time.Second
 	// appendTimeout bounds an append of the owner.
-	appendTimeout = 1500 * time.Millisecond
+	appendTimeout = 4 * time.Second
 	// expireInterval is how often ended jobs are looked for.
 	expireInterval = 5 * time.Second
 )
@@ -48,15 +48,14 @@
 // owner is one term of ownership.
 type owner struct {
 	*parts
-	epoch      int64
-	generation int64
-	claim      ledger.Claim
-	base       time.Time
-	sched      *scheduler.Scheduler
-	links      map[workload.UpstreamID]*link
-	ctx        context.Context
-	cancel     context.CancelFunc
-	group      sync.WaitGroup
+	epoch  int64
+	claim  ledger.Claim
+	base   time.Time
+	sched  *scheduler.Scheduler
+	links  map[workload.UpstreamID]*link
+	ctx    context.Context
+	cancel context.CancelFunc
+	group  sync.WaitGroup
 
 	mu     sync.Mutex
 	queue  []func()
@@ -133,13 +132,13 @@
 
 func (p *parts) newOwner(ctx context.Context, claim ledger.Claim) *owner {
 	o := &owner{
-		parts: p, epoch: claim.Epoch, generation: claim.Generation, claim: claim, base: time.Now(),
+		parts: p, epoch: claim.Epoch, claim: claim, base: time.Now(),
 		taken: map[workload.JobID]struct{}{}, final: map[workload.JobID]finalPhase{},
 		links: map[workload.UpstreamID]*link{}, signal: make(chan struct{}, 1), seq: 1,
 	}
 	o.ctx, o.cancel = context.WithCancel(ctx)
 	o.sched = scheduler.New(p.replica.Config(), scheduler.Options{
-		Generation:     claim.Generation,
+		FirstRun:       p.firstRun(claim.Epoch),
 		Lookup:         o.lookup,
 		UncertainUntil: contactGrace + time.Duration(float64(p.lease)*slowClock) + callTimeout,
 	})
@@ -148,6 +147,21 @@
 	return o
 }
 
+// runsPerEpoch is the most runs of a task that one owner numbers. The product
+// with an epoch stays within the integers that JSON carries exactly.
+const runsPerEpoch = 10_000
+
+// firstRun returns the number of the first run that an owner may use. Former
+// owners may have used smaller ones without a record of them.
+func (p *parts) firstRun(epoch int64) (first int64) {
+	p.replica.View(func(t *ledger.Table, _ int64) {
+		if first = epoch * runsPerEpoch; t.FirstClaim() {
+			first = 1
+		}
+	})
+	return first
+}
+
 // at converts a time to the scheduler's.
 func (o *owner) at(t time.Time) state.Time { return t.Sub(o.base) + 1 }
 
@@ -208,7 +222,7 @@
 		o.take(row.Job, &row.State, row.Cancelled, true)
 		n++
 	})
-	o.logger.Info("ownership taken", "epoch", o.epoch, "generation", o.generation, "jobs", n)
+	o.logger.Info("ownership taken", "epoch", o.epoch, "jobs", n)
 }
 
 // lookup returns a job that the ledger holds.
--- a/internal/coordination/intake/intake.go
+++ b/internal/coordination/intake/intake.go
@@ -21,9 +21,10 @@
 	// staleReplica is the age from which the replica does not prove that a job
 	// is unknown.
 	staleReplica = 2500 * time.Millisecond
-	// ownerTimeout bounds the wait for the owner to record something; it leaves
-	// time to append directly within a caller's deadline.
-	ownerTimeout = 800 * time.Millisecond
+	// ownerMargin is left of a caller's time after the wait for the owner. While
+	// the owner answers at all it is waited for: on a slow log, appends beside
+	// the owner's would only delay both.
+	ownerMargin = 100 * time.Millisecond
 	// phaseTimeout bounds a question to the owner.
 	phaseTimeout = 250 * time.Millisecond
 	// retryAfter is what a caller is told when the log refuses a job.
@@ -62,7 +63,7 @@
 
 // Intake serves callers.
 type Intake struct {
-	log      port.Log
+	batch    *batch
 	replica  *replica.Replica
 	owner    Owner
 	peers    Peers
@@ -77,7 +78,7 @@
 // New returns an intake. self is the address of this entry for other entries.
 func New(log port.Log, r *replica.Replica, owner Owner, peers Peers, self string, logger hclog.Logger, registry metrics.Registry) *Intake {
 	return &Intake{
-		log: log, replica: r, owner: owner, peers: peers, self: self, logger: logger,
+		batch: &batch{log: log}, replica: r, owner: owner, peers: peers, self: self, logger: logger,
 		accepted: metrics.GetOrRegisterCounter("intake.accepted", registry),
 		rejected: metrics.GetOrRegisterCounter("intake.rejected", registry),
 		unknown:  metrics.GetOrRegisterCounter("intake.unanswered", registry),
@@ -118,7 +119,10 @@
 // entry that can't ask the owner appends itself; writing the same record twice
 // changes nothing.
 func (in *Intake) record(ctx context.Context, record ledger.Record) (via string, err error) {
-	ownerCtx, cancel := context.WithTimeout(ctx, ownerTimeout)
+	ownerCtx, cancel := ctx, func() {}
+	if deadline, ok := ctx.Deadline(); ok {
+		ownerCtx, cancel = context.WithDeadline(ctx, deadline.Add(-ownerMargin))
+	}
 	defer cancel()
 	err = in.owner.Record(ownerCtx, record)
 	if errors.Is(err, port.ErrNotOwner) {
@@ -135,7 +139,7 @@
 	if !notAsked {
 		in.logger.Debug("owner gave no answer", "key", record.Key, "owner", via, "error", err)
 	}
-	_, direct := in.log.Append(ctx, port.Append{Topic: port.TopicJobs, Records: []ledger.Record{record}, At: port.AnyOffset})
+	direct := in.batch.append(ctx, record)
 	if errors.Is(direct, port.ErrNotDone) && !notAsked {
 		return "log", fmt.Errorf("intake: the owner may still record it: %w", err)
 	}
--- a/internal/coordination/relay/relay.go
+++ b/internal/coordination/relay/relay.go
@@ -18,12 +18,18 @@
 const (
 	// A direct append is given up after appendPatience times the usual time of
 	// an append, within minAppend and maxAppend. The latter leaves time for a
-	// relay within a caller's deadline.
+	// relay within a caller's deadline. One that got no answer from a log that
+	// still answers reads is repeated once: the answer was lost, or the log has
+	// become slow.
 	appendPatience = 6
 	minAppend      = 250 * time.Millisecond
-	maxAppend      = 900 * time.Millisecond
+	maxAppend      = 1500 * time.Millisecond
 	// usualWeight is the share of the newest append in the usual time.
 	usualWeight = 0.2
+	// directAttempts is how often an append is made directly.
+	directAttempts = 2
+	// recentRead is how old an answered read may be to show that the log answers.
+	recentRead = time.Second
 	// relayAppend bounds an append through another entry.
 	relayAppend = 900 * time.Millisecond
 	// readMargin is added to the wait of a read.
@@ -56,6 +62,8 @@
 	bad      bool
 	// usual is the smoothed time of a direct append.
 	usual time.Duration
+	// readAt is when the log last answered a direct read.
+	readAt time.Time
 	// prefer is the entry that relayed last.
 	prefer string
 }
@@ -104,12 +112,25 @@
 	l.bad, l.badUntil = true, time.Now().Add(pause)
 }
 
-func (l *Log) appendTook(d time.Duration) {
+// appendTook learns the usual time of an append. One without an answer takes
+// at least as long as it was waited for.
+func (l *Log) appendTook(d time.Duration, answered bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if !answered {
+		l.usual = max(l.usual, d)
+		return
+	}
 	l.usual += time.Duration(usualWeight * float64(d-l.usual))
 }
 
+// readSince reports whether the log answered a direct read after a time.
+func (l *Log) readSince(t time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.readAt.After(t)
+}
+
 // relays returns the entries to try, the one that last worked first.
 func (l *Log) relays() []string {
 	all := slices.Clone(l.addresses())
@@ -149,16 +170,22 @@
 		last = err
 		return offset, final(err)
 	}
-	if direct, patience := l.appendDirect(); direct && ctx.Err() == nil {
+	for range directAttempts {
+		direct, patience := l.appendDirect()
+		if !direct || ctx.Err() != nil {
+			break
+		}
 		began := time.Now()
 		offset, ok := attempt(patience, func(ctx context.Context) (int64, error) { return l.direct.Append(ctx, a) })
+		l.appendTook(time.Since(began), ok)
 		if ok {
-			l.appendTook(time.Since(began))
 			return offset, last
 		}
-		l.appendTook(time.Since(began))
-		if ctx.Err() == nil {
-			l.directResult(last, appendPause)
+		if errors.Is(last, port.ErrNotDone) || !l.readSince(began.Add(-recentRead)) {
+			if ctx.Err() == nil {
+				l.directResult(last, appendPause)
+			}
+			break
 		}
 	}
 	for _, address := range l.relays() {
@@ -196,6 +223,11 @@
 		callCtx, cancel := context.WithTimeout(ctx, limit)
 		batch, err := l.readDirect(callCtx, q)
 		cancel()
+		if final(err) {
+			l.mu.Lock()
+			l.readAt = time.Now()
+			l.mu.Unlock()
+		}
 		if final(err) || ctx.Err() == nil {
 			l.directResult(err, readPause)
 		}
--- a/internal/state/ledger/record.go
+++ b/internal/state/ledger/record.go
@@ -36,15 +36,15 @@
 type Claim struct {
 	// Epoch rises with each claim and fences the store and the upstreams.
 	Epoch int64
-	// Generation counts claims; run numbers are derived from it.
-	Generation int64
-	Entry      string
+	Entry string
 	// Incarnation tells lives of the entry apart.
 	Incarnation string
 	Address     string
 	Domain      state.DomainID
 	// Released says that the owner gave up ownership in order.
 	Released bool
+	// Successor is the entry that should claim after a release; empty for any.
+	Successor string
 }
 
 // Entry is an entry process that takes part.
--- a/internal/state/ledger/table.go
+++ b/internal/state/ledger/table.go
@@ -34,6 +34,8 @@
 	// entryOffsets holds where the entries' registrations were read.
 	entryOffsets map[string]int64
 	claim        Claim
+	// first is set while no claim but the newest was ever read.
+	first bool
 	// claimOffset is where the newest claim of a new epoch was read.
 	claimOffset int64
 	pending     map[workload.QueueName]int
@@ -67,6 +69,9 @@
 // Claim returns the newest claim and where its epoch began.
 func (t *Table) Claim() (Claim, int64) { return t.claim, t.claimOffset }
 
+// FirstClaim reports whether the newest claim is the only one that was read.
+func (t *Table) FirstClaim() bool { return t.first }
+
 // OwnerGone reports whether the owner's process has ended: its VM registered
 // another process after the claim.
 func (t *Table) OwnerGone() bool {
@@ -132,6 +137,7 @@
 	change := Change{OwnerAlive: true}
 	if c.Epoch > t.claim.Epoch {
 		t.claimOffset = r.Offset
+		t.first = t.claim.Epoch == 0
 		change.NewClaim = &c
 	}
 	t.claim = c
--- a/internal/state/scheduler/scheduler.go
+++ b/internal/state/scheduler/scheduler.go
@@ -8,17 +8,13 @@
 	"github.com/samphirerail/samphirerail/internal/state/workload"
 )
 
-const (
-	// quickAdviceMS divides calls for advice into quick and slow ones.
-	quickAdviceMS = 60
-	// runsPerGeneration is the most runs of a task that one owner numbers.
-	runsPerGeneration = 1_000_000
-)
+// quickAdviceMS divides calls for advice into quick and slow ones.
+const quickAdviceMS = 60
 
 // Options are the parameters of a Scheduler.
 type Options struct {
-	// Generation is the owner's claim number; run numbers start from it.
-	Generation int64
+	// FirstRun is the smallest run number that no former owner has used.
+	FirstRun int64
 	// UncertainUntil is when no run of a former owner can be alive any more.
 	UncertainUntil state.Time
 	// Lookup returns a job that the ledger holds but the scheduler does not, or
@@ -305,7 +301,7 @@
 
 // nextRun returns the number of a new run after the given newest one.
 func (s *Scheduler) nextRun(last int64) int64 {
-	return max(last+1, (s.opts.Generation-1)*runsPerGeneration+1)
+	return max(last+1, s.opts.FirstRun)
 }
 
 // Counts are sizes for metrics and logs.
--- a/internal/state/scheduler/world_test.go
+++ b/internal/state/scheduler/world_test.go
@@ -76,7 +76,7 @@
 func newWorld(t testing.TB, config *workload.Config) *world {
 	config.Index()
 	w := &world{t: t, config: config, jobs: map[workload.JobID]*simJob{}, rand: rand.New(rand.NewPCG(1, 2)), recorded: map[workload.JobID]ledger.JobState{}, generation: 1}
-	w.s = New(config, Options{Generation: 1, QuickAsks: 100, SlowAsks: 100})
+	w.s = New(config, Options{FirstRun: 1, QuickAsks: 100, SlowAsks: 100})
 	w.now = time.Second
 	w.failing = func(Run) bool { return false }
 	w.speed = func(workload.UpstreamID) float64 { return 1 }
@@ -183,7 +183,7 @@
 func (w *world) takeOver(unreached ...*simUpstream) {
 	w.generation++
 	w.s = New(w.config, Options{
-		Generation: w.generation, QuickAsks: 100, SlowAsks: 100, UncertainUntil: w.now + 5*time.Second,
+		FirstRun: w.generation * 10_000, QuickAsks: 100, SlowAsks: 100, UncertainUntil: w.now + 5*time.Second,
 		Lookup: func(id workload.JobID) *workload.Job { return w.jobs[id].spec },
 	})
 	for id, j := range w.jobs {
--- a/internal/transport/peer/peer.go
+++ b/internal/transport/peer/peer.go
@@ -25,6 +25,9 @@
 	serviceName = "Entry"
 	// dialTimeout bounds the opening of a connection within a region.
 	dialTimeout = 500 * time.Millisecond
+	// A call that waits probes its connection every probeInterval; a probe
+	// without an answer by the next one ends the connection.
+	probeInterval = 400 * time.Millisecond
 	// downPause is how long an entry that could not be dialled is left alone, so
 	// that callers are not kept waiting for it.
 	downPause = 400 * time.Millisecond
@@ -134,6 +137,9 @@
 	ctx     context.Context
 }
 
+// Ping shows that the connection and the process work.
+func (s *service) Ping(struct{}, *struct{}) error { return nil }
+
 // Phase serves a question to the owner.
 func (s *service) Phase(args PhaseArgs, reply *PhaseReply) error {
 	ctx, cancel := context.WithTimeout(s.ctx, time.Second)
@@ -329,20 +335,34 @@
 		return err
 	}
 	call := conn.Go(serviceName+"."+method, args, reply, make(chan *rpc.Call, 1))
-	select {
-	case <-call.Done:
-		var answered rpc.ServerError
-		if call.Error != nil && !errors.As(call.Error, &answered) {
-			c.drop(address, conn)
+	probe := time.NewTicker(probeInterval)
+	defer probe.Stop()
+	var ping *rpc.Call
+	for {
+		select {
+		case <-call.Done:
+			var answered rpc.ServerError
+			if call.Error != nil && !errors.As(call.Error, &answered) {
+				c.drop(address, conn)
+			}
+			return call.Error
+		case <-probe.C:
+			if ping != nil && !isDone(ping) {
+				c.drop(address, conn)
+				return errSilent
+			}
+			ping = conn.Go(serviceName+".Ping", struct{}{}, &struct{}{}, make(chan *rpc.Call, 1))
+		case <-ctx.Done():
+			return ctx.Err()
 		}
-		return call.Error
-	case <-ctx.Done():
-		// A connection that outlives a call's time may have gone silent.
-		c.drop(address, conn)
-		return ctx.Err()
 	}
 }
 
+func isDone(call *rpc.Call) bool { return len(call.Done) > 0 }
+
+// errSilent: the other entry, or the connection to it, has gone silent.
+var errSilent = errors.New("peer: the entry does not answer; the call may have been made")
+
 // Phase asks the owner at an address for the phase of a job.
 func (c *Client) Phase(ctx context.Context, address string, id workload.JobID) (ledger.Phase, bool, error) {
 	reply := &PhaseReply{}
