Keep the owner on large VMs; hold back tasks that the log shows on unlisted upstreams

Steps stopped asking for advice once they had been advised about as many upstreams as there were, though some were new. Change: entries register their processor share, a leaving or clearly smaller owner hands over to the largest; adopted tasks wait for the upstream that the log shows; steps look for unknown upstreams every 300 ms; looks are spaced by the number of upstreams. Tests: TestUnlistedUpstreamHoldsBackItsTasks.

--- a/internal/coordination/dispatch/looker.go
+++ b/internal/coordination/dispatch/looker.go
@@ -22,6 +22,8 @@
 	recordWait = 120 * time.Millisecond
 	// callTimeout bounds an order and, beside its wait, a look.
 	callTimeout = 1200 * time.Millisecond
+	// lookGapPerUpstream bounds the looks of an owner at 4,000 a second.
+	lookGapPerUpstream = 250 * time.Microsecond
 	// silentRetry is the pause after a look without an answer.
 	silentRetry = 200 * time.Millisecond
 )
@@ -29,6 +31,7 @@
 // lookAll looks at one upstream until its link is removed.
 func (o *owner) lookAll(ctx context.Context, id workload.UpstreamID, l *link) {
 	known := false
+	var lookedAt time.Time
 	for ctx.Err() == nil {
 		l.mu.Lock()
 		active, closely, removed := l.active, l.close, l.removed
@@ -39,6 +42,11 @@
 		}
 		switch {
 		case !known:
+		case time.Since(lookedAt) < o.lookGap():
+			if !o.sleep(ctx, nil, o.lookGap()-time.Since(lookedAt)) {
+				return
+			}
+			continue
 		case unrecorded:
 			if !o.sleep(ctx, l, recordWait) {
 				return
@@ -58,20 +66,32 @@
 		}
 		l.mu.Unlock()
 		known = o.lookOnce(ctx, id, l, wait)
+		lookedAt = time.Now()
 		if !known && !o.sleep(ctx, l, silentRetry) {
 			return
 		}
 	}
 }
 
-// sleep waits for a kick or a time. It reports false when the context ended.
+// lookGap is the least time between two looks at an upstream. It grows with the
+// number of upstreams, so that ends are taken in together where there are many.
+func (o *owner) lookGap() time.Duration {
+	return time.Duration(o.linkCount.Load()) * lookGapPerUpstream
+}
+
+// sleep waits for a kick or a time; without a link only for the time. It
+// reports false when the context ended.
 func (o *owner) sleep(ctx context.Context, l *link, d time.Duration) bool {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
+	var kick chan struct{}
+	if l != nil {
+		kick = l.kick
+	}
 	select {
 	case <-ctx.Done():
 		return false
-	case <-l.kick:
+	case <-kick:
 	case <-timer.C:
 	}
 	return true
--- a/internal/coordination/dispatch/manager.go
+++ b/internal/coordination/dispatch/manager.go
@@ -42,6 +42,10 @@
 	// lastClaimRetry.
 	firstClaimRetry = 200 * time.Millisecond
 	lastClaimRetry  = 2 * time.Second
+	// An owner yields after yieldAfter to an entry with yieldFactor times its
+	// processor share; the state of a new owner is complete by then.
+	yieldAfter  = 5 * time.Second
+	yieldFactor = 1.6
 	// claimPoll is how often an entry looks whether it has read its claim.
 	claimPoll = 5 * time.Millisecond
 	// stopTimeout bounds the last append of an owner that stops.
@@ -60,8 +64,9 @@
 	Incarnation string
 	Address     string
 	Domain      state.DomainID
-	// Preference orders the entries that could claim; less goes first, 0 to 1.
-	Preference float64
+	// CPUShare is the part of a processor that the entry has. Larger entries
+	// claim first.
+	CPUShare float64
 	// Lease is how long runs go on without hearing from the owner.
 	Lease time.Duration
 	// Retention is how long the state of an ended job is kept.
@@ -90,7 +95,7 @@
 	}
 	return &Manager{cfg: cfg, done: make(chan struct{}), parts: &parts{
 		log: cfg.Log, decoder: cfg.Decoder, upstreams: cfg.Upstreams, replica: cfg.Replica, peers: cfg.Peers,
-		self: cfg.Name, advisor: cfg.Advisor, lease: cfg.Lease, retention: cfg.Retention, logger: cfg.Logger,
+		self: cfg.Name, cpuShare: cfg.CPUShare, advisor: cfg.Advisor, lease: cfg.Lease, retention: cfg.Retention, logger: cfg.Logger,
 		metrics: ownerMetrics{
 			starts: counter("owner.starts"), ends: counter("owner.ends"),
 			appends: counter("owner.appends"), appendFails: counter("owner.append_failures"),
@@ -143,7 +148,7 @@
 	h := fnv.New32a()
 	h.Write([]byte(m.cfg.Name))
 	jitter := float64(h.Sum32()%1000) / 1000
-	return time.Duration((m.cfg.Preference + jitter*0.5) * float64(claimSpread))
+	return time.Duration((1 - min(1, m.cfg.CPUShare) + jitter*0.5) * float64(claimSpread))
 }
 
 func (m *Manager) isStopped() bool {
@@ -327,28 +332,50 @@
 
 // successor returns the entry that should claim next, or "" if there is none.
 func (o *owner) successor() string {
-	var others []string
+	best := o.largest()
+	if len(best) == 0 {
+		return ""
+	}
+	return best[rand.IntN(len(best))].Name
+}
+
+// largest returns the other entries with the largest processor share.
+func (o *owner) largest() []ledger.Entry {
+	var best []ledger.Entry
 	o.replica.View(func(t *ledger.Table, _ int64) {
 		for _, e := range t.Entries() {
-			if e.Name != o.self {
-				others = append(others, e.Name)
+			switch {
+			case e.Name == o.self:
+			case len(best) == 0 || e.CPUShare > best[0].CPUShare:
+				best = []ledger.Entry{e}
+			case e.CPUShare == best[0].CPUShare:
+				best = append(best, e)
 			}
 		}
 	})
-	if len(others) == 0 {
-		return ""
+	return best
+}
+
+// yieldIfSmall gives up ownership if a clearly larger entry could take it.
+func (o *owner) yieldIfSmall(now time.Time) {
+	if o.releasing || o.at(now) < yieldAfter {
+		return
+	}
+	if best := o.largest(); len(best) > 0 && best[0].CPUShare > yieldFactor*o.cpuShare {
+		o.logger.Info("ownership yielded", "epoch", o.epoch, "cpu_share", o.cpuShare, "larger", best[0].CPUShare)
+		o.release(make(chan struct{}))
 	}
-	return others[rand.IntN(len(others))]
 }
 
 // release records the state and the end of the term. The control loop calls it.
 func (o *owner) release(done chan struct{}) {
-	o.releasing = true
 	if o.flushing || len(o.requests) > 0 {
 		o.flush(time.Now().Add(heartbeat))
+		o.releasing = true
 		time.AfterFunc(finalFlushGap, func() { o.post(func() { o.release(done) }) })
 		return
 	}
+	o.releasing = true
 	o.claim.Released, o.claim.Successor = true, o.successor()
 	ids, states := o.sched.Changed(time.Now().UnixMilli())
 	var records []ledger.Record
--- a/internal/coordination/dispatch/owner.go
+++ b/internal/coordination/dispatch/owner.go
@@ -73,6 +73,7 @@
 	// contactAt is the newest successful append, in nanoseconds since base.
 	contactAt atomic.Int64
 	advisors  advisorPool
+	linkCount atomic.Int64
 	releasing bool
 
 	// requests are callers' records that wait for the next append.
@@ -111,6 +112,7 @@
 	replica   *replica.Replica
 	peers     Peers
 	self      string
+	cpuShare  float64
 	advisor   port.Advisor
 	lease     time.Duration
 	retention time.Duration
@@ -314,6 +316,7 @@
 			l.wake()
 		}
 	}
+	o.linkCount.Store(int64(len(o.links)))
 	c := o.sched.Counts()
 	o.metrics.jobs.Update(int64(c.Jobs))
 	o.metrics.runs.Update(int64(c.Runs))
@@ -361,7 +364,7 @@
 
 // flush records what changed, one append at a time.
 func (o *owner) flush(now time.Time) {
-	if o.flushing {
+	if o.flushing || o.releasing {
 		return
 	}
 	dirty, final := o.sched.Dirty()
@@ -412,6 +415,7 @@
 		o.expiredAt = now
 		maps.DeleteFunc(o.final, func(_ workload.JobID, f finalPhase) bool { return now.Sub(f.at) > expireInterval })
 		o.expire(now)
+		o.yieldIfSmall(now)
 	}
 	if len(records) == 0 {
 		record, err := ledger.ClaimRecord(&o.claim)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -147,16 +147,13 @@
 	p.manager = dispatch.NewManager(dispatch.Config{
 		Log: p.log, Decoder: platform.Decoder{}, Upstreams: platform.NewRunners(id.local), Advisor: p.advice,
 		Replica: p.replica, Peers: p.peers, Name: id.name, Incarnation: id.incarnation, Address: id.address,
-		Domain: state.DomainID(s.Entry.Domain), Preference: preference(s.Limits.CPUShare),
+		Domain: state.DomainID(s.Entry.Domain), CPUShare: s.Limits.CPUShare,
 		Lease: s.Upstream.Lease.Std(), Retention: s.Upstream.Retention.Std(), Logger: logger, Registry: registry,
 	})
 	p.intake = intake.New(p.log, p.replica, p.manager, p.peers, id.address, logger, registry)
 	return p
 }
 
-// preference orders entries by their processor share; less is preferred.
-func preference(cpuShare float64) float64 { return 1 - min(1, cpuShare) }
-
 // relays returns the other entries that may reach the log.
 func (p *parts) relays() []string {
 	var out []string
@@ -201,7 +198,7 @@
 func (p *parts) announce(ctx context.Context, gone bool) {
 	s := p.settings.Load()
 	record, err := ledger.EntryRecord(&ledger.Entry{
-		Name: p.id.name, Incarnation: p.id.incarnation, Address: p.id.address, Domain: state.DomainID(s.Entry.Domain), Gone: gone,
+		Name: p.id.name, Incarnation: p.id.incarnation, Address: p.id.address, Domain: state.DomainID(s.Entry.Domain), Gone: gone, CPUShare: s.Limits.CPUShare,
 	})
 	if err != nil {
 		p.logger.Error("entry not announced", "error", err)
--- a/internal/state/ledger/record.go
+++ b/internal/state/ledger/record.go
@@ -55,6 +55,8 @@
 	Address string
 	Domain  state.DomainID
 	Gone    bool
+	// CPUShare is the part of a processor that the entry has.
+	CPUShare float64
 }
 
 // Phase is the progress of a job.
--- a/internal/state/scheduler/model.go
+++ b/internal/state/scheduler/model.go
@@ -116,6 +116,9 @@
 	// uncertain tasks may run on an upstream that was not reached since the
 	// takeover.
 	uncertain bool
+	// heldAt is the upstream on which the log shows the newest run of an
+	// uncertain task; it need not be listed at the takeover.
+	heldAt workload.UpstreamID
 }
 
 func (t *task) id() workload.TaskID {
@@ -141,8 +144,9 @@
 	// advised holds what the advice service said of each upstream.
 	advised map[workload.UpstreamID]ticket
 	asking  int
-	// askAfter holds back the next call for advice after a failed one.
-	askAfter state.Time
+	// askAfter holds back the next search for upstreams to ask about,
+	// failedUntil all calls for advice after a failed one.
+	askAfter, failedUntil state.Time
 	// perUpstream counts the runs of the step on each upstream.
 	perUpstream map[workload.UpstreamID]int
 }
--- a/internal/state/scheduler/place.go
+++ b/internal/state/scheduler/place.go
@@ -17,6 +17,9 @@
 	// The first call for a step names askedBase upstreams and askedPerTask more
 	// for each waiting task; less than half of those named may run the step.
 	askedBase, askedPerTask = 24, 2
+	// knownRetry is the pause between two searches for upstreams that a step
+	// was not advised about, once it was advised about as many as there are.
+	knownRetry = 300 * time.Millisecond
 	// askRetry is the pause after a failed call for advice.
 	askRetry = 100 * time.Millisecond
 )
@@ -220,7 +223,7 @@
 		return
 	}
 	ask := Ask{Step: p.step.id(), Upstreams: p.unticketed[:min(len(p.unticketed), maxAsked)], Advice: *q.Advice}
-	if p.now < p.step.askAfter || !p.s.admitAsk(&ask) {
+	if p.now < p.step.failedUntil || !p.s.admitAsk(&ask) {
 		p.s.releaseAwaiting(p.now, p.step)
 		return
 	}
@@ -265,9 +268,13 @@
 // askUnknown asks which upstreams may run a step, if none is known to have room
 // for it.
 func (s *Scheduler) askUnknown(now state.Time, st *step, q *workload.Queue, pl *pool, waiting int, plan *Plan) {
-	if st.asking > 0 || now < st.askAfter || len(st.advised) >= len(pl.members) || !s.mayAsk(q.Advice) {
+	if st.asking > 0 || now < st.askAfter || !s.mayAsk(q.Advice) {
 		return
 	}
+	if len(st.advised) >= len(pl.members) {
+		// Most likely all are known; look through them only now and then.
+		st.askAfter = now + knownRetry
+	}
 	room := st.spec.Room()
 	var unknown []candidate
 	for i := range pl.members {
@@ -318,7 +325,7 @@
 	st := j.steps[ask.Step.Occurrence][ask.Step.Step]
 	st.asking--
 	if failed {
-		st.askAfter = now + askRetry
+		st.askAfter, st.failedUntil = now+askRetry, now+askRetry
 		s.releaseAwaiting(now, st)
 		return nil
 	}
--- a/internal/state/scheduler/plan.go
+++ b/internal/state/scheduler/plan.go
@@ -119,9 +119,9 @@
 	if q == nil || s.jobs[st.job.id] != st.job || st.job.phase.Final() {
 		return
 	}
-	waiting := st.waiting(blocked[q.Service])
+	waiting, uncertain := s.waiting(now, st, blocked[q.Service])
 	if len(waiting) == 0 {
-		if !blocked[q.Service] {
+		if !uncertain {
 			delete(s.ready, st)
 		}
 		return
@@ -151,25 +151,32 @@
 	p.renew(q)
 }
 
-// waiting returns the tasks that have no run and may get one.
-func (st *step) waiting(blocked bool) []*task {
-	var out []*task
+// waiting returns the tasks that have no run and may get one. uncertain says
+// that others are held back because they may run where nobody could look yet.
+func (s *Scheduler) waiting(now state.Time, st *step, blocked bool) (out []*task, uncertain bool) {
 	for _, t := range st.tasks {
 		if t.done || len(t.runs) > 0 {
 			if st.spec.Gang && len(t.runs) > 0 {
-				return nil
+				return nil, false
 			}
 			continue
 		}
-		if t.uncertain && blocked {
-			if st.spec.Gang {
-				return nil
-			}
+		if t.uncertain && (blocked || s.heldElsewhere(now, t)) {
+			uncertain = true
 			continue
 		}
 		out = append(out, t)
 	}
-	return out
+	if uncertain && st.spec.Gang {
+		out = nil
+	}
+	return out, uncertain
+}
+
+// heldElsewhere reports whether the newest run of an adopted task may be alive
+// on an upstream that is not listed. Registrations lapse while the log is away.
+func (s *Scheduler) heldElsewhere(now state.Time, t *task) bool {
+	return t.heldAt != "" && now < s.opts.UncertainUntil && s.upstreams[t.heldAt] == nil
 }
 
 // pool is the usable part of a service in the course of a plan.
--- a/internal/state/scheduler/scheduler.go
+++ b/internal/state/scheduler/scheduler.go
@@ -129,7 +129,7 @@
 	for i := range r.Tasks {
 		if rt := &r.Tasks[i]; rt.Index < len(st.tasks) {
 			t := st.tasks[rt.Index]
-			t.lastRun, t.failed, t.checkpoint = rt.Run, rt.Failed, rt.Checkpoint
+			t.lastRun, t.failed, t.checkpoint, t.heldAt = rt.Run, rt.Failed, rt.Checkpoint, rt.Upstream
 			st.started = true
 		}
 	}
--- a/internal/state/scheduler/takeover_test.go
+++ b/internal/state/scheduler/takeover_test.go
@@ -91,6 +91,31 @@
 	is.Equal(w.s.Counts().Jobs, 0)
 }
 
+// TestUnlistedUpstreamHoldsBackItsTasks: registrations lapse while the log is
+// away; a run that the log shows on an unlisted upstream may be alive.
+func TestUnlistedUpstreamHoldsBackItsTasks(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, oneQueue(nil))
+	w.add(2, wide)
+	w.submit(&workload.Job{ID: jobID(1), Steps: []workload.Step{tasksOf(1, cores(1), 60_000)}})
+	w.play(100 * time.Millisecond)
+	holder := w.upstreams[0]
+	if len(holder.running) == 0 {
+		holder = w.upstreams[1]
+	}
+	w.takeOver()
+	w.s.RemoveUpstream(holder.reg.ID) // nobody looked at it in this term
+	delete(w.s.upstreams, holder.reg.ID)
+	holder.down = true
+	w.play(3 * time.Second) // the world reports a second run
+	is.Equal(w.running(jobID(1)), 1)
+	holder.down, holder.shown = false, false
+	w.s.SetUpstream(w.now, holder.reg) // the registration is back
+	w.play(time.Second)
+	is.Equal(w.running(jobID(1)), 1)
+	is.Equal(len(holder.running), 1)
+}
+
 // TestUnreachedUpstreamHoldsBackAdoptedTasks: a task that may run where the new
 // owner can't look is not started elsewhere until its lease must have ended.
 func TestUnreachedUpstreamHoldsBackAdoptedTasks(t *testing.T) {
