Ask a silent owner before claiming, name the successor directly, spare a slow log

Change: an entry asks the owner before it claims for silence; a leaving owner tells its successor; on a slow log entries wait for an owner instead of appending, and claims that do not hold back off four times as long.

--- a/internal/coordination/dispatch/manager.go
+++ b/internal/coordination/dispatch/manager.go
@@ -33,6 +33,8 @@
 	freshRead = 1300 * time.Millisecond
 	// claimCheck is how often an entry looks whether it should claim.
 	claimCheck = 50 * time.Millisecond
+	// askedPause is how long an owner that has answered is believed.
+	askedPause = 300 * time.Millisecond
 	// epochStep leaves room for a random part, so that two claims that follow
 	// the same one differ.
 	epochStep = 1 << 16
@@ -46,6 +48,11 @@
 	// processor share; the state of a new owner is complete by then.
 	yieldAfter  = 5 * time.Second
 	yieldFactor = 1.6
+	// askOwnerTimeout bounds the question to an owner of which the log shows
+	// nothing.
+	askOwnerTimeout = 500 * time.Millisecond
+	// slowClaimFactor spreads claims further on a slow log.
+	slowClaimFactor = 4
 	// claimPoll is how often an entry looks whether it has read its claim.
 	claimPoll = 5 * time.Millisecond
 	// stopTimeout bounds the last append of an owner that stops.
@@ -69,6 +76,8 @@
 	CPUShare float64
 	// Lease is how long runs go on without hearing from the owner.
 	Lease time.Duration
+	// Slow reports whether the log is slow.
+	Slow func() bool
 	// Retention is how long the state of an ended job is kept.
 	Retention time.Duration
 	Logger    hclog.Logger
@@ -80,10 +89,16 @@
 	cfg   Config
 	parts *parts
 
+	// askedAt is when the owner was last asked whether it goes on; only Run
+	// uses it.
+	askedAt time.Time
+
 	mu      sync.Mutex
 	current *owner
 	stopped bool
-	done    chan struct{}
+	// nominated is the released claim that this entry was told to follow.
+	nominated ledger.Claim
+	done      chan struct{}
 }
 
 // NewManager returns a Manager that does nothing until Run.
@@ -125,6 +140,9 @@
 				m.serve(ctx, claim)
 			} else {
 				pause = retries.NextBackOff()
+				if m.cfg.Slow() {
+					pause *= slowClaimFactor
+				}
 			}
 		}
 		select {
@@ -143,6 +161,24 @@
 	return b
 }
 
+// Nominate takes in that the owner has released the ownership to this entry.
+func (m *Manager) Nominate(released ledger.Claim) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.nominated = released
+}
+
+// newestClaim returns the newest claim that this entry has read or been told of.
+func (m *Manager) newestClaim() ledger.Claim {
+	claim := m.cfg.Replica.Claim()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.nominated.Epoch > claim.Epoch || (m.nominated.Epoch == claim.Epoch && m.nominated.Released) {
+		return m.nominated
+	}
+	return claim
+}
+
 // delay returns how much longer than others this entry waits before it claims.
 func (m *Manager) delay() time.Duration {
 	h := fnv.New32a()
@@ -163,11 +199,11 @@
 	if !h.Loaded || h.Age > freshRead {
 		return false
 	}
-	var claim ledger.Claim
-	var free bool
+	claim := m.newestClaim()
+	free := claim.Epoch == 0 || claim.Released
 	m.cfg.Replica.View(func(t *ledger.Table, _ int64) {
-		claim, _ = t.Claim()
-		free = claim.Epoch == 0 || claim.Released || t.OwnerGone()
+		read, _ := t.Claim()
+		free = free || (read.Epoch == claim.Epoch && t.OwnerGone())
 	})
 	if claim.Entry == m.cfg.Name && claim.Incarnation != m.cfg.Incarnation {
 		free = true
@@ -181,14 +217,28 @@
 	if free {
 		return h.OwnerSilence > delay/freeSpread
 	}
-	return h.OwnerSilence > ownerSilence+delay
+	if h.OwnerSilence <= ownerSilence+delay || time.Since(m.askedAt) < askedPause {
+		return false
+	}
+	return !m.ownerAnswers(claim)
+}
+
+// ownerAnswers asks an owner that the log shows no sign of whether it goes on.
+// A slow log delays the signs of its life.
+func (m *Manager) ownerAnswers(claim ledger.Claim) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), askOwnerTimeout)
+	defer cancel()
+	owning, err := m.cfg.Peers.Owning(ctx, claim.Address)
+	m.cfg.Logger.Info("owner asked", "owner", claim.Entry, "epoch", claim.Epoch, "owning", owning, "error", err)
+	m.askedAt = time.Now()
+	return err == nil && owning
 }
 
 // claim appends a claim and waits until the replica has read everything before
 // it. From the claim on the log refuses what former owners append. Of claims
 // that cross, the one with the largest epoch holds.
 func (m *Manager) claim(ctx context.Context) (ledger.Claim, bool) {
-	old := m.cfg.Replica.Claim()
+	old := m.newestClaim()
 	claim := ledger.Claim{
 		Epoch: (old.Epoch/epochStep+1)*epochStep + rand.Int64N(epochStep-1) + 1,
 		Entry: m.cfg.Name, Incarnation: m.cfg.Incarnation, Address: m.cfg.Address, Domain: m.cfg.Domain,
@@ -244,11 +294,10 @@
 	m.mu.Unlock()
 }
 
-// Owning reports whether this entry is the owner now.
+// Owning reports whether this entry is the owner and reaches the log.
 func (m *Manager) Owning() bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.current != nil && m.current.ctx.Err() == nil
+	o := m.owner()
+	return o != nil && o.ctx.Err() == nil && o.inContact()
 }
 
 // owner returns the current term, or nil.
@@ -330,13 +379,26 @@
 	<-m.done
 }
 
-// successor returns the entry that should claim next, or "" if there is none.
-func (o *owner) successor() string {
+// successor returns the entry that should claim next; its name is empty if
+// there is none.
+func (o *owner) successor() ledger.Entry {
 	best := o.largest()
 	if len(best) == 0 {
-		return ""
+		return ledger.Entry{}
+	}
+	return best[rand.IntN(len(best))]
+}
+
+// nominate tells the successor, which would read it from the log a little later.
+func (o *owner) nominate(successor ledger.Entry) {
+	if successor.Name == "" {
+		return
+	}
+	ctx, cancel := context.WithTimeout(o.ctx, askOwnerTimeout)
+	defer cancel()
+	if err := o.peers.Nominate(ctx, successor.Address, o.claim); err != nil {
+		o.logger.Warn("successor not told", "successor", successor.Name, "error", err)
 	}
-	return best[rand.IntN(len(best))].Name
 }
 
 // largest returns the other entries with the largest processor share.
@@ -376,7 +438,8 @@
 		return
 	}
 	o.releasing = true
-	o.claim.Released, o.claim.Successor = true, o.successor()
+	successor := o.successor()
+	o.claim.Released, o.claim.Successor = true, successor.Name
 	ids, states := o.sched.Changed(time.Now().UnixMilli())
 	var records []ledger.Record
 	for i := range ids {
@@ -397,7 +460,8 @@
 	o.seq++
 	o.group.Go(func() {
 		o.append(entry)
-		o.logger.Info("ownership released", "epoch", o.epoch, "records", len(records))
+		o.logger.Info("ownership released", "epoch", o.epoch, "records", len(records), "successor", successor.Name)
+		o.nominate(successor)
 		close(done)
 		o.cancel()
 	})
--- a/internal/coordination/dispatch/owner.go
+++ b/internal/coordination/dispatch/owner.go
@@ -39,6 +39,9 @@
 	// contactGrace is how long the owner goes on without hearing from the log.
 	// A new owner counts on it.
 	contactGrace = 5 * time.Second
+	// contactDoubt is how long an owner without an answered append still says
+	// that it is alive. The log may be slow.
+	contactDoubt = 2500 * time.Millisecond
 	// appendTimeout bounds an append of the owner.
 	appendTimeout = 4 * time.Second
 	// expireInterval is how often ended jobs are looked for.
@@ -129,6 +132,10 @@
 // Peers calls other entries.
 type Peers interface {
 	// Advise makes another entry ask the advice service.
+	// Owning asks another entry whether it owns the placement.
+	Owning(ctx context.Context, address string) (bool, error)
+	// Nominate tells another entry to claim the ownership that was released.
+	Nominate(ctx context.Context, address string, released ledger.Claim) error
 	Advise(ctx context.Context, address string, step workload.StepID, upstreams []workload.UpstreamID) (port.Tickets, error)
 }
 
@@ -175,6 +182,11 @@
 	return int64(o.now())-contact < int64(contactGrace)
 }
 
+// inContact reports whether an append was answered lately.
+func (o *owner) inContact() bool {
+	return int64(o.now())-o.contactAt.Load() < int64(contactDoubt)
+}
+
 // post queues an event for the control loop. It never blocks.
 func (o *owner) post(f func()) {
 	o.mu.Lock()
--- a/internal/coordination/intake/intake.go
+++ b/internal/coordination/intake/intake.go
@@ -25,6 +25,8 @@
 	// the owner answers at all it is waited for: on a slow log, appends beside
 	// the owner's would only delay both.
 	ownerMargin = 100 * time.Millisecond
+	// ownerRetry is the pause between two questions who the owner is.
+	ownerRetry = 100 * time.Millisecond
 	// phaseTimeout bounds a question to the owner.
 	phaseTimeout = 250 * time.Millisecond
 	// retryAfter is what a caller is told when the log refuses a job.
@@ -47,6 +49,13 @@
 	ErrNotReady   = errors.New("intake: the entry has no current view of the jobs; ask another entry")
 )
 
+// Log is the platform's log.
+type Log interface {
+	port.Log
+	// Slow reports whether appends beside the owner's would delay both.
+	Slow() bool
+}
+
 // Owner answers for the newest phase of a job.
 type Owner interface {
 	// Phase asks this entry's own scheduler.
@@ -63,6 +72,7 @@
 
 // Intake serves callers.
 type Intake struct {
+	log      Log
 	batch    *batch
 	replica  *replica.Replica
 	owner    Owner
@@ -76,9 +86,9 @@
 }
 
 // New returns an intake. self is the address of this entry for other entries.
-func New(log port.Log, r *replica.Replica, owner Owner, peers Peers, self string, logger hclog.Logger, registry metrics.Registry) *Intake {
+func New(log Log, r *replica.Replica, owner Owner, peers Peers, self string, logger hclog.Logger, registry metrics.Registry) *Intake {
 	return &Intake{
-		batch: &batch{log: log}, replica: r, owner: owner, peers: peers, self: self, logger: logger,
+		log: log, batch: &batch{log: log}, replica: r, owner: owner, peers: peers, self: self, logger: logger,
 		accepted: metrics.GetOrRegisterCounter("intake.accepted", registry),
 		rejected: metrics.GetOrRegisterCounter("intake.rejected", registry),
 		unknown:  metrics.GetOrRegisterCounter("intake.unanswered", registry),
@@ -117,33 +127,55 @@
 
 // record has the owner record something, in one append with other records. An
 // entry that can't ask the owner appends itself; writing the same record twice
-// changes nothing.
+// changes nothing. On a slow log it waits for an owner instead.
 func (in *Intake) record(ctx context.Context, record ledger.Record) (via string, err error) {
 	ownerCtx, cancel := ctx, func() {}
 	if deadline, ok := ctx.Deadline(); ok {
 		ownerCtx, cancel = context.WithDeadline(ctx, deadline.Add(-ownerMargin))
 	}
 	defer cancel()
-	err = in.owner.Record(ownerCtx, record)
-	if errors.Is(err, port.ErrNotOwner) {
-		claim := in.replica.Claim()
-		if claim.Address != "" && claim.Address != in.self && !claim.Released {
-			via = claim.Entry
-			err = in.peers.Record(ownerCtx, claim.Address, record)
+	for {
+		via, err = in.askOwner(ownerCtx, record)
+		if err == nil {
+			return via, nil
+		}
+		notAsked := errors.Is(err, port.ErrNotOwner) || port.NotSent(err)
+		switch {
+		case !in.log.Slow():
+			return "log", in.direct(ctx, record, notAsked, err)
+		case !notAsked:
+			return via, err
+		case ownerCtx.Err() != nil:
+			return via, port.ErrNotDone
+		}
+		select {
+		case <-ownerCtx.Done():
+		case <-time.After(ownerRetry):
 		}
 	}
-	if err == nil {
-		return via, nil
+}
+
+// askOwner asks the owner to record something.
+func (in *Intake) askOwner(ctx context.Context, record ledger.Record) (via string, err error) {
+	err = in.owner.Record(ctx, record)
+	if !errors.Is(err, port.ErrNotOwner) {
+		return "", err
 	}
-	notAsked := errors.Is(err, port.ErrNotOwner) || port.NotSent(err)
-	if !notAsked {
-		in.logger.Debug("owner gave no answer", "key", record.Key, "owner", via, "error", err)
+	claim := in.replica.Claim()
+	if claim.Address == "" || claim.Address == in.self || claim.Released {
+		return "", err
 	}
-	direct := in.batch.append(ctx, record)
-	if errors.Is(direct, port.ErrNotDone) && !notAsked {
-		return "log", fmt.Errorf("intake: the owner may still record it: %w", err)
+	return claim.Entry, in.peers.Record(ctx, claim.Address, record)
+}
+
+// direct appends without the owner. cause is why the owner did not record it,
+// notAsked whether it can't have.
+func (in *Intake) direct(ctx context.Context, record ledger.Record, notAsked bool, cause error) error {
+	err := in.batch.append(ctx, record)
+	if errors.Is(err, port.ErrNotDone) && !notAsked {
+		return fmt.Errorf("intake: the owner may still record it: %w", cause)
 	}
-	return "log", direct
+	return err
 }
 
 // Cancel cancels a job.
--- a/internal/coordination/relay/relay.go
+++ b/internal/coordination/relay/relay.go
@@ -30,6 +30,10 @@
 	directAttempts = 2
 	// recentRead is how old an answered read may be to show that the log answers.
 	recentRead = time.Second
+	// slowAppend is the usual time from which the log counts as slow; a healthy
+	// one takes some 10 ms. It is tried again after slowMemory.
+	slowAppend = 120 * time.Millisecond
+	slowMemory = 3 * time.Second
 	// relayAppend bounds an append through another entry.
 	relayAppend = 900 * time.Millisecond
 	// readMargin is added to the wait of a read.
@@ -61,7 +65,8 @@
 	badUntil time.Time
 	bad      bool
 	// usual is the smoothed time of a direct append.
-	usual time.Duration
+	usual   time.Duration
+	usualAt time.Time
 	// readAt is when the log last answered a direct read.
 	readAt time.Time
 	// prefer is the entry that relayed last.
@@ -117,6 +122,7 @@
 func (l *Log) appendTook(d time.Duration, answered bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.usualAt = time.Now()
 	if !answered {
 		l.usual = max(l.usual, d)
 		return
@@ -124,6 +130,14 @@
 	l.usual += time.Duration(usualWeight * float64(d-l.usual))
 }
 
+// Slow reports whether recent appends took so long that more of them would
+// delay the owner's: a partition serves its appends one after the other.
+func (l *Log) Slow() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.usual > slowAppend && time.Since(l.usualAt) < slowMemory
+}
+
 // readSince reports whether the log answered a direct read after a time.
 func (l *Log) readSince(t time.Time) bool {
 	l.mu.Lock()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -148,7 +148,7 @@
 		Log: p.log, Decoder: platform.Decoder{}, Upstreams: platform.NewRunners(id.local), Advisor: p.advice,
 		Replica: p.replica, Peers: p.peers, Name: id.name, Incarnation: id.incarnation, Address: id.address,
 		Domain: state.DomainID(s.Entry.Domain), CPUShare: s.Limits.CPUShare,
-		Lease: s.Upstream.Lease.Std(), Retention: s.Upstream.Retention.Std(), Logger: logger, Registry: registry,
+		Slow: p.log.Slow, Lease: s.Upstream.Lease.Std(), Retention: s.Upstream.Retention.Std(), Logger: logger, Registry: registry,
 	})
 	p.intake = intake.New(p.log, p.replica, p.manager, p.peers, id.address, logger, registry)
 	return p
@@ -254,6 +254,12 @@
 	return p.advice.Advise(ctx, step, upstreams)
 }
 
+// Owning implements peer.Backend.
+func (p *parts) Owning() bool { return p.manager.Owning() }
+
+// Nominate implements peer.Backend.
+func (p *parts) Nominate(released ledger.Claim) { p.manager.Nominate(released) }
+
 // Record implements peer.Backend.
 func (p *parts) Record(ctx context.Context, r ledger.Record) error { return p.manager.Record(ctx, r) }
 
--- a/internal/transport/peer/peer.go
+++ b/internal/transport/peer/peer.go
@@ -39,6 +39,10 @@
 type Backend interface {
 	Phase(ctx context.Context, id workload.JobID) (ledger.Phase, bool)
 	Advise(ctx context.Context, step workload.StepID, upstreams []workload.UpstreamID) (port.Tickets, error)
+	// Owning reports whether this entry owns the placement and reaches the log.
+	Owning() bool
+	// Nominate tells this entry that the owner has released the ownership to it.
+	Nominate(released ledger.Claim)
 	// Record records what callers asked of another entry. It returns
 	// port.ErrNotOwner unless this entry is the owner.
 	Record(ctx context.Context, r ledger.Record) error
@@ -140,6 +144,18 @@
 // Ping shows that the connection and the process work.
 func (s *service) Ping(struct{}, *struct{}) error { return nil }
 
+// Owning serves an entry that has seen no sign of the owner in the log.
+func (s *service) Owning(_ struct{}, reply *bool) error {
+	*reply = s.backend.Owning()
+	return nil
+}
+
+// Nominate serves an owner that hands over to this entry.
+func (s *service) Nominate(released ledger.Claim, _ *struct{}) error {
+	s.backend.Nominate(released)
+	return nil
+}
+
 // Phase serves a question to the owner.
 func (s *service) Phase(args PhaseArgs, reply *PhaseReply) error {
 	ctx, cancel := context.WithTimeout(s.ctx, time.Second)
@@ -372,6 +388,17 @@
 	return reply.Phase, reply.Known, nil
 }
 
+// Owning asks the entry at an address whether it owns the placement.
+func (c *Client) Owning(ctx context.Context, address string) (owning bool, err error) {
+	err = c.call(ctx, address, "Owning", struct{}{}, &owning)
+	return owning, err
+}
+
+// Nominate tells the entry at an address to claim the ownership that was released.
+func (c *Client) Nominate(ctx context.Context, address string, released ledger.Claim) error {
+	return c.call(ctx, address, "Nominate", released, &struct{}{})
+}
+
 // Advise makes the entry at an address call the advice service.
 func (c *Client) Advise(ctx context.Context, address string, step workload.StepID, upstreams []workload.UpstreamID) (port.Tickets, error) {
 	timeout := maxRelayTime
