--- a/internal/coordination/dispatch/manager.go
+++ b/internal/coordination/dispatch/manager.go
@@ -380,13 +380,14 @@
 }
 
 // successor returns the entry that should claim next; its name is empty if
-// there is none.
+// there is none. Of the largest it is the one that started last: when entries
+// are restarted in turn, that one stays longest.
 func (o *owner) successor() ledger.Entry {
 	best := o.largest()
 	if len(best) == 0 {
 		return ledger.Entry{}
 	}
-	return best[rand.IntN(len(best))]
+	return best[0]
 }
 
 // nominate tells the successor, which would read it from the log a little later.
--- a/internal/state/ledger/ledger_test.go
+++ b/internal/state/ledger/ledger_test.go
@@ -138,6 +138,8 @@
 	table := fold(t, must(EntryRecord(&Entry{Name: "a", Address: "x"})), must(EntryRecord(&Entry{Name: "b"})), must(EntryRecord(&Entry{Name: "b", Gone: true})))
 	is.Equal(len(table.Entries()), 1)
 	is.Equal(table.Entries()[0].Address, "x")
+	table = fold(t, must(EntryRecord(&Entry{Name: "a"})), must(EntryRecord(&Entry{Name: "b"})), must(EntryRecord(&Entry{Name: "a"})))
+	is.Equal(table.Entries()[0].Name, "a") // registered last
 }
 
 func TestDoneTasksAreBits(t *testing.T) {
--- a/internal/state/ledger/table.go
+++ b/internal/state/ledger/table.go
@@ -1,7 +1,9 @@
 package ledger
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 
 	"github.com/vmihailenco/msgpack/v5"
 
@@ -79,7 +81,8 @@
 	return ok && e.Incarnation != t.claim.Incarnation && t.entryOffsets[e.Name] > t.claimOffset
 }
 
-// Entries returns the entries that registered and have not left.
+// Entries returns the entries that registered and have not left, the one that
+// registered last first.
 func (t *Table) Entries() []Entry {
 	out := make([]Entry, 0, len(t.entries))
 	for _, e := range t.entries {
@@ -87,6 +90,7 @@
 			out = append(out, e)
 		}
 	}
+	slices.SortFunc(out, func(a, b Entry) int { return cmp.Compare(t.entryOffsets[b.Name], t.entryOffsets[a.Name]) })
 	return out
 }
 
