Let leases on lost upstreams run out; count unreached runs for their workspace; add the soak

A step that may run once on an upstream did not ask about more upstreams while one it already used had room. Tests: TestSilentUpstreamGetsNoLease, TestUnreachedRunsCountForTheirWorkspace (the world reported 16 cores of 8 without the change is expected; not run without it).

--- a/internal/command/app.go
+++ b/internal/command/app.go
@@ -36,7 +36,7 @@
 		ErrWriter:             errOut,
 		ExitErrHandler:        func(context.Context, *cli.Command, error) {},
 		Commands: []*cli.Command{
-			runCommand(), nodeCommand(), checkCommand(), devCommand(), replayCommand(), loadCommand(), measureCommand(),
+			runCommand(), nodeCommand(), checkCommand(), devCommand(), replayCommand(), loadCommand(), measureCommand(), soakCommand(),
 		},
 	}
 	err := app.Run(ctx, args)
--- /dev/null
+++ b/internal/command/soak.go
@@ -0,0 +1,58 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/samphirerail/samphirerail/internal/soak"
+)
+
+// soakCommand is hidden: it is for developers.
+func soakCommand() *cli.Command {
+	return &cli.Command{
+		Name:   "soak",
+		Usage:  "run entries as processes against a fake platform, inject faults and check the promises",
+		Hidden: true,
+		Flags: []cli.Flag{
+			&cli.Uint64Flag{Name: "seed", Usage: "the first seed", Value: 1},
+			&cli.IntFlag{Name: "seeds", Usage: "how many seeds to run", Value: 1},
+			&cli.DurationFlag{Name: "duration", Usage: "how long faults are injected", Value: 20 * time.Second},
+			&cli.IntFlag{Name: "entries", Usage: "processes to start", Value: 5},
+			&cli.IntFlag{Name: "runners", Usage: "fake runners", Value: 12},
+			&cli.BoolFlag{Name: "quiet", Usage: "inject no faults"},
+			&cli.BoolFlag{Name: "faults", Usage: "print each fault"},
+		},
+		Action: func(_ context.Context, cmd *cli.Command) error {
+			program, err := os.Executable()
+			if err != nil {
+				return err
+			}
+			failed := 0
+			for i := range cmd.Int("seeds") {
+				opts := soak.Options{
+					Seed: cmd.Uint64("seed") + uint64(i), Duration: cmd.Duration("duration"), Entries: cmd.Int("entries"),
+					Runners: cmd.Int("runners"), Program: program, Quiet: cmd.Bool("quiet"),
+				}
+				if cmd.Bool("faults") {
+					opts.Out = cmd.Root().Writer
+				}
+				report, err := soak.Run(opts)
+				if err != nil {
+					return err
+				}
+				fmt.Fprintln(cmd.Root().Writer, report)
+				if len(report.Problems) > 0 {
+					failed++
+				}
+			}
+			if failed > 0 {
+				return fmt.Errorf("soak: %d of %d seeds broke a promise", failed, cmd.Int("seeds"))
+			}
+			return nil
+		},
+	}
+}
--- a/internal/coordination/dispatch/looker.go
+++ b/internal/coordination/dispatch/looker.go
@@ -101,7 +101,10 @@
 func (o *owner) lookOnce(ctx context.Context, id workload.UpstreamID, l *link, wait time.Duration) bool {
 	l.mu.Lock()
 	order := port.LookOrder{Epoch: o.epoch, LastSeen: l.recorded, Wait: wait}
-	target, active, born := l.target, l.active, l.bornUnixMS
+	// A lease that is offered to an upstream that does not answer would put off
+	// the time at which its runs must have ended.
+	active := l.active && l.failures == 0
+	target, born := l.target, l.bornUnixMS
 	l.mu.Unlock()
 	sentAt := time.Now()
 	if active && o.mayExtend() {
--- /dev/null
+++ b/internal/coordination/dispatch/looker_test.go
@@ -0,0 +1,60 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/matryer/is"
+	metrics "github.com/rcrowley/go-metrics"
+
+	"github.com/samphirerail/samphirerail/internal/coordination/port"
+	"github.com/samphirerail/samphirerail/internal/coordination/replica"
+	"github.com/samphirerail/samphirerail/internal/state/scheduler"
+	"github.com/samphirerail/samphirerail/internal/state/workload"
+)
+
+// deafUpstreams answers nothing once deaf is set.
+type deafUpstreams struct {
+	port.Upstreams
+	deaf  bool
+	looks []port.LookOrder
+}
+
+func (d *deafUpstreams) Look(_ context.Context, _ port.Target, order port.LookOrder) (port.LookReply, port.Reply, error) {
+	d.looks = append(d.looks, order)
+	if d.deaf {
+		return port.LookReply{}, port.Reply{}, errors.New("no answer")
+	}
+	return port.LookReply{ClockMS: 1000}, port.Reply{}, nil
+}
+
+// TestSilentUpstreamGetsNoLease: the leases on an upstream that has gone must
+// run out, however often it is looked at.
+func TestSilentUpstreamGetsNoLease(t *testing.T) {
+	is := is.New(t)
+	upstreams := &deafUpstreams{}
+	o := &owner{
+		parts: &parts{upstreams: upstreams, lease: 5 * time.Second, logger: hclog.NewNullLogger()},
+		base:  time.Now(), ctx: context.Background(), signal: make(chan struct{}, 1), links: map[workload.UpstreamID]*link{},
+	}
+	o.replica = replica.New(nil, nil, hclog.NewNullLogger(), metrics.NewRegistry())
+	o.sched = scheduler.New(&workload.Config{}, scheduler.Options{})
+	o.contactAt.Store(int64(o.now()))
+	l := newLink()
+	is.True(o.lookOnce(context.Background(), "u", l, 0)) // shows the clock
+	l.active = true
+	is.True(o.lookOnce(context.Background(), "u", l, 0))
+	is.Equal(upstreams.looks[1].DeadlineMS > 1000, true)
+	upstreams.deaf = true
+	is.True(!o.lookOnce(context.Background(), "u", l, 0)) // this lease may have arrived
+	lapse := l.lapseAt
+	for range 5 {
+		time.Sleep(2 * time.Millisecond)
+		is.True(!o.lookOnce(context.Background(), "u", l, 0))
+	}
+	is.Equal(upstreams.looks[len(upstreams.looks)-1].DeadlineMS, int64(0))
+	is.Equal(l.lapseAt, lapse)
+}
--- a/internal/state/scheduler/look.go
+++ b/internal/state/scheduler/look.go
@@ -95,6 +95,7 @@
 		listed[row.Task] = row.Run
 		s.runningRow(now, u, row)
 	}
+	s.settleAt(id)
 	for _, r := range u.sortedRuns() {
 		if listed[r.Task] != r.Number && !look.Partial {
 			s.notListed(now, r, look.SentAt)
@@ -180,6 +181,7 @@
 	s.take(u, r)
 	t.lastRun = max(t.lastRun, row.Run)
 	t.uncertain = false
+	s.settle(t)
 	t.step.started = true
 	s.begin(t.step.job)
 	s.touch(t.step.job)
@@ -270,6 +272,7 @@
 			continue
 		}
 		member.done, member.uncertain = true, false
+		s.settle(member)
 		st.left--
 	}
 	if st.left == 0 && !st.job.phase.Final() {
--- a/internal/state/scheduler/model.go
+++ b/internal/state/scheduler/model.go
@@ -119,6 +119,8 @@
 	// heldAt is the upstream on which the log shows the newest run of an
 	// uncertain task; it need not be listed at the takeover.
 	heldAt workload.UpstreamID
+	// counted is set while the task counts as held.
+	counted bool
 }
 
 func (t *task) id() workload.TaskID {
--- a/internal/state/scheduler/place.go
+++ b/internal/state/scheduler/place.go
@@ -285,7 +285,7 @@
 		free := withSlots(u.free())
 		if tk, ok := st.advised[u.ID]; !ok {
 			unknown = append(unknown, candidate{u: u, free: free, cost: pl.members[i].cost})
-		} else if tk.good && room.Fits(free) {
+		} else if tk.good && room.Fits(free) && (st.spec.MaxPerUpstream == 0 || st.perUpstream[u.ID] < st.spec.MaxPerUpstream) {
 			return
 		}
 	}
--- a/internal/state/scheduler/plan.go
+++ b/internal/state/scheduler/plan.go
@@ -17,6 +17,7 @@
 // Plan places what can be placed and returns all orders that are due.
 func (s *Scheduler) Plan(now state.Time) Plan {
 	var plan Plan
+	s.settleExpired(now)
 	s.repeatStops(now)
 	s.evacuate(now)
 	s.pace(now, &plan)
--- a/internal/state/scheduler/scheduler.go
+++ b/internal/state/scheduler/scheduler.go
@@ -40,6 +40,9 @@
 	slowAsks  int
 	// ready are the steps that may have tasks to place.
 	ready map[*step]struct{}
+	// held are the adopted tasks by the upstream on which the log shows them;
+	// they count for their workspaces until that upstream was looked at.
+	held map[workload.UpstreamID][]*task
 	// pools are the usable upstreams during a plan.
 	pools map[workload.ServiceName]*pool
 	// timed are the steps whose occurrence is not due yet.
@@ -57,6 +60,7 @@
 		used:      map[workload.WorkspaceName]state.Vector{},
 		shares:    map[workload.WorkspaceName]*share{},
 		ready:     map[*step]struct{}{},
+		held:      map[workload.UpstreamID][]*task{},
 		timed:     map[*step]struct{}{},
 	}
 }
@@ -83,7 +87,7 @@
 		}
 	}
 	for i := range recorded.Steps {
-		j.restore(&recorded.Steps[i])
+		s.restore(j, &recorded.Steps[i])
 	}
 	j.dueBy = j.arrived + s.objective(j)
 	j.overShare = s.takeShare(j)
@@ -115,7 +119,7 @@
 }
 
 // restore applies the recorded progress of a step.
-func (j *job) restore(r *ledger.StepState) {
+func (s *Scheduler) restore(j *job, r *ledger.StepState) {
 	if r.Occurrence >= len(j.steps) || r.Step >= len(j.spec.Steps) {
 		return
 	}
@@ -131,6 +135,9 @@
 			t := st.tasks[rt.Index]
 			t.lastRun, t.failed, t.checkpoint, t.heldAt = rt.Run, rt.Failed, rt.Checkpoint, rt.Upstream
 			st.started = true
+			if t.uncertain && t.heldAt != "" {
+				s.hold(t)
+			}
 		}
 	}
 }
--- a/internal/state/scheduler/takeover_test.go
+++ b/internal/state/scheduler/takeover_test.go
@@ -116,6 +116,30 @@
 	is.Equal(len(holder.running), 1)
 }
 
+// TestUnreachedRunsCountForTheirWorkspace: the world reports a workspace that
+// runs more than its maximum.
+func TestUnreachedRunsCountForTheirWorkspace(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, oneQueue(func(_ *workload.Queue, ws *workload.Workspace) { ws.Maximum = state.Vector{CPUMilli: 8000} }))
+	w.add(2, state.Vector{CPUMilli: 8000, MemoryMB: 64000})
+	w.submit(&workload.Job{ID: jobID(1), Steps: []workload.Step{tasksOf(8, cores(1), 60_000)}})
+	w.play(100 * time.Millisecond)
+	holder := w.upstreams[0]
+	if len(holder.running) == 0 {
+		holder = w.upstreams[1]
+	}
+	w.takeOver(holder)
+	w.submit(&workload.Job{ID: jobID(2), Steps: []workload.Step{tasksOf(4, cores(1), 100)}})
+	w.play(3 * time.Second)
+	is.Equal(w.running(jobID(2)), 0)
+	holder.down = false
+	for _, id := range sortedTasks(holder.running) {
+		w.end(holder, id, HowDone)
+	}
+	w.play(time.Second)
+	is.Equal(w.jobs[jobID(2)].phase, ledger.Complete)
+}
+
 // TestUnreachedUpstreamHoldsBackAdoptedTasks: a task that may run where the new
 // owner can't look is not started elsewhere until its lease must have ended.
 func TestUnreachedUpstreamHoldsBackAdoptedTasks(t *testing.T) {
