--- a/internal/coordination/dispatch/looker.go
+++ b/internal/coordination/dispatch/looker.go
@@ -24,6 +24,9 @@
 	callTimeout = 1200 * time.Millisecond
 	// lookGapPerUpstream bounds the looks of an owner at 4,000 a second.
 	lookGapPerUpstream = 250 * time.Microsecond
+	// verifyAfter is the gap between looks after which the upstream may have
+	// restarted unnoticed; a restart ends a look that is under way.
+	verifyAfter = 300 * time.Millisecond
 	// silentRetry is the pause after a look without an answer.
 	silentRetry = 200 * time.Millisecond
 )
@@ -56,16 +59,18 @@
 				return
 			}
 		}
+		// After a gap the upstream may live a new life, whose ends count from 1.
+		verify := !known || time.Since(lookedAt) > verifyAfter
 		wait := time.Duration(0)
 		l.mu.Lock()
-		if known && l.active && l.reported <= l.recorded {
+		if !verify && l.active && l.reported <= l.recorded {
 			wait = lookWait
 			if closely || l.close {
 				wait = closeLookWait
 			}
 		}
 		l.mu.Unlock()
-		known = o.lookOnce(ctx, id, l, wait)
+		known = o.lookOnce(ctx, id, l, wait, verify)
 		lookedAt = time.Now()
 		if !known && !o.sleep(ctx, l, silentRetry) {
 			return
@@ -97,10 +102,14 @@
 	return true
 }
 
-// lookOnce looks once and reports whether the upstream answered.
-func (o *owner) lookOnce(ctx context.Context, id workload.UpstreamID, l *link, wait time.Duration) bool {
+// lookOnce looks once and reports whether the upstream answered. A look that
+// verifies the life of the upstream acknowledges no ends.
+func (o *owner) lookOnce(ctx context.Context, id workload.UpstreamID, l *link, wait time.Duration, verify bool) bool {
 	l.mu.Lock()
 	order := port.LookOrder{Epoch: o.epoch, LastSeen: l.recorded, Wait: wait}
+	if verify {
+		order.LastSeen = 0
+	}
 	// A lease that is offered to an upstream that does not answer would put off
 	// the time at which its runs must have ended.
 	active := l.active && l.failures == 0
--- a/internal/coordination/dispatch/looker_test.go
+++ b/internal/coordination/dispatch/looker_test.go
@@ -44,17 +44,35 @@
 	o.sched = scheduler.New(&workload.Config{}, scheduler.Options{})
 	o.contactAt.Store(int64(o.now()))
 	l := newLink()
-	is.True(o.lookOnce(context.Background(), "u", l, 0)) // shows the clock
+	is.True(o.lookOnce(context.Background(), "u", l, 0, false)) // shows the clock
 	l.active = true
-	is.True(o.lookOnce(context.Background(), "u", l, 0))
+	is.True(o.lookOnce(context.Background(), "u", l, 0, false))
 	is.Equal(upstreams.looks[1].DeadlineMS > 1000, true)
 	upstreams.deaf = true
-	is.True(!o.lookOnce(context.Background(), "u", l, 0)) // this lease may have arrived
+	is.True(!o.lookOnce(context.Background(), "u", l, 0, false)) // this lease may have arrived
 	lapse := l.lapseAt
 	for range 5 {
 		time.Sleep(2 * time.Millisecond)
-		is.True(!o.lookOnce(context.Background(), "u", l, 0))
+		is.True(!o.lookOnce(context.Background(), "u", l, 0, false))
 	}
 	is.Equal(upstreams.looks[len(upstreams.looks)-1].DeadlineMS, int64(0))
 	is.Equal(l.lapseAt, lapse)
 }
+
+// TestLookAfterAGapAcknowledgesNothing: the upstream may live a new life, whose
+// ends have small numbers again.
+func TestLookAfterAGapAcknowledgesNothing(t *testing.T) {
+	is := is.New(t)
+	upstreams := &deafUpstreams{}
+	o := &owner{
+		parts: &parts{upstreams: upstreams, lease: 5 * time.Second, logger: hclog.NewNullLogger()},
+		base:  time.Now(), ctx: context.Background(), signal: make(chan struct{}, 1), links: map[workload.UpstreamID]*link{},
+	}
+	o.replica = replica.New(nil, nil, hclog.NewNullLogger(), metrics.NewRegistry())
+	l := newLink()
+	l.reported, l.recorded = 40, 40
+	is.True(o.lookOnce(context.Background(), "u", l, 0, true))
+	is.True(o.lookOnce(context.Background(), "u", l, 0, false))
+	is.Equal(upstreams.looks[0].LastSeen, int64(0))
+	is.Equal(upstreams.looks[1].LastSeen, int64(40))
+}
--- a/internal/layers_test.go
+++ b/internal/layers_test.go
@@ -4,6 +4,7 @@
 	"go/parser"
 	"go/token"
 	"io/fs"
+	"os"
 	"path/filepath"
 	"slices"
 	"strings"
@@ -42,6 +43,31 @@
 	}
 }
 
+// wireNames are names of the users' wire; only platform/ may hold them.
+var wireNames = []string{`"run_id"`, `"last_seen"`, `"fencing_token"`, `"api_keys"`, `"path_prefix"`, `"task_spec"`, "/-/hold", "/-/run-start", "/-/run-stop", "/-/log-", "/-/advise"}
+
+func TestWireNamesStayInTheAdapter(t *testing.T) {
+	err := filepath.WalkDir("..", func(path string, d fs.DirEntry, err error) error {
+		if err != nil || d.IsDir() || !strings.HasSuffix(path, ".go") {
+			return err
+		}
+		rest, _ := filepath.Rel("..", path)
+		if strings.HasPrefix(rest, "platform"+string(filepath.Separator)) || rest == filepath.Join("internal", "layers_test.go") {
+			return nil
+		}
+		text, err := os.ReadFile(path)
+		for _, name := range wireNames {
+			if strings.Contains(string(text), name) {
+				t.Errorf("%s holds %s", rest, name)
+			}
+		}
+		return err
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
 // forbidden reports whether a file of a layer must not import a path.
 func forbidden(path string, layer int) bool {
 	rest, ok := strings.CutPrefix(path, module+"internal/")
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -25,9 +25,11 @@
 
 // sent is a job as its caller knows it.
 type sent struct {
-	acked, rejected, unknown, cancelled bool
-	tasks                               int
-	shownComplete                       bool
+	acked, rejected, unknown bool
+	// cancelSent is set once a cancellation was sent, cancelled once it was
+	// acknowledged.
+	cancelSent, cancelled bool
+	tasks                 int
 }
 
 const (
@@ -100,6 +102,7 @@
 	}
 	c.mu.Lock()
 	acked := job.acked
+	job.cancelSent = acked
 	c.mu.Unlock()
 	if acked && c.call(http.MethodDelete, c.cluster.entries[first], id, nil)/100 == 2 {
 		c.mu.Lock()
@@ -156,7 +159,7 @@
 		}
 		state := c.final(id, deadline)
 		switch {
-		case job.cancelled && (state == "cancelled" || state == "complete"):
+		case job.cancelSent && state == "cancelled", job.cancelled && state == "complete":
 		case !job.cancelled && state == "complete":
 			report.Complete++
 			c.checkComplete(&report, id, job)
