Answer that a job does not exist only on the owner's word

Change: an entry that could not ask the owner answers 503, and an entry that is asked without being the owner says so. Tests: TestAbsenceNeedsTheOwnersWord, TestSubmit, TestConcurrentSubmissionsShareAppends.

--- a/internal/coordination/intake/intake.go
+++ b/internal/coordination/intake/intake.go
@@ -60,6 +60,8 @@
 type Owner interface {
 	// Phase asks this entry's own scheduler.
 	Phase(ctx context.Context, id workload.JobID) (ledger.Phase, bool)
+	// Owning reports whether this entry is the owner.
+	Owning() bool
 	// Record returns port.ErrNotOwner unless this entry is the owner.
 	Record(ctx context.Context, r ledger.Record) error
 }
@@ -185,8 +187,8 @@
 	case ok && (row.Cancelled || row.State.Phase.Final()):
 		return nil
 	case !ok:
-		if _, known := in.ask(ctx, id); !known {
-			return in.absent()
+		if answer := in.ask(ctx, id); !answer.known {
+			return in.absent(answer)
 		}
 	}
 	record, err := ledger.CancelRecord(id, time.Now().UnixMilli())
@@ -199,10 +201,10 @@
 	return err
 }
 
-// absent returns the error for a job that neither the owner nor the replica
-// knows.
-func (in *Intake) absent() error {
-	if h := in.replica.Health(); h.Age > staleReplica || !h.Loaded {
+// absent returns the error for a job that the replica does not hold. Only the
+// owner's word proves that there is no such job.
+func (in *Intake) absent(a answer) error {
+	if h := in.replica.Health(); !a.asked || h.Age > staleReplica || !h.Loaded {
 		return ErrNotReady
 	}
 	return ErrUnknownJob
@@ -216,32 +218,41 @@
 	if ok && phase.Final() {
 		return phase, nil
 	}
-	if newer, known := in.ask(ctx, id); known && (!ok || newer >= phase) {
-		return newer, nil
+	newest := in.ask(ctx, id)
+	if newest.known && (!ok || newest.phase >= phase) {
+		return newest.phase, nil
 	}
 	if !ok {
-		return 0, in.absent()
+		return 0, in.absent(newest)
 	}
 	return phase, nil
 }
 
+// answer is what the owner said about a job.
+type answer struct {
+	phase ledger.Phase
+	// known says that the owner knows the job, asked that it answered.
+	known, asked bool
+}
+
 // ask asks the owner for the phase of a job.
-func (in *Intake) ask(ctx context.Context, id workload.JobID) (ledger.Phase, bool) {
+func (in *Intake) ask(ctx context.Context, id workload.JobID) answer {
 	ctx, cancel := context.WithTimeout(ctx, phaseTimeout)
 	defer cancel()
-	if phase, ok := in.owner.Phase(ctx, id); ok {
-		return phase, true
+	if in.owner.Owning() {
+		phase, known := in.owner.Phase(ctx, id)
+		return answer{phase, known, ctx.Err() == nil}
 	}
 	address := in.replica.Claim().Address
 	if address == "" || address == in.self {
-		return 0, false
+		return answer{}
 	}
-	phase, ok, err := in.peers.Phase(ctx, address, id)
+	phase, known, err := in.peers.Phase(ctx, address, id)
 	if err != nil {
 		in.logger.Debug("owner not asked", "job", id, "owner", address, "error", err)
-		return 0, false
+		return answer{}
 	}
-	return phase, ok
+	return answer{phase, known, true}
 }
 
 // Pending returns the number of jobs of a queue of which no task has started.
--- a/internal/transport/peer/peer.go
+++ b/internal/transport/peer/peer.go
@@ -160,8 +160,11 @@
 func (s *service) Phase(args PhaseArgs, reply *PhaseReply) error {
 	ctx, cancel := context.WithTimeout(s.ctx, time.Second)
 	defer cancel()
+	if !s.backend.Owning() {
+		return port.ErrNotOwner
+	}
 	reply.Phase, reply.Known = s.backend.Phase(ctx, args.Job)
-	return nil
+	return ctx.Err()
 }
 
 // Advise makes a call to the advice service.
