--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -128,9 +128,8 @@
 	if err != nil {
 		return 0, ""
 	}
-	defer resp.Body.Close()
 	data, err := io.ReadAll(resp.Body)
-	if err != nil {
+	if closeErr := resp.Body.Close(); err != nil || closeErr != nil {
 		return 0, ""
 	}
 	var answer struct {
@@ -192,9 +191,10 @@
 	state := ""
 	for i := 0; ; i++ {
 		status, shown := c.ask(http.MethodGet, c.cluster.entries[i%len(c.cluster.entries)], id, nil)
-		if status == http.StatusOK {
+		switch status {
+		case http.StatusOK:
 			state = shown
-		} else if status == http.StatusGone {
+		case http.StatusGone:
 			state = "gone"
 		}
 		if state == "complete" || state == "cancelled" || state == "failed" || time.Now().After(deadline) {
