Reserve upstreams for waiting gangs and pack accelerators

Change: up to two gangs a service hold back the upstreams nearest to having room from the steps behind them; tasks with accelerators prefer fuller upstreams more strongly. Test: TestGangIsNotStarvedBySingleTasks plays the load; it fails without the change.

--- a/internal/state/scheduler/place.go
+++ b/internal/state/scheduler/place.go
@@ -88,11 +88,12 @@
 	return 0
 }
 
-// gang places all tasks of a gang at once or none.
-func (p *placement) gang(waiting []*task, candidates []candidate) {
+// gang places all tasks of a gang at once or none. It reports false if only
+// room is wanting.
+func (p *placement) gang(waiting []*task, candidates []candidate) bool {
 	n := int64(len(waiting))
 	if !p.s.withinMaximum(p.step.job.spec.Workspace, p.step.spec.Each.Scale(n)) {
-		return
+		return true
 	}
 	var chosen []*upstream
 	if p.step.spec.SameRack {
@@ -102,7 +103,7 @@
 		chosen = p.spreadGang(waiting, candidates)
 	}
 	if chosen == nil {
-		return
+		return false
 	}
 	number := int64(0)
 	for _, t := range waiting {
@@ -115,6 +116,7 @@
 		p.assign(t, chosen[i], number)
 	}
 	p.startGangIfTicketed()
+	return true
 }
 
 // newestCheckpoint returns one checkpoint for all members of a gang.
--- a/internal/state/scheduler/plan.go
+++ b/internal/state/scheduler/plan.go
@@ -136,16 +136,20 @@
 		s.askUnknown(now, st, q, pl, len(waiting), plan)
 	}
 	if !fits {
+		pl.reserve(st, len(waiting), q.Advice != nil)
 		return
 	}
 	candidates := s.candidates(st, pl, q.Advice != nil)
 	if len(candidates) == 0 {
+		pl.reserve(st, len(waiting), q.Advice != nil)
 		return
 	}
 	defer pl.measure()
 	p := placement{s: s, now: now, step: st, advised: q.Advice != nil, plan: plan}
 	if st.spec.Gang {
-		p.gang(waiting, candidates)
+		if !p.gang(waiting, candidates) {
+			pl.reserve(st, len(waiting), q.Advice != nil)
+		}
 	} else {
 		p.single(waiting, candidates)
 	}
@@ -185,12 +189,17 @@
 	members []member
 	// most is the largest free amount of each kind, not all on one upstream.
 	most state.Vector
+	// reservations counts the gangs that wait for reserved upstreams.
+	reservations int
 }
 
 // member is a usable upstream with the cost that its health adds.
 type member struct {
 	u    *upstream
 	cost float64
+	// reserved is set while a gang that goes before all later steps waits for
+	// the upstream to become free.
+	reserved bool
 }
 
 // pool returns the usable upstreams of a service.
@@ -203,18 +212,70 @@
 		if !u.known || u.silent || u.Draining || u.health.recentFaults(now) >= avoidFaults {
 			continue
 		}
-		pl.members = append(pl.members, member{u, float64(int(u.health.cost(now)/costStep)) * costStep})
+		pl.members = append(pl.members, member{u: u, cost: float64(int(u.health.cost(now)/costStep)) * costStep})
 	}
 	pl.measure()
 	s.pools[service] = pl
 	return pl
 }
 
+// maxReservations bounds the gangs that hold upstreams back at a time, and with
+// them the accelerators that stay idle.
+const maxReservations = 2
+
+// reserve keeps the upstreams that are nearest to having room for a gang from
+// the steps that come after it in this plan. Without it, single tasks would take
+// each accelerator that becomes free, and the gang would never start.
+func (p *pool) reserve(st *step, tasks int, advised bool) {
+	if !st.spec.Gang || p.reservations >= maxReservations {
+		return
+	}
+	room := st.spec.Room()
+	var usable []*member
+	for i := range p.members {
+		m := &p.members[i]
+		if !m.reserved && st.allows(m.u) && room.Fits(withSlots(m.u.Capacity)) && (!advised || st.advised[m.u.ID].good) {
+			usable = append(usable, m)
+		}
+	}
+	slices.SortFunc(usable, func(a, b *member) int {
+		return cmp.Or(cmp.Compare(a.u.emptiness(false)+a.u.emptiness(true), b.u.emptiness(false)+b.u.emptiness(true))*-1, cmp.Compare(a.u.ID, b.u.ID))
+	})
+	for n, m := range usable {
+		if tasks <= 0 {
+			usable = usable[:n]
+			break
+		}
+		tasks -= m.holds(st)
+	}
+	if tasks > 0 {
+		return
+	}
+	p.reservations++
+	for _, m := range usable {
+		m.reserved = true
+	}
+	p.measure()
+}
+
+// holds returns how many tasks of a step the empty upstream has room for.
+func (m *member) holds(st *step) int {
+	room, n := st.spec.Room(), 0
+	for free := withSlots(m.u.Capacity); room.Fits(free); free = free.Sub(room) {
+		if n++; n == st.spec.MaxPerUpstream || n == st.spec.Count {
+			break
+		}
+	}
+	return n
+}
+
 // measure finds the largest free amounts.
 func (p *pool) measure() {
 	p.most = state.Vector{}
 	for i := range p.members {
-		p.most = p.most.Max(p.members[i].u.free())
+		if !p.members[i].reserved {
+			p.most = p.most.Max(p.members[i].u.free())
+		}
 	}
 	p.most.Slots = unboundedSlots
 }
@@ -227,7 +288,7 @@
 	for i := range pl.members {
 		m := &pl.members[i]
 		free := withSlots(m.u.free())
-		if !room.Fits(free) || !st.allows(m.u) || (advised && !st.advised[m.u.ID].good) {
+		if m.reserved || !room.Fits(free) || !st.allows(m.u) || (advised && !st.advised[m.u.ID].good) {
 			continue
 		}
 		out = append(out, candidate{u: m.u, free: free, cost: m.cost + st.cost(m.u)})
@@ -265,6 +326,9 @@
 	disturbCost = 3.0
 	// packCost orders upstreams of like speed by the room that they have left.
 	packCost = 0.08
+	// acceleratorPackCost keeps whole upstreams free for gangs; a fifth of the
+	// accelerators is all that is left of them on a usual day.
+	acceleratorPackCost = 0.4
 	// avoidCost is added for the upstream on which the task failed last.
 	avoidCost = 2.0
 	// costStep is the resolution of speeds; smaller differences do not count.
@@ -288,7 +352,10 @@
 			cost += disturbCost
 		}
 	}
-	return cost + packCost*u.emptiness(st.spec.Each.Accelerators > 0)
+	if st.spec.Each.Accelerators > 0 {
+		return cost + acceleratorPackCost*u.emptiness(true)
+	}
+	return cost + packCost*u.emptiness(false)
 }
 
 // emptiness is the part of the upstream that is free, 0 to 1.
--- a/internal/state/scheduler/scheduler_test.go
+++ b/internal/state/scheduler/scheduler_test.go
@@ -239,3 +239,32 @@
 	w.play(900 * time.Millisecond)
 	is.Equal(w.jobs[jobID(100)].phase, ledger.Complete)
 }
+
+// TestGangIsNotStarvedBySingleTasks plays single tasks that ask for more than
+// all accelerators and a gang that needs two whole upstreams. The gang's
+// objective is 2 x 1 s and 0.5 s.
+func TestGangIsNotStarvedBySingleTasks(t *testing.T) {
+	is := is.New(t)
+	config := oneQueue(nil)
+	config.Queues[0].Priority = 2
+	config.Queues[0].Stretch = 8
+	gangs := config.Queues[0]
+	gangs.Name, gangs.Priority, gangs.Stretch = "gangs", 1, 2
+	config.Queues = append(config.Queues, gangs)
+	w := newWorld(t, config)
+	w.add(4, wide)
+	one := state.Vector{CPUMilli: 1000, MemoryMB: 1, Accelerators: 1, Slots: 1}
+	eight := state.Vector{CPUMilli: 8000, MemoryMB: 1, Accelerators: 8, Slots: 1}
+	for i := range 200 {
+		w.submit(&workload.Job{ID: jobID(i), Steps: []workload.Step{tasksOf(2, one, 700)}})
+		if i == 100 {
+			w.submit(&workload.Job{ID: jobID(1000), Queue: "gangs", Workspace: "w", Steps: []workload.Step{{Count: 2, Each: eight, EstimateMS: 1000, Gang: true}}})
+		}
+		w.play(40 * time.Millisecond)
+	}
+	w.play(5 * time.Second)
+	gang := w.jobs[jobID(1000)]
+	is.Equal(gang.phase, ledger.Complete)
+	is.True(gang.ended-gang.at <= 2500*time.Millisecond)
+	is.Equal(w.phases()[ledger.Complete], 201)
+}
