Keep lives of upstreams and halves of gangs apart

Change: answers and recorded ends carry the life they belong to; a new owner stops incomplete gangs once every upstream was looked at; a leaving owner waits for its starts to be answered. Tests: TestAnswerOfAFormerLifeIsLeftAside, TestEndsAreReportedOnce, TestIncompleteGangIsStartedAgain.

--- a/internal/coordination/dispatch/link.go
+++ b/internal/coordination/dispatch/link.go
@@ -28,10 +28,13 @@
 	// reported is the newest end handed to the scheduler, recorded the newest
 	// one that the log holds.
 	reported, recorded int64
-	active, close      bool
-	removed            bool
-	kick               chan struct{}
-	failures           int
+	// life counts the lives of the upstream. What was said in a former one, and
+	// ends of it that are recorded, mean nothing for this one.
+	life          int
+	active, close bool
+	removed       bool
+	kick          chan struct{}
+	failures      int
 }
 
 func newLink() *link { return &link{kick: make(chan struct{}, 1)} }
@@ -77,10 +80,12 @@
 	return deadline
 }
 
-// acknowledge takes in that the log holds the ends up to a number.
-func (l *link) acknowledge(number int64) {
+// acknowledge takes in that the log holds the ends of a life up to a number.
+func (l *link) acknowledge(life int, number int64) {
 	l.mu.Lock()
-	l.recorded = max(l.recorded, number)
+	if life == l.life {
+		l.recorded = max(l.recorded, number)
+	}
 	l.mu.Unlock()
 	l.wake()
 }
@@ -88,15 +93,16 @@
 // forgetLife starts the numbering of ends anew.
 func (l *link) forgetLife() {
 	l.mu.Lock()
+	l.life++
 	l.reported, l.recorded, l.clockMS = 0, 0, 0
 	l.mu.Unlock()
 }
 
-// fresh returns the ends that were not reported before and marks them as reported.
-func (l *link) fresh(ends []port.Ended) []port.Ended {
+// fresh returns the ends that were not reported before and marks them as
+// reported, and the life that they belong to.
+func (l *link) fresh(ends []port.Ended) (out []port.Ended, life int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	var out []port.Ended
 	newest := l.reported
 	for _, e := range ends {
 		if e.Number > l.reported {
@@ -105,5 +111,5 @@
 		}
 	}
 	l.reported = newest
-	return out
+	return out, l.life
 }
--- a/internal/coordination/dispatch/link_test.go
+++ b/internal/coordination/dispatch/link_test.go
@@ -32,10 +32,17 @@
 func TestEndsAreReportedOnce(t *testing.T) {
 	is := is.New(t)
 	l := newLink()
-	is.Equal(len(l.fresh([]port.Ended{{Number: 1}, {Number: 2}})), 2)
-	is.Equal(len(l.fresh([]port.Ended{{Number: 1}, {Number: 2}, {Number: 3}})), 1)
-	l.acknowledge(2)
+	ends, life := l.fresh([]port.Ended{{Number: 1}, {Number: 2}})
+	is.Equal(len(ends), 2)
+	ends, _ = l.fresh([]port.Ended{{Number: 1}, {Number: 2}, {Number: 3}})
+	is.Equal(len(ends), 1)
+	l.acknowledge(life, 2)
 	is.Equal(l.recorded, int64(2))
 	l.forgetLife()
-	is.Equal(len(l.fresh([]port.Ended{{Number: 1}})), 1) // numbers start anew
+	ends, next := l.fresh([]port.Ended{{Number: 1}})
+	is.Equal(len(ends), 1) // numbers start anew
+	l.acknowledge(life, 3)
+	is.Equal(l.recorded, int64(0)) // a former life's ends are recorded late
+	l.acknowledge(next, 1)
+	is.Equal(l.recorded, int64(1))
 }
--- a/internal/coordination/dispatch/looker.go
+++ b/internal/coordination/dispatch/looker.go
@@ -113,7 +113,7 @@
 	// A lease that is offered to an upstream that does not answer would put off
 	// the time at which its runs must have ended.
 	active := l.active && l.failures == 0
-	target, born := l.target, l.bornUnixMS
+	target, born, life := l.target, l.bornUnixMS, l.life
 	l.mu.Unlock()
 	sentAt := time.Now()
 	if active && o.mayExtend() {
@@ -134,6 +134,12 @@
 		o.post(func() { o.fenced("upstream " + string(id)) })
 		return false
 	}
+	l.mu.Lock()
+	outdated := life != l.life
+	l.mu.Unlock()
+	if outdated {
+		return false
+	}
 	restarted := l.sample(reply.ClockMS, now)
 	if restarted || (born != 0 && reply.BornUnixMS != 0 && reply.BornUnixMS != born) {
 		o.logger.Warn("upstream restarted", "upstream", id, "born", reply.BornUnixMS, "registered", born)
@@ -157,14 +163,14 @@
 
 // report hands what an upstream said to the control loop.
 func (o *owner) report(id workload.UpstreamID, l *link, reply *port.LookReply, sentAt time.Time) {
-	ends := l.fresh(reply.Ended)
+	ends, life := l.fresh(reply.Ended)
 	look := scheduler.Look{SentAt: o.at(sentAt), Running: reply.Running, Partial: reply.Partial}
 	newest := int64(0)
 	for _, e := range ends {
 		look.Ended = append(look.Ended, e.EndedRow)
 		newest = max(newest, e.Number)
 	}
-	o.post(func() { o.looked(id, l, look, newest) })
+	o.post(func() { o.looked(id, l, look, life, newest) })
 }
 
 // lookFailed counts a look without a usable answer.
--- a/internal/coordination/dispatch/looker_test.go
+++ b/internal/coordination/dispatch/looker_test.go
@@ -21,14 +21,21 @@
 	port.Upstreams
 	deaf  bool
 	looks []port.LookOrder
+	// during is called while a look is under way.
+	during func()
+	reply  port.LookReply
 }
 
 func (d *deafUpstreams) Look(_ context.Context, _ port.Target, order port.LookOrder) (port.LookReply, port.Reply, error) {
 	d.looks = append(d.looks, order)
+	if d.during != nil {
+		d.during()
+	}
 	if d.deaf {
 		return port.LookReply{}, port.Reply{}, errors.New("no answer")
 	}
-	return port.LookReply{ClockMS: 1000}, port.Reply{}, nil
+	d.reply.ClockMS = max(d.reply.ClockMS, 1000)
+	return d.reply, port.Reply{}, nil
 }
 
 // TestSilentUpstreamGetsNoLease: the leases on an upstream that has gone must
@@ -76,3 +83,18 @@
 	is.Equal(upstreams.looks[0].LastSeen, int64(0))
 	is.Equal(upstreams.looks[1].LastSeen, int64(40))
 }
+
+// TestAnswerOfAFormerLifeIsLeftAside: the registration of the new life overtakes
+// an answer of the old one, whose ends have large numbers.
+func TestAnswerOfAFormerLifeIsLeftAside(t *testing.T) {
+	is := is.New(t)
+	l := newLink()
+	upstreams := &deafUpstreams{during: l.forgetLife, reply: port.LookReply{Ended: []port.Ended{{Number: 45}}}}
+	o := &owner{
+		parts: &parts{upstreams: upstreams, lease: 5 * time.Second, logger: hclog.NewNullLogger()},
+		base:  time.Now(), ctx: context.Background(), signal: make(chan struct{}, 1), links: map[workload.UpstreamID]*link{},
+	}
+	o.replica = replica.New(nil, nil, hclog.NewNullLogger(), metrics.NewRegistry())
+	is.True(!o.lookOnce(context.Background(), "u", l, 0, false))
+	is.Equal(l.reported, int64(0))
+}
--- a/internal/coordination/dispatch/manager.go
+++ b/internal/coordination/dispatch/manager.go
@@ -432,7 +432,12 @@
 
 // release records the state and the end of the term. The control loop calls it.
 func (o *owner) release(done chan struct{}) {
-	if o.flushing || len(o.requests) > 0 {
+	if o.releaseBegan.IsZero() {
+		o.releaseBegan = time.Now()
+	}
+	// A gang of which only some members were started would wait in vain.
+	starting := o.starting > 0 && time.Since(o.releaseBegan) < callTimeout
+	if starting || o.flushing || len(o.requests) > 0 {
 		o.flush(time.Now().Add(heartbeat))
 		o.releasing = true
 		time.AfterFunc(finalFlushGap, func() { o.post(func() { o.release(done) }) })
--- a/internal/coordination/dispatch/orders.go
+++ b/internal/coordination/dispatch/orders.go
@@ -37,6 +37,7 @@
 		l.active = true
 		l.mu.Unlock()
 		order := port.StartOrder{Start: start, Epoch: o.epoch, DeadlineMS: l.deadline(time.Now(), o.lease)}
+		o.starting++
 		o.group.Go(func() { o.start(target, l, order) })
 	}
 }
@@ -65,6 +66,7 @@
 		o.logger.Info("start", "task", order.Task, "run", order.Number, "upstream", order.Upstream, "outcome", outcome, "reason", reply.Reason, "epoch", o.epoch)
 	}
 	o.post(func() {
+		o.starting--
 		if reply.Fenced {
 			o.fenced("upstream " + string(order.Upstream))
 		}
--- a/internal/coordination/dispatch/owner.go
+++ b/internal/coordination/dispatch/owner.go
@@ -78,6 +78,10 @@
 	advisors  advisorPool
 	linkCount atomic.Int64
 	releasing bool
+	// releaseBegan is when the owner began to give up ownership.
+	releaseBegan time.Time
+	// starting counts the starts that wait for an answer.
+	starting int
 
 	// requests are callers' records that wait for the next append.
 	requests []request
@@ -104,6 +108,7 @@
 // ack is an end that a link may forget once the log holds it.
 type ack struct {
 	link   *link
+	life   int
 	number int64
 }
 
@@ -337,7 +342,7 @@
 }
 
 // looked takes in what an upstream said.
-func (o *owner) looked(id workload.UpstreamID, l *link, look scheduler.Look, newest int64) {
+func (o *owner) looked(id workload.UpstreamID, l *link, look scheduler.Look, life int, newest int64) {
 	if o.links[id] != l {
 		return
 	}
@@ -347,7 +352,7 @@
 	o.metrics.ends.Inc(int64(len(look.Ended)))
 	o.sched.Looked(o.now(), id, look)
 	if newest > 0 {
-		o.acks = append(o.acks, ack{l, newest})
+		o.acks = append(o.acks, ack{l, life, newest})
 	}
 }
 
@@ -450,7 +455,7 @@
 			return
 		}
 		for _, a := range acks {
-			a.link.acknowledge(a.number)
+			a.link.acknowledge(a.life, a.number)
 		}
 		o.post(func() { o.flushed(requests, ended) })
 	})
--- a/internal/state/scheduler/plan.go
+++ b/internal/state/scheduler/plan.go
@@ -121,6 +121,9 @@
 		return
 	}
 	waiting, uncertain := s.waiting(now, st, blocked[q.Service])
+	if st.spec.Gang && !uncertain && s.stopIncomplete(now, st) {
+		return
+	}
 	if len(waiting) == 0 {
 		if !uncertain {
 			delete(s.ready, st)
@@ -159,11 +162,10 @@
 // waiting returns the tasks that have no run and may get one. uncertain says
 // that others are held back because they may run where nobody could look yet.
 func (s *Scheduler) waiting(now state.Time, st *step, blocked bool) (out []*task, uncertain bool) {
+	gangRuns := false
 	for _, t := range st.tasks {
 		if t.done || len(t.runs) > 0 {
-			if st.spec.Gang && len(t.runs) > 0 {
-				return nil, false
-			}
+			gangRuns = gangRuns || len(t.runs) > 0
 			continue
 		}
 		if t.uncertain && (blocked || s.heldElsewhere(now, t)) {
@@ -172,12 +174,31 @@
 		}
 		out = append(out, t)
 	}
-	if uncertain && st.spec.Gang {
+	if st.spec.Gang && (uncertain || gangRuns) {
 		out = nil
 	}
 	return out, uncertain
 }
 
+// stopIncomplete stops the members of a gang of which not all run. An owner
+// starts all members at once, but may die in between. It reports whether
+// members run at all.
+func (s *Scheduler) stopIncomplete(now state.Time, st *step) bool {
+	missing := false
+	var runs []*run
+	for _, t := range st.tasks {
+		missing = missing || (len(t.runs) == 0 && !t.done)
+		runs = append(runs, t.runs...)
+	}
+	if !missing {
+		return false
+	}
+	for _, r := range runs {
+		s.stop(now, r)
+	}
+	return len(runs) > 0
+}
+
 // heldElsewhere reports whether the newest run of an adopted task may be alive
 // on an upstream that is not listed. Registrations lapse while the log is away.
 func (s *Scheduler) heldElsewhere(now state.Time, t *task) bool {
--- a/internal/state/scheduler/takeover_test.go
+++ b/internal/state/scheduler/takeover_test.go
@@ -91,6 +91,22 @@
 	is.Equal(w.s.Counts().Jobs, 0)
 }
 
+// TestIncompleteGangIsStartedAgain: the former owner died while it started the
+// members of a gang.
+func TestIncompleteGangIsStartedAgain(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, oneQueue(nil))
+	w.add(3, wide)
+	w.submit(&workload.Job{ID: jobID(1), Steps: []workload.Step{{Count: 3, Each: cores(20), EstimateMS: 200, Gang: true}}})
+	w.play(20 * time.Millisecond)
+	is.Equal(w.running(jobID(1)), 3)
+	missing := w.upstreams[1]
+	clear(missing.running) // this start never arrived
+	w.takeOver()
+	w.play(time.Second)
+	is.Equal(w.jobs[jobID(1)].phase, ledger.Complete)
+}
+
 // TestUnlistedUpstreamHoldsBackItsTasks: registrations lapse while the log is
 // away; a run that the log shows on an unlisted upstream may be alive.
 func TestUnlistedUpstreamHoldsBackItsTasks(t *testing.T) {
