Record waiting requests before ownership is released

Cause, found by reading release(): while an append was under way the guard against planning also kept the waiting requests from ever being appended, so a planned stop took its whole time-out and its callers got no clear outcome. Change: a leaving owner appends them as soon as the log is free. Test: TestReleaseRecordsWaitingRequests.

--- a/internal/coordination/dispatch/manager.go
+++ b/internal/coordination/dispatch/manager.go
@@ -437,13 +437,14 @@
 	}
 	// A gang of which only some members were started would wait in vain.
 	starting := o.starting > 0 && time.Since(o.releaseBegan) < callTimeout
-	if starting || o.flushing || len(o.requests) > 0 {
-		o.flush(time.Now().Add(heartbeat))
-		o.releasing = true
+	o.releasing = true
+	if !o.flushing && len(o.requests) > 0 {
+		o.startFlush(time.Now())
+	}
+	if starting || o.flushing {
 		time.AfterFunc(finalFlushGap, func() { o.post(func() { o.release(done) }) })
 		return
 	}
-	o.releasing = true
 	successor := o.successor()
 	o.claim.Released, o.claim.Successor = true, successor.Name
 	ids, states := o.sched.Changed(time.Now().UnixMilli())
--- /dev/null
+++ b/internal/coordination/dispatch/release_test.go
@@ -0,0 +1,96 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/matryer/is"
+	metrics "github.com/rcrowley/go-metrics"
+
+	"github.com/samphirerail/samphirerail/internal/coordination/port"
+	"github.com/samphirerail/samphirerail/internal/coordination/replica"
+	"github.com/samphirerail/samphirerail/internal/state/ledger"
+	"github.com/samphirerail/samphirerail/internal/state/workload"
+)
+
+// slowLog takes a while for each append and remembers the records in order.
+type slowLog struct {
+	port.Log
+	delay time.Duration
+	mu    sync.Mutex
+	keys  []string
+}
+
+func (l *slowLog) Append(_ context.Context, a port.Append) (int64, error) {
+	time.Sleep(l.delay)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, r := range a.Records {
+		l.keys = append(l.keys, r.Key)
+	}
+	return int64(len(l.keys)), nil
+}
+
+func (l *slowLog) Read(ctx context.Context, _ port.Topic, from int64, _ time.Duration) (port.Batch, error) {
+	<-ctx.Done()
+	return port.Batch{Next: from}, ctx.Err()
+}
+
+func (l *slowLog) Newest(context.Context, port.Topic) (port.Batch, error) {
+	return port.Batch{Records: []ledger.Record{{Key: "nobody"}}}, nil
+}
+
+type anyConfig struct{}
+
+func (anyConfig) Config(ledger.Record) (*workload.Config, error) {
+	return &workload.Config{Version: 1}, nil
+}
+
+func (anyConfig) Upstream(ledger.Record) (workload.Upstream, error) {
+	return workload.Upstream{}, errors.New("no registration")
+}
+
+// TestReleaseRecordsWaitingRequests: what callers handed to an owner that is
+// asked to leave is recorded before it leaves, also while an append is under way.
+func TestReleaseRecordsWaitingRequests(t *testing.T) {
+	is := is.New(t)
+	log := &slowLog{delay: 60 * time.Millisecond}
+	r := replica.New(log, anyConfig{}, hclog.NewNullLogger(), metrics.NewRegistry())
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go r.Run(ctx)
+	for !r.Health().Loaded {
+		time.Sleep(time.Millisecond)
+	}
+	m := NewManager(Config{Log: log, Decoder: anyConfig{}, Replica: r, Name: "self", Lease: 5 * time.Second, Logger: hclog.NewNullLogger(), Registry: metrics.NewRegistry()})
+	done := make(chan struct{})
+	go func() {
+		m.serve(context.Background(), ledger.Claim{Epoch: 70_000, Entry: "self"})
+		close(done)
+	}()
+	for m.owner() == nil {
+		time.Sleep(time.Millisecond)
+	}
+	var group sync.WaitGroup
+	for _, id := range []workload.JobID{"00000000000000aa", "00000000000000bb", "00000000000000cc"} {
+		record, err := ledger.JobRecord(&workload.Job{ID: id, Steps: []workload.Step{{Count: 1}}})
+		is.NoErr(err)
+		group.Go(func() {
+			if err := m.Record(context.Background(), record); err != nil {
+				t.Error(err)
+			}
+		})
+		time.Sleep(20 * time.Millisecond) // the later ones wait for the append of the first
+	}
+	close(m.done)
+	began := time.Now()
+	m.Stop(context.Background())
+	group.Wait()
+	<-done
+	is.True(time.Since(began) < time.Second)
+	is.Equal(log.keys[len(log.keys)-1], "owner") // the release comes last
+}
