Hand the upstreams that could not be looked at to the next owner

Change: the claim lists the upstreams that were not looked at since a takeover, and the next claim takes the list over. A larger entry is looked for outside the append of state, where a release could have crossed it. Test: TestUnsettledUpstreamsAreInherited.

--- a/internal/coordination/dispatch/manager.go
+++ b/internal/coordination/dispatch/manager.go
@@ -48,6 +48,8 @@
 	// processor share; the state of a new owner is complete by then.
 	yieldAfter  = 5 * time.Second
 	yieldFactor = 1.6
+	// yieldCheck is how often an owner looks for a larger entry.
+	yieldCheck = 2 * time.Second
 	// askOwnerTimeout bounds the question to an owner of which the log shows
 	// nothing.
 	askOwnerTimeout = 500 * time.Millisecond
@@ -240,8 +242,8 @@
 func (m *Manager) claim(ctx context.Context) (ledger.Claim, bool) {
 	old := m.newestClaim()
 	claim := ledger.Claim{
-		Epoch: (old.Epoch/epochStep+1)*epochStep + rand.Int64N(epochStep-1) + 1,
-		Entry: m.cfg.Name, Incarnation: m.cfg.Incarnation, Address: m.cfg.Address, Domain: m.cfg.Domain,
+		Epoch:     (old.Epoch/epochStep+1)*epochStep + rand.Int64N(epochStep-1) + 1,
+		Unsettled: old.Unsettled, Entry: m.cfg.Name, Incarnation: m.cfg.Incarnation, Address: m.cfg.Address, Domain: m.cfg.Domain,
 	}
 	record, err := ledger.ClaimRecord(&claim)
 	if err != nil {
@@ -421,9 +423,10 @@
 
 // yieldIfSmall gives up ownership if a clearly larger entry could take it.
 func (o *owner) yieldIfSmall(now time.Time) {
-	if o.releasing || o.at(now) < yieldAfter {
+	if o.releasing || o.at(now) < yieldAfter || now.Sub(o.yieldCheckedAt) < yieldCheck {
 		return
 	}
+	o.yieldCheckedAt = now
 	if best := o.largest(); len(best) > 0 && best[0].CPUShare > yieldFactor*o.cpuShare {
 		o.logger.Info("ownership yielded", "epoch", o.epoch, "cpu_share", o.cpuShare, "larger", best[0].CPUShare)
 		o.release(make(chan struct{}))
--- a/internal/coordination/dispatch/owner.go
+++ b/internal/coordination/dispatch/owner.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -73,6 +74,8 @@
 	plannedAt time.Time
 	planPause time.Duration
 	expiredAt time.Time
+	// yieldCheckedAt is when larger entries were looked for last.
+	yieldCheckedAt time.Time
 	// contactAt is the newest successful append, in nanoseconds since base.
 	contactAt atomic.Int64
 	advisors  advisorPool
@@ -154,6 +157,7 @@
 	o.sched = scheduler.New(p.replica.Config(), scheduler.Options{
 		FirstRun:       p.firstRun(claim.Epoch),
 		Lookup:         o.lookup,
+		Unsettled:      claim.Unsettled,
 		UncertainUntil: contactGrace + time.Duration(float64(p.lease)*slowClock) + callTimeout,
 	})
 	o.advisors.init(p)
@@ -293,6 +297,7 @@
 		o.planPause = max(planGap, planShare*took)
 	}
 	o.flush(now)
+	o.yieldIfSmall(now)
 	if o.planDue {
 		time.AfterFunc(o.planPause, func() { o.post(func() {}) })
 	}
@@ -432,9 +437,9 @@
 		o.expiredAt = now
 		maps.DeleteFunc(o.final, func(_ workload.JobID, f finalPhase) bool { return now.Sub(f.at) > expireInterval })
 		o.expire(now)
-		o.yieldIfSmall(now)
 	}
-	if len(records) == 0 {
+	if unsettled := o.sched.Unsettled(o.at(now)); len(records) == 0 || !slices.Equal(unsettled, o.claim.Unsettled) {
+		o.claim.Unsettled = unsettled
 		record, err := ledger.ClaimRecord(&o.claim)
 		if err != nil {
 			o.logger.Error("heartbeat not encoded", "error", err)
--- a/internal/state/ledger/record.go
+++ b/internal/state/ledger/record.go
@@ -45,6 +45,16 @@
 	Released bool
 	// Successor is the entry that should claim after a release; empty for any.
 	Successor string
+	// Unsettled are the upstreams that the owner, or one shortly before it, could
+	// not look at. Runs of a former owner may be alive there, though the
+	// platform's list has dropped them.
+	Unsettled []Unsettled
+}
+
+// Unsettled names an upstream that was not looked at since a takeover.
+type Unsettled struct {
+	ID      workload.UpstreamID
+	Service workload.ServiceName
 }
 
 // Entry is an entry process that takes part.
--- a/internal/state/scheduler/held.go
+++ b/internal/state/scheduler/held.go
@@ -1,9 +1,11 @@
 package scheduler
 
 import (
+	"cmp"
 	"slices"
 
 	"github.com/samphirerail/samphirerail/internal/state"
+	"github.com/samphirerail/samphirerail/internal/state/ledger"
 	"github.com/samphirerail/samphirerail/internal/state/workload"
 )
 
@@ -39,10 +41,32 @@
 
 // settleExpired settles everything once no run of a former owner can be alive.
 func (s *Scheduler) settleExpired(now state.Time) {
-	if len(s.held) == 0 || now < s.opts.UncertainUntil {
+	if now < s.opts.UncertainUntil {
 		return
 	}
 	for id := range s.held {
 		s.settleAt(id)
 	}
+	for _, u := range s.opts.Unsettled {
+		if placeholder := s.upstreams[u.ID]; placeholder != nil && !placeholder.listed && !placeholder.known && len(placeholder.runs) == 0 {
+			s.dropUpstream(placeholder)
+		}
+	}
+	s.opts.Unsettled = nil
+}
+
+// Unsettled returns the upstreams on which runs of a former owner may be alive,
+// in a fixed order.
+func (s *Scheduler) Unsettled(now state.Time) []ledger.Unsettled {
+	if now >= s.opts.UncertainUntil {
+		return nil
+	}
+	var out []ledger.Unsettled
+	for _, u := range s.upstreams {
+		if !u.known {
+			out = append(out, ledger.Unsettled{ID: u.ID, Service: u.Service})
+		}
+	}
+	slices.SortFunc(out, func(a, b ledger.Unsettled) int { return cmp.Compare(a.ID, b.ID) })
+	return out
 }
--- a/internal/state/scheduler/model.go
+++ b/internal/state/scheduler/model.go
@@ -91,9 +91,8 @@
 	figure int64
 	// pace is the share at which the run was ordered to work, in percent.
 	pace int
-	// overAt is when a serving run was first seen over its target; 0 when it
-	// is not.
-	overAt state.Time
+	// pacedAt is when the pace was changed last.
+	pacedAt state.Time
 	// stopAgain is when an unanswered stop is ordered again; 0 while one is
 	// under way or was answered.
 	stopAgain state.Time
--- a/internal/state/scheduler/place.go
+++ b/internal/state/scheduler/place.go
@@ -47,7 +47,6 @@
 			return
 		}
 		best.free = best.free.Sub(p.step.spec.Room())
-		best.added++
 		p.assign(t, best.u, p.s.nextRun(t.lastRun))
 	}
 }
@@ -76,16 +75,7 @@
 // spread reports whether another task of the step may run on a candidate.
 func (p *placement) spread(c *candidate) bool {
 	most := p.step.spec.MaxPerUpstream
-	return most == 0 || p.step.perUpstream[c.u.ID]+c.plannedOnly() < most
-}
-
-// plannedOnly counts the tasks that a gang's trial placement put on the
-// candidate; single placements are counted by the step already.
-func (c *candidate) plannedOnly() int {
-	if c.added < 0 {
-		return -c.added
-	}
-	return 0
+	return most == 0 || p.step.perUpstream[c.u.ID]+c.trial < most
 }
 
 // gang places all tasks of a gang at once or none. It reports false if only
@@ -157,7 +147,7 @@
 			return nil
 		}
 		best.free = best.free.Sub(p.step.spec.Room())
-		best.added--
+		best.trial++
 		chosen = append(chosen, best.u)
 	}
 	return chosen
--- a/internal/state/scheduler/plan.go
+++ b/internal/state/scheduler/plan.go
@@ -335,8 +335,8 @@
 	u    *upstream
 	free state.Vector
 	cost float64
-	// added counts the tasks of the step that this placement puts there.
-	added int
+	// trial counts the members of a gang that a trial placement puts there.
+	trial int
 }
 
 const (
@@ -440,7 +440,7 @@
 			}
 		}
 		for _, r := range u.sortedRuns() {
-			if r.task.step.spec.Fills && r.phase == running && now-r.overAt >= paceInterval {
+			if r.task.step.spec.Fills && r.phase == running && now-r.pacedAt >= paceInterval {
 				s.setPace(now, r, worst, plan)
 			}
 		}
@@ -459,7 +459,7 @@
 		next = min(100, r.pace+paceUpStep)
 	}
 	if next != r.pace {
-		r.pace, r.overAt = next, now
+		r.pace, r.pacedAt = next, now
 		plan.Paces = append(plan.Paces, Pace{r.Run, next})
 	}
 }
--- a/internal/state/scheduler/scheduler.go
+++ b/internal/state/scheduler/scheduler.go
@@ -17,6 +17,8 @@
 	FirstRun int64
 	// UncertainUntil is when no run of a former owner can be alive any more.
 	UncertainUntil state.Time
+	// Unsettled are upstreams that former owners could not look at.
+	Unsettled []ledger.Unsettled
 	// Lookup returns a job that the ledger holds but the scheduler does not, or
 	// nil. Runs of such a job take room until they are stopped.
 	Lookup func(id workload.JobID) *workload.Job
@@ -51,7 +53,7 @@
 
 // New returns a Scheduler without jobs and upstreams.
 func New(config *workload.Config, opts Options) *Scheduler {
-	return &Scheduler{
+	s := &Scheduler{
 		opts:      opts,
 		config:    config,
 		jobs:      map[workload.JobID]*job{},
@@ -63,6 +65,10 @@
 		held:      map[workload.UpstreamID][]*task{},
 		timed:     map[*step]struct{}{},
 	}
+	for _, u := range opts.Unsettled {
+		s.upstreams[u.ID] = &upstream{Upstream: workload.Upstream{ID: u.ID, Service: u.Service}, runs: map[workload.TaskID]*run{}}
+	}
+	return s
 }
 
 // SetConfig replaces the configuration.
--- a/internal/state/scheduler/share.go
+++ b/internal/state/scheduler/share.go
@@ -70,7 +70,7 @@
 	return longest
 }
 
-// limits reports whether the workspace may take more.
+// withinMaximum reports whether the workspace may have more running.
 func (s *Scheduler) withinMaximum(name workload.WorkspaceName, more state.Vector) bool {
 	w := s.config.Workspace(name)
 	if w == nil {
--- a/internal/state/scheduler/takeover_test.go
+++ b/internal/state/scheduler/takeover_test.go
@@ -132,6 +132,33 @@
 	is.Equal(len(holder.running), 1)
 }
 
+// TestUnsettledUpstreamsAreInherited: an owner that is cut off goes on for a
+// while and records nothing. The next owner can't look at the upstreams beside
+// it; by the time of the one after that, the platform's list has dropped them.
+func TestUnsettledUpstreamsAreInherited(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, oneQueue(nil))
+	w.add(2, wide)
+	w.submit(&workload.Job{ID: jobID(1), Steps: []workload.Step{tasksOf(1, cores(1), 60_000)}})
+	w.play(100 * time.Millisecond)
+	holder := w.upstreams[0]
+	if len(holder.running) == 0 {
+		holder = w.upstreams[1]
+	}
+	delete(w.recorded, jobID(1)) // the start was never recorded
+	w.takeOver(holder)
+	w.play(2 * time.Second)
+	w.s.RemoveUpstream(holder.reg.ID)
+	holder.unlisted = true
+	w.takeOver()
+	w.play(4 * time.Second) // the world reports a second run
+	is.Equal(w.running(jobID(1)), 1)
+	is.Equal(len(holder.running), 1)
+	clear(holder.running) // its lease has run out
+	w.play(2 * time.Second)
+	is.Equal(w.running(jobID(1)), 1)
+}
+
 // TestUnreachedRunsCountForTheirWorkspace: the world reports a workspace that
 // runs more than its maximum.
 func TestUnreachedRunsCountForTheirWorkspace(t *testing.T) {
--- a/internal/state/scheduler/world_test.go
+++ b/internal/state/scheduler/world_test.go
@@ -60,6 +60,8 @@
 	ended  []EndedRow
 	looked int
 	down   bool
+	// unlisted is set once the platform's list has dropped the upstream.
+	unlisted bool
 	// shown is set once the upstream was looked at in this term.
 	shown bool
 	// slowStop delays the end of stopped runs.
@@ -182,8 +184,9 @@
 // its ends again, also those that are recorded.
 func (w *world) takeOver(unreached ...*simUpstream) {
 	w.generation++
+	unsettled := w.s.Unsettled(w.now)
 	w.s = New(w.config, Options{
-		FirstRun: w.generation * 10_000, QuickAsks: 100, SlowAsks: 100, UncertainUntil: w.now + 5*time.Second,
+		Unsettled: unsettled, FirstRun: w.generation * 10_000, QuickAsks: 100, SlowAsks: 100, UncertainUntil: w.now + 5*time.Second,
 		Lookup: func(id workload.JobID) *workload.Job { return w.jobs[id].spec },
 	})
 	for id, j := range w.jobs {
@@ -191,7 +194,9 @@
 		w.s.AddJob(w.now, w.unix(), j.spec, &state, false, true)
 	}
 	for _, u := range w.upstreams {
-		w.s.SetUpstream(w.now, u.reg)
+		if !u.unlisted {
+			w.s.SetUpstream(w.now, u.reg)
+		}
 		u.looked, u.shown = 0, false
 		if slices.Contains(unreached, u) {
 			u.down = true
