Let a gang's faster members wait for the slower ones

The stop lines now carry why and percent: all were why=stalled percent=100. Members on faster upstreams reach 100 percent first and stay there until the slowest is done, which the stall check took for a fault.

Ruled out: cancelled jobs (left out of the count), upstreams that stand still (no run without a gang was stopped as stalled), lapsed leases (none).

Change: a gang's member that has no work left is not stalled. Each stop names its reason. TestGangWaitsForItsSlowestMember failed before.

--- a/internal/coordination/dispatch/orders.go
+++ b/internal/coordination/dispatch/orders.go
@@ -13,8 +13,8 @@
 // execute carries out a plan.
 func (o *owner) execute(plan scheduler.Plan) {
 	o.startAll(plan.Starts)
-	for _, run := range plan.Stops {
-		o.group.Go(func() { o.stop(run) })
+	for _, stop := range plan.Stops {
+		o.group.Go(func() { o.stop(stop) })
 	}
 	for _, pace := range plan.Paces {
 		o.group.Go(func() { o.pace(pace) })
@@ -75,7 +75,8 @@
 	l.wake()
 }
 
-func (o *owner) stop(run scheduler.Run) {
+func (o *owner) stop(stop scheduler.Stop) {
+	run := stop.Run
 	target, ok := o.target(run.Upstream)
 	if !ok {
 		return
@@ -84,7 +85,7 @@
 	defer cancel()
 	reply, err := o.upstreams.Stop(ctx, target, run, o.epoch)
 	answered := err == nil && reply.Outcome == scheduler.Accepted
-	o.logger.Info("stop", "task", run.Task, "run", run.Number, "upstream", run.Upstream, "answered", answered, "reason", reply.Reason, "error", err)
+	o.logger.Info("stop", "task", run.Task, "run", run.Number, "upstream", run.Upstream, "why", stop.Reason, "percent", stop.Percent, "answered", answered, "reason", reply.Reason, "error", err)
 	o.post(func() { o.sched.StopResult(o.now(), run, answered) })
 }
 
--- a/internal/state/scheduler/look.go
+++ b/internal/state/scheduler/look.go
@@ -112,7 +112,7 @@
 		}
 	case unsure:
 		if sentAt > r.since {
-			s.stop(now, r)
+			s.stop(now, r, StopUnanswered)
 		}
 	case stopping:
 		if r.stopAcked > 0 && sentAt > r.stopAcked {
@@ -145,7 +145,7 @@
 	if r.phase == running && r.canStall() && now-r.progressAt > stallAfter {
 		u.health.fault(now, stallFault)
 		r.task.avoid = u.ID
-		s.stop(now, r)
+		s.stop(now, r, StopStalled)
 	}
 }
 
@@ -156,6 +156,10 @@
 		return r.progress < 100
 	}
 	if spec.Gang {
+		if r.progress >= 100 {
+			// It waits for the slower members; all end together.
+			return false
+		}
 		for _, t := range r.task.step.tasks {
 			if len(t.runs) == 0 || t.runs[0].phase != running {
 				return false
@@ -173,7 +177,7 @@
 		t = s.ghostTask(row.Task)
 	}
 	if t == nil || u.runs[row.Task] != nil {
-		s.stops = append(s.stops, Run{row.Task, row.Run, u.ID})
+		s.stops = append(s.stops, Stop{Run: Run{row.Task, row.Run, u.ID}, Reason: StopUnwanted, Percent: row.Percent})
 		return nil
 	}
 	wanted := !t.done && !t.step.job.phase.Final() && len(t.runs) == 0
@@ -186,7 +190,7 @@
 	s.begin(t.step.job)
 	s.touch(t.step.job)
 	if !wanted {
-		s.stop(now, r)
+		s.stop(now, r, StopUnwanted)
 	}
 	return r
 }
--- a/internal/state/scheduler/model.go
+++ b/internal/state/scheduler/model.go
@@ -25,6 +25,39 @@
 	Ticket     string
 }
 
+// StopReason says why a run is stopped.
+type StopReason uint8
+
+// The reasons for a stop.
+const (
+	// StopJobEnded: the run's job or task needs it no more.
+	StopJobEnded StopReason = iota
+	// StopStalled: the run made no progress.
+	StopStalled
+	// StopGangBroken: another member of the gang ended or never started.
+	StopGangBroken
+	// StopUnwanted: the upstream lists a run that this owner did not order.
+	StopUnwanted
+	// StopUnanswered: the start got no answer and the run is not listed; the
+	// stop keeps a late start from being carried out.
+	StopUnanswered
+	// StopLeaving: the upstream leaves before the run could end.
+	StopLeaving
+)
+
+// String names the reason in logs.
+func (r StopReason) String() string {
+	return [...]string{"job-ended", "stalled", "gang-broken", "unwanted", "unanswered", "leaving"}[r]
+}
+
+// Stop is the order to stop a run.
+type Stop struct {
+	Run
+	Reason StopReason
+	// Percent is the newest progress that the upstream gave.
+	Percent int
+}
+
 // Ask is a call for advice about a step.
 type Ask struct {
 	Step      workload.StepID
@@ -50,7 +83,7 @@
 // Plan is what follows from the state.
 type Plan struct {
 	Starts []Start
-	Stops  []Run
+	Stops  []Stop
 	Asks   []Ask
 	Paces  []Pace
 	Ended  []Ended
@@ -93,6 +126,8 @@
 	pace int
 	// pacedAt is when the pace was changed last.
 	pacedAt state.Time
+	// stopReason is why the run was ordered to stop.
+	stopReason StopReason
 	// stopAgain is when an unanswered stop is ordered again; 0 while one is
 	// under way or was answered.
 	stopAgain state.Time
--- a/internal/state/scheduler/plan.go
+++ b/internal/state/scheduler/plan.go
@@ -194,7 +194,7 @@
 		return false
 	}
 	for _, r := range runs {
-		s.stop(now, r)
+		s.stop(now, r, StopGangBroken)
 	}
 	return len(runs) > 0
 }
@@ -399,7 +399,7 @@
 				continue
 			}
 			if spec.LongRunning || spec.Checkpoints {
-				s.stop(now, r)
+				s.stop(now, r, StopLeaving)
 			}
 		}
 	}
--- a/internal/state/scheduler/runs.go
+++ b/internal/state/scheduler/runs.go
@@ -57,7 +57,7 @@
 		s.touch(st.job)
 	}
 	if st.spec.Gang && !r.task.done {
-		s.stopMembers(now, st, r.Number)
+		s.stopMembers(now, st, r.Number, StopGangBroken)
 	}
 	s.wake(st)
 	if st.job.phase.Final() {
@@ -69,28 +69,32 @@
 }
 
 // stopMembers stops the members of a gang run that has lost a member.
-func (s *Scheduler) stopMembers(now state.Time, st *step, number int64) {
+func (s *Scheduler) stopMembers(now state.Time, st *step, number int64, reason StopReason) {
 	for _, t := range st.tasks {
 		for _, r := range append([]*run(nil), t.runs...) {
 			if r.Number == number {
-				s.stop(now, r)
+				s.stop(now, r, reason)
 			}
 		}
 	}
 }
 
 // stop orders a run to end. Its room stays taken until the upstream shows it.
-func (s *Scheduler) stop(now state.Time, r *run) {
+func (s *Scheduler) stop(now state.Time, r *run, reason StopReason) {
 	switch r.phase {
 	case awaiting:
 		s.release(now, r, false)
 	case stopping, over:
 	default:
-		r.phase, r.since = stopping, now
-		s.stops = append(s.stops, r.Run)
+		r.phase, r.since, r.stopReason = stopping, now, reason
+		s.stops = append(s.stops, r.stopOrder())
 	}
 }
 
+func (r *run) stopOrder() Stop {
+	return Stop{Run: r.Run, Reason: r.stopReason, Percent: r.progress}
+}
+
 // find returns a run that is under way, or nil.
 func (s *Scheduler) find(id Run) *run {
 	u := s.upstreams[id.Upstream]
@@ -175,7 +179,7 @@
 		for _, r := range u.runs {
 			if r.phase == stopping && r.stopAgain > 0 && now >= r.stopAgain {
 				r.stopAgain = 0
-				s.stops = append(s.stops, r.Run)
+				s.stops = append(s.stops, r.stopOrder())
 			}
 		}
 	}
@@ -207,7 +211,7 @@
 	for _, r := range u.sortedRuns() {
 		switch r.phase {
 		case starting, unsure:
-			s.stop(now, r)
+			s.stop(now, r, StopUnanswered)
 		case awaiting, running, stopping, over:
 			s.release(now, r, false)
 		}
--- a/internal/state/scheduler/scheduler.go
+++ b/internal/state/scheduler/scheduler.go
@@ -37,7 +37,7 @@
 	shares    map[workload.WorkspaceName]*share
 	dirty     []*job
 	ended     []Ended
-	stops     []Run
+	stops     []Stop
 	quickAsks int
 	slowAsks  int
 	// ready are the steps that may have tasks to place.
@@ -208,7 +208,7 @@
 			delete(s.timed, st)
 			for _, t := range st.tasks {
 				for _, r := range append([]*run(nil), t.runs...) {
-					s.stop(now, r)
+					s.stop(now, r, StopJobEnded)
 				}
 			}
 		}
--- a/internal/state/scheduler/scheduler_test.go
+++ b/internal/state/scheduler/scheduler_test.go
@@ -146,6 +146,23 @@
 	is.Equal(w.jobs[jobID(1)].phase, ledger.Complete)
 }
 
+// TestGangWaitsForItsSlowestMember plays a gang of which one member works 3 s
+// longer than the others, which have nothing left to do meanwhile.
+func TestGangWaitsForItsSlowestMember(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, oneQueue(nil))
+	w.add(3, wide)
+	w.speed = func(id workload.UpstreamID) float64 {
+		if id == "u002" {
+			return 4
+		}
+		return 1
+	}
+	w.submit(&workload.Job{ID: jobID(1), Steps: []workload.Step{{Count: 3, Each: cores(20), EstimateMS: 1000, Gang: true}}})
+	w.play(4200 * time.Millisecond)
+	is.Equal(w.jobs[jobID(1)].phase, ledger.Complete)
+}
+
 func TestCancelledJobIsStopped(t *testing.T) {
 	is := is.New(t)
 	w := newWorld(t, oneQueue(nil))
--- a/internal/state/scheduler/world_test.go
+++ b/internal/state/scheduler/world_test.go
@@ -165,7 +165,7 @@
 		w.start(start)
 	}
 	for _, stop := range p.Stops {
-		w.at(time.Millisecond, func() { w.stop(stop) })
+		w.at(time.Millisecond, func() { w.stop(stop.Run) })
 	}
 	for i := range p.Asks {
 		ask := p.Asks[i]
@@ -323,7 +323,7 @@
 			spec := w.jobs[id.Job].spec.Steps[id.Step]
 			switch {
 			case spec.LongRunning || r.stalled || !w.together(id, r):
-			case w.now >= r.began+r.length:
+			case w.now >= r.began+r.length && w.matesDue(id, r):
 				how := HowDone
 				if w.failing(Run{id, r.run, u.reg.ID}) {
 					how = HowFailed
@@ -333,7 +333,7 @@
 			}
 			row := RunningRow{Task: id, Run: r.run, Percent: 100}
 			if !spec.LongRunning && r.length > 0 {
-				row.Percent = int(100 * (w.now - r.began) / r.length)
+				row.Percent = int(min(100, 100*(w.now-r.began)/r.length))
 			}
 			if r.stalled {
 				row.Percent = 0
@@ -371,6 +371,22 @@
 	return present == spec.Count
 }
 
+// matesDue reports whether the other members of a gang have done their work; the
+// members end together.
+func (w *world) matesDue(id workload.TaskID, r *simRun) bool {
+	if !w.jobs[id.Job].spec.Steps[id.Step].Gang {
+		return true
+	}
+	for _, u := range w.upstreams {
+		for other, run := range u.running {
+			if other.StepID() == id.StepID() && run.run == r.run && w.now < run.began+run.length {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 func sortedTasks(runs map[workload.TaskID]*simRun) []workload.TaskID {
 	out := make([]workload.TaskID, 0, len(runs))
 	for id := range runs {
