Log what waiting tasks wait for

Change: a line a second with the owner's counts: tasks held back because an upstream was not looked at, by their workspace's maximum, for room, for advice.

--- a/internal/coordination/dispatch/owner.go
+++ b/internal/coordination/dispatch/owner.go
@@ -47,6 +47,9 @@
 	appendTimeout = 4 * time.Second
 	// expireInterval is how often ended jobs are looked for.
 	expireInterval = 5 * time.Second
+	// stateLogInterval is the least time between two log lines on the state of
+	// the placement.
+	stateLogInterval = time.Second
 )
 
 // owner is one term of ownership.
@@ -74,6 +77,8 @@
 	plannedAt time.Time
 	planPause time.Duration
 	expiredAt time.Time
+	// loggedAt is when the state was logged last.
+	loggedAt time.Time
 	// yieldCheckedAt is when larger entries were looked for last.
 	yieldCheckedAt time.Time
 	// contactAt is the newest successful append, in nanoseconds since base.
@@ -339,11 +344,18 @@
 		}
 	}
 	o.linkCount.Store(int64(len(o.links)))
-	c := o.sched.Counts()
+	c := o.sched.Counts(o.now())
 	o.metrics.jobs.Update(int64(c.Jobs))
 	o.metrics.runs.Update(int64(c.Runs))
 	o.metrics.ready.Update(int64(c.Ready))
 	o.metrics.silent.Update(int64(c.Silent))
+	if now := time.Now(); now.Sub(o.loggedAt) >= stateLogInterval {
+		o.loggedAt = now
+		w := c.Waiting
+		o.logger.Info("placement", "epoch", o.epoch, "jobs", c.Jobs, "ready_steps", c.Ready, "runs", c.Runs, "upstreams", c.Upstreams,
+			"silent", c.Silent, "avoided", c.Avoided, "wait_uncertain", w.Uncertain, "wait_maximum", w.Maximum, "wait_room", w.Room,
+			"wait_advice", w.Advice, "plan_pause_ms", o.planPause.Milliseconds())
+	}
 }
 
 // looked takes in what an upstream said.
--- a/internal/state/scheduler/place.go
+++ b/internal/state/scheduler/place.go
@@ -35,20 +35,23 @@
 	unticketed []workload.UpstreamID
 }
 
-// single places independent tasks, each where it costs least.
-func (p *placement) single(waiting []*task, candidates []candidate) {
+// single places independent tasks, each where it costs least. It returns how
+// many found no room.
+func (p *placement) single(waiting []*task, candidates []candidate) (left int) {
 	each := p.step.spec.Each
-	for _, t := range waiting {
+	for i, t := range waiting {
 		if !p.s.withinMaximum(p.step.job.spec.Workspace, each) {
-			return
+			p.s.waits.Maximum += len(waiting) - i
+			return 0
 		}
 		best := p.best(t, candidates)
 		if best == nil {
-			return
+			return len(waiting) - i
 		}
 		best.free = best.free.Sub(p.step.spec.Room())
 		p.assign(t, best.u, p.s.nextRun(t.lastRun))
 	}
+	return 0
 }
 
 // best returns the cheapest candidate with room, or nil.
--- a/internal/state/scheduler/plan.go
+++ b/internal/state/scheduler/plan.go
@@ -22,7 +22,7 @@
 	s.evacuate(now)
 	s.pace(now, &plan)
 	blocked := s.uncertainServices(now)
-	s.pools = map[workload.ServiceName]*pool{}
+	s.pools, s.waits = map[workload.ServiceName]*pool{}, Waiting{}
 	for _, st := range s.order(now) {
 		s.placeStep(now, st, blocked, &plan)
 	}
@@ -121,16 +121,18 @@
 		return
 	}
 	waiting, uncertain := s.waiting(now, st, blocked[q.Service])
-	if st.spec.Gang && !uncertain && s.stopIncomplete(now, st) {
+	s.waits.Uncertain += uncertain
+	if st.spec.Gang && uncertain == 0 && s.stopIncomplete(now, st) {
 		return
 	}
 	if len(waiting) == 0 {
-		if !uncertain {
+		if uncertain == 0 {
 			delete(s.ready, st)
 		}
 		return
 	}
 	if !s.withinMaximum(st.job.spec.Workspace, st.spec.Each) {
+		s.waits.Maximum += len(waiting)
 		return
 	}
 	pl := s.pool(now, q.Service)
@@ -139,11 +141,13 @@
 		s.askUnknown(now, st, q, pl, len(waiting), plan)
 	}
 	if !fits {
+		s.waits.Room += len(waiting)
 		pl.reserve(st, len(waiting), q.Advice != nil)
 		return
 	}
 	candidates := s.candidates(st, pl, q.Advice != nil)
 	if len(candidates) == 0 {
+		s.countUnplaced(st, q, len(waiting))
 		pl.reserve(st, len(waiting), q.Advice != nil)
 		return
 	}
@@ -151,17 +155,27 @@
 	p := placement{s: s, now: now, step: st, advised: q.Advice != nil, plan: plan}
 	if st.spec.Gang {
 		if !p.gang(waiting, candidates) {
+			s.waits.Room += len(waiting)
 			pl.reserve(st, len(waiting), q.Advice != nil)
 		}
 	} else {
-		p.single(waiting, candidates)
+		s.waits.Room += p.single(waiting, candidates)
 	}
 	p.renew(q)
 }
 
-// waiting returns the tasks that have no run and may get one. uncertain says
-// that others are held back because they may run where nobody could look yet.
-func (s *Scheduler) waiting(now state.Time, st *step, blocked bool) (out []*task, uncertain bool) {
+// countUnplaced counts tasks that no candidate has room for.
+func (s *Scheduler) countUnplaced(st *step, q *workload.Queue, n int) {
+	if q.Advice != nil && len(st.advised) == 0 {
+		s.waits.Advice += n
+	} else {
+		s.waits.Room += n
+	}
+}
+
+// waiting returns the tasks that have no run and may get one. uncertain counts
+// others that are held back because they may run where nobody could look yet.
+func (s *Scheduler) waiting(now state.Time, st *step, blocked bool) (out []*task, uncertain int) {
 	gangRuns := false
 	for _, t := range st.tasks {
 		if t.done || len(t.runs) > 0 {
@@ -169,12 +183,12 @@
 			continue
 		}
 		if t.uncertain && (blocked || s.heldElsewhere(now, t)) {
-			uncertain = true
+			uncertain++
 			continue
 		}
 		out = append(out, t)
 	}
-	if st.spec.Gang && (uncertain || gangRuns) {
+	if st.spec.Gang && (uncertain > 0 || gangRuns) {
 		out = nil
 	}
 	return out, uncertain
--- a/internal/state/scheduler/scheduler.go
+++ b/internal/state/scheduler/scheduler.go
@@ -47,6 +47,8 @@
 	held map[workload.UpstreamID][]*task
 	// pools are the usable upstreams during a plan.
 	pools map[workload.ServiceName]*pool
+	// waits counts the tasks that the newest plan could not place.
+	waits Waiting
 	// timed are the steps whose occurrence is not due yet.
 	timed map[*step]struct{}
 }
@@ -318,15 +320,36 @@
 }
 
 // Counts are sizes for metrics and logs.
-type Counts struct{ Jobs, Ready, Upstreams, Runs, Silent int }
+type Counts struct {
+	Jobs, Ready, Upstreams, Runs int
+	// Silent counts the upstreams that are not reached, Avoided those that get
+	// no work because of recent faults.
+	Silent, Avoided int
+	// Waiting counts the tasks that the newest plan could not place.
+	Waiting Waiting
+}
+
+// Waiting counts tasks by what they wait for.
+type Waiting struct {
+	// Uncertain tasks may run on an upstream that was not looked at.
+	Uncertain int
+	// Maximum: their workspace runs as much as it may.
+	Maximum int
+	// Room: no upstream that may run them has room.
+	Room int
+	// Advice: no upstream is known yet that may run them.
+	Advice int
+}
 
-// Counts returns the sizes of the state.
-func (s *Scheduler) Counts() Counts {
-	c := Counts{Jobs: len(s.jobs), Ready: len(s.ready), Upstreams: len(s.upstreams)}
+// Counts returns the sizes of the state at a time.
+func (s *Scheduler) Counts(now state.Time) Counts {
+	c := Counts{Jobs: len(s.jobs), Ready: len(s.ready), Upstreams: len(s.upstreams), Waiting: s.waits}
 	for _, u := range s.upstreams {
 		c.Runs += len(u.runs)
 		if u.silent || !u.known {
 			c.Silent++
+		} else if u.health.recentFaults(now) >= avoidFaults {
+			c.Avoided++
 		}
 	}
 	return c
--- a/internal/state/scheduler/scheduler_test.go
+++ b/internal/state/scheduler/scheduler_test.go
@@ -173,7 +173,7 @@
 	w.s.Cancel(w.now, jobID(1))
 	w.play(50 * time.Millisecond)
 	is.Equal(w.running(jobID(1)), 0)
-	is.Equal(w.s.Counts().Jobs, 0) // nothing of it is kept
+	is.Equal(w.s.Counts(w.now).Jobs, 0) // nothing of it is kept
 }
 
 func TestLongRunningTaskIsRestarted(t *testing.T) {
--- a/internal/state/scheduler/takeover_test.go
+++ b/internal/state/scheduler/takeover_test.go
@@ -88,7 +88,7 @@
 	w.submit(&workload.Job{ID: jobID(2), Steps: []workload.Step{tasksOf(1, cores(4), 100)}})
 	w.play(2 * time.Second)
 	is.Equal(w.jobs[jobID(2)].phase, ledger.Complete)
-	is.Equal(w.s.Counts().Jobs, 0)
+	is.Equal(w.s.Counts(w.now).Jobs, 0)
 }
 
 // TestIncompleteGangIsStartedAgain: the former owner died while it started the
