Record starts before they are sent

Cause: after a takeover with 63 of 350 upstreams replaced, 1,700 to 4,800 tasks waited for 20 s (wait_uncertain in the placement lines): starts were recorded after the fact, so any task of an accepted job might run on any upstream that the new owner could not look at, and all of them were held back until the longest lease had ended.

Ruled out: the looks themselves (all reachable upstreams were known within 0.6 s of the takeover), room (0.4 of it free).

Change: a start is planned, recorded with the job's state, and sent once the log holds it. A new owner holds back only tasks that the log shows on an upstream that it has not looked at; such a mark is kept in the records of the owners that follow, so the list of unsettled upstreams in the claim goes. An upstream at whose address another one answers has ended, and its runs are given up at once. TestUnsettledUpstreamsAreInherited played a start that was never recorded, which cannot happen now; TestHeldTasksAreInherited, where the record is there and two owners in turn can't look, replaces it. The new tests TestUnreachedUpstreamHoldsBackOnlyItsTasks and TestOtherLifeAtTheAddressEndsTheRuns fail on the former code.

--- a/internal/coordination/dispatch/looker.go
+++ b/internal/coordination/dispatch/looker.go
@@ -183,5 +183,5 @@
 	if first {
 		o.logger.Warn("upstream lost", "upstream", id, "outcome", status.Outcome, "reason", status.Reason, "other_life", status.OtherLife, "error", err)
 	}
-	o.post(func() { o.lost(id, l, lapsed) })
+	o.post(func() { o.lost(id, l, lapsed, status.OtherLife) })
 }
--- a/internal/coordination/dispatch/manager.go
+++ b/internal/coordination/dispatch/manager.go
@@ -16,6 +16,7 @@
 	"github.com/samphirerail/samphirerail/internal/coordination/replica"
 	"github.com/samphirerail/samphirerail/internal/state"
 	"github.com/samphirerail/samphirerail/internal/state/ledger"
+	"github.com/samphirerail/samphirerail/internal/state/scheduler"
 	"github.com/samphirerail/samphirerail/internal/state/workload"
 )
 
@@ -242,8 +243,8 @@
 func (m *Manager) claim(ctx context.Context) (ledger.Claim, bool) {
 	old := m.newestClaim()
 	claim := ledger.Claim{
-		Epoch:     (old.Epoch/epochStep+1)*epochStep + rand.Int64N(epochStep-1) + 1,
-		Unsettled: old.Unsettled, Entry: m.cfg.Name, Incarnation: m.cfg.Incarnation, Address: m.cfg.Address, Domain: m.cfg.Domain,
+		Epoch: (old.Epoch/epochStep+1)*epochStep + rand.Int64N(epochStep-1) + 1,
+		Entry: m.cfg.Name, Incarnation: m.cfg.Incarnation, Address: m.cfg.Address, Domain: m.cfg.Domain,
 	}
 	record, err := ledger.ClaimRecord(&claim)
 	if err != nil {
@@ -448,6 +449,10 @@
 		time.AfterFunc(finalFlushGap, func() { o.post(func() { o.release(done) }) })
 		return
 	}
+	for _, start := range o.planned {
+		o.sched.StartResult(o.now(), start.Run, scheduler.Refused)
+	}
+	o.planned = nil
 	successor := o.successor()
 	o.claim.Released, o.claim.Successor = true, successor.Name
 	ids, states := o.sched.Changed(time.Now().UnixMilli())
--- a/internal/coordination/dispatch/orders.go
+++ b/internal/coordination/dispatch/orders.go
@@ -12,7 +12,7 @@
 
 // execute carries out a plan.
 func (o *owner) execute(plan scheduler.Plan) {
-	o.startAll(plan.Starts)
+	o.planned = append(o.planned, plan.Starts...)
 	for _, stop := range plan.Stops {
 		o.group.Go(func() { o.stop(stop) })
 	}
@@ -24,9 +24,13 @@
 	}
 }
 
-func (o *owner) startAll(starts []scheduler.Start) {
+// sendAll sends starts that the log holds.
+func (o *owner) sendAll(starts []scheduler.Start) {
 	for i := range starts {
 		start := starts[i]
+		if !o.sched.Sent(o.now(), start.Run) {
+			continue
+		}
 		l := o.links[start.Upstream]
 		if l == nil {
 			o.sched.StartResult(o.now(), start.Run, scheduler.Refused)
@@ -134,7 +138,7 @@
 			if err != nil {
 				o.metrics.askFails.Inc(1)
 			}
-			o.startAll(o.sched.Advised(o.now(), a, tickets.Good, o.at(until), err != nil))
+			o.planned = append(o.planned, o.sched.Advised(o.now(), a, tickets.Good, o.at(until), err != nil)...)
 		})
 	})
 }
--- a/internal/coordination/dispatch/owner.go
+++ b/internal/coordination/dispatch/owner.go
@@ -7,7 +7,6 @@
 	"context"
 	"errors"
 	"maps"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -25,7 +24,7 @@
 
 const (
 	// flushGap is the least time between two appends of the owner; each is
-	// priced. finalFlushGap holds when a job has ended.
+	// priced. finalFlushGap holds when a caller or a start waits for it.
 	flushGap      = 25 * time.Millisecond
 	finalFlushGap = 8 * time.Millisecond
 	// heartbeat is the longest time between two appends of the owner.
@@ -88,6 +87,8 @@
 	releasing bool
 	// releaseBegan is when the owner began to give up ownership.
 	releaseBegan time.Time
+	// planned holds the starts that wait to be recorded.
+	planned []scheduler.Start
 	// starting counts the starts that wait for an answer.
 	starting int
 
@@ -162,7 +163,6 @@
 	o.sched = scheduler.New(p.replica.Config(), scheduler.Options{
 		FirstRun:       p.firstRun(claim.Epoch),
 		Lookup:         o.lookup,
-		Unsettled:      claim.Unsettled,
 		UncertainUntil: contactGrace + time.Duration(float64(p.lease)*slowClock) + callTimeout,
 	})
 	o.advisors.init(p)
@@ -247,7 +247,7 @@
 func (o *owner) seed(t *ledger.Table) {
 	n := 0
 	t.Rows(func(row *ledger.Row) {
-		o.take(row.Job, &row.State, row.Cancelled, true)
+		o.take(row.Job, &row.State, row.Cancelled)
 		n++
 	})
 	o.logger.Info("ownership taken", "epoch", o.epoch, "jobs", n)
@@ -259,17 +259,24 @@
 	return row.Job
 }
 
-// take hands a job to the scheduler, once in a term.
-func (o *owner) take(job *workload.Job, recorded *ledger.JobState, cancelled, adopted bool) {
+// take hands a job to the scheduler, once in a term. It reports whether the job
+// was new.
+func (o *owner) take(job *workload.Job, recorded *ledger.JobState, cancelled bool) bool {
 	if _, ok := o.taken[job.ID]; ok {
-		return
+		return false
 	}
 	o.taken[job.ID] = struct{}{}
-	unix := time.Now().UnixMilli()
-	o.sched.AddJob(o.now(), unix, job, recorded, cancelled, adopted)
-	if !adopted {
-		o.logger.Info("job taken up", "job", job.ID, "queue", job.Queue, "workspace", job.Workspace, "cancelled", cancelled, "age_ms", unix-job.SubmittedUnixMS)
+	o.sched.AddJob(o.now(), time.Now().UnixMilli(), job, recorded, cancelled)
+	return true
+}
+
+// takeNew takes up a job that was accepted during this term.
+func (o *owner) takeNew(job *workload.Job, recorded *ledger.JobState, cancelled bool) {
+	if !o.take(job, recorded, cancelled) {
+		return
 	}
+	age := time.Now().UnixMilli() - job.SubmittedUnixMS
+	o.logger.Info("job taken up", "job", job.ID, "queue", job.Queue, "workspace", job.Workspace, "cancelled", cancelled, "age_ms", age)
 }
 
 func (o *owner) drain() {
@@ -315,7 +322,7 @@
 		case c.NewClaim != nil && c.NewClaim.Epoch > o.epoch:
 			o.fenced("claim of " + c.NewClaim.Entry)
 		case c.NewJob != nil:
-			o.take(c.NewJob.Job, &c.NewJob.State, c.NewJob.Cancelled, false)
+			o.takeNew(c.NewJob.Job, &c.NewJob.State, c.NewJob.Cancelled)
 		case c.CancelledJob != "":
 			o.sched.Cancel(o.now(), c.CancelledJob)
 			o.logger.Info("job cancelled", "job", c.CancelledJob)
@@ -353,7 +360,7 @@
 		o.loggedAt = now
 		w := c.Waiting
 		o.logger.Info("placement", "epoch", o.epoch, "jobs", c.Jobs, "ready_steps", c.Ready, "runs", c.Runs, "upstreams", c.Upstreams,
-			"silent", c.Silent, "avoided", c.Avoided, "wait_uncertain", w.Uncertain, "wait_maximum", w.Maximum, "wait_room", w.Room,
+			"silent", c.Silent, "avoided", c.Avoided, "wait_held", w.Held, "wait_maximum", w.Maximum, "wait_room", w.Room,
 			"wait_advice", w.Advice, "plan_pause_ms", o.planPause.Milliseconds())
 	}
 }
@@ -373,15 +380,19 @@
 	}
 }
 
-// lost takes in that an upstream did not answer.
-func (o *owner) lost(id workload.UpstreamID, l *link, lapsed bool) {
+// lost takes in that an upstream did not answer. lapsed says that the leases that
+// this owner gave have run out, replaced that another upstream answers at its
+// address, which it only gets once the former one has ended.
+func (o *owner) lost(id workload.UpstreamID, l *link, lapsed, replaced bool) {
 	if o.links[id] != l {
 		return
 	}
 	o.sched.Silent(id)
 	any, _ := o.sched.HasRuns(id)
-	if any && lapsed && o.now() > o.sched.UncertainUntil() {
-		o.logger.Warn("leases lapsed", "upstream", id)
+	if replaced || (any && lapsed && o.now() > o.sched.UncertainUntil()) {
+		if any {
+			o.logger.Warn("runs given up", "upstream", id, "lapsed", lapsed, "replaced", replaced)
+		}
 		o.sched.Lapsed(o.now(), id)
 	}
 	o.dropLinkIfGone(id, l)
@@ -403,7 +414,7 @@
 	}
 	dirty, final := o.sched.Dirty()
 	dirty = dirty || len(o.acks) > 0
-	final = final || len(o.requests) > 0
+	final = final || len(o.requests) > 0 || len(o.planned) > 0
 	dirty = dirty || final
 	since := now.Sub(o.flushedAt)
 	gap := heartbeat
@@ -450,8 +461,7 @@
 		maps.DeleteFunc(o.final, func(_ workload.JobID, f finalPhase) bool { return now.Sub(f.at) > expireInterval })
 		o.expire(now)
 	}
-	if unsettled := o.sched.Unsettled(o.at(now)); len(records) == 0 || !slices.Equal(unsettled, o.claim.Unsettled) {
-		o.claim.Unsettled = unsettled
+	if len(records) == 0 {
 		record, err := ledger.ClaimRecord(&o.claim)
 		if err != nil {
 			o.logger.Error("heartbeat not encoded", "error", err)
@@ -459,8 +469,8 @@
 		}
 		records = append(records, record)
 	}
-	acks := o.acks
-	o.acks = nil
+	acks, starts := o.acks, o.planned
+	o.acks, o.planned = nil, nil
 	o.flushing, o.flushedAt = true, now
 	entry := port.Append{Topic: port.TopicJobs, Records: records, Fence: &port.Fence{Epoch: o.epoch, Seq: o.seq}, At: port.AnyOffset}
 	o.seq++
@@ -474,7 +484,7 @@
 		for _, a := range acks {
 			a.link.acknowledge(a.life, a.number)
 		}
-		o.post(func() { o.flushed(requests, ended) })
+		o.post(func() { o.flushed(requests, ended, starts) })
 	})
 }
 
@@ -482,15 +492,16 @@
 var errNotRecorded = errors.New("dispatch: ownership ended before the log answered; the record may still be written")
 
 // flushed takes in that an append is done.
-func (o *owner) flushed(requests []request, ended []scheduler.Ended) {
+func (o *owner) flushed(requests []request, ended []scheduler.Ended, starts []scheduler.Start) {
 	o.flushing = false
+	o.sendAll(starts)
 	for _, e := range ended {
 		o.final[e.Job] = finalPhase{e.Phase, time.Now()}
 	}
 	for _, r := range requests {
 		switch {
 		case r.job != nil:
-			o.take(r.job, &ledger.JobState{}, false, false)
+			o.takeNew(r.job, &ledger.JobState{}, false)
 		case r.cancel != "":
 			o.sched.Cancel(o.now(), r.cancel)
 			o.logger.Info("job cancelled", "job", r.cancel)
--- a/internal/state/ledger/record.go
+++ b/internal/state/ledger/record.go
@@ -45,16 +45,6 @@
 	Released bool
 	// Successor is the entry that should claim after a release; empty for any.
 	Successor string
-	// Unsettled are the upstreams that the owner, or one shortly before it, could
-	// not look at. Runs of a former owner may be alive there, though the
-	// platform's list has dropped them.
-	Unsettled []Unsettled
-}
-
-// Unsettled names an upstream that was not looked at since a takeover.
-type Unsettled struct {
-	ID      workload.UpstreamID
-	Service workload.ServiceName
 }
 
 // Entry is an entry process that takes part.
@@ -112,11 +102,11 @@
 	Index int
 	// Run is the number of the newest run.
 	Run int64
-	// Failures counts the runs that ended by a fault.
 	// Failed holds the runs that ended by a fault.
 	Failed     []int64
 	Checkpoint string
-	// Upstream runs the newest run, as far as the owner knew; "" for none.
+	// Upstream may run the newest run; "" for none. It is recorded before the
+	// run is started.
 	Upstream workload.UpstreamID
 }
 
--- a/internal/state/scheduler/look.go
+++ b/internal/state/scheduler/look.go
@@ -118,7 +118,7 @@
 		if r.stopAcked > 0 && sentAt > r.stopAcked {
 			s.release(now, r, false)
 		}
-	case awaiting, starting, over:
+	case awaiting, planned, starting, over:
 	}
 }
 
@@ -184,7 +184,6 @@
 	r := &run{Run: Run{row.Task, row.Run, u.ID}, task: t, phase: running, since: now, startedAt: now, pace: 100}
 	s.take(u, r)
 	t.lastRun = max(t.lastRun, row.Run)
-	t.uncertain = false
 	s.settle(t)
 	t.step.started = true
 	s.begin(t.step.job)
@@ -208,7 +207,7 @@
 	for k := range j.steps {
 		j.steps[k] = make([]*step, len(spec.Steps))
 		for i := range spec.Steps {
-			j.steps[k][i] = newStep(j, k, i, false)
+			j.steps[k][i] = newStep(j, k, i)
 		}
 	}
 	s.jobs[j.id] = j
@@ -275,7 +274,7 @@
 		if member.done {
 			continue
 		}
-		member.done, member.uncertain = true, false
+		member.done = true
 		s.settle(member)
 		st.left--
 	}
--- a/internal/state/scheduler/model.go
+++ b/internal/state/scheduler/model.go
@@ -17,7 +17,8 @@
 	Upstream workload.UpstreamID
 }
 
-// Start is the order to start a run.
+// Start is the order to start a run. It may be sent once the log holds the job's
+// state that came with it, and Sent allows it.
 type Start struct {
 	Run
 	Payload    string
@@ -95,6 +96,8 @@
 const (
 	// awaiting: capacity is reserved until a ticket arrives.
 	awaiting phase = iota
+	// planned: the order waits until the log holds it.
+	planned
 	// starting: the order was sent.
 	starting
 	// unsure: the order got no answer and may be carried out late.
@@ -113,8 +116,10 @@
 	phase phase
 	// since is when the phase began.
 	since state.Time
-	// startedAt is when the start was ordered.
+	// startedAt is when the order to start was sent.
 	startedAt state.Time
+	// ticketUntil is when the ticket of a planned start ends; 0 without one.
+	ticketUntil state.Time
 	// progress is the last figure that the upstream gave for the run, in
 	// percent, progressAt is when it last changed.
 	progress   int
@@ -147,14 +152,10 @@
 	runs       []*run
 	// avoid is the upstream on which the newest run ended badly.
 	avoid workload.UpstreamID
-	// uncertain tasks may run on an upstream that was not reached since the
-	// takeover.
-	uncertain bool
-	// heldAt is the upstream on which the log shows the newest run of an
-	// uncertain task; it need not be listed at the takeover.
+	// heldAt is the upstream on which the log shows the newest run, which may be
+	// alive there; "" once that upstream was looked at since the takeover. It
+	// need not be listed.
 	heldAt workload.UpstreamID
-	// counted is set while the task counts as held.
-	counted bool
 }
 
 func (t *task) id() workload.TaskID {
@@ -198,9 +199,7 @@
 	open      int       // steps that are not complete
 	phase     ledger.Phase
 	cancelled bool
-	// adopted jobs were accepted before the takeover.
-	adopted bool
-	begun   bool
+	begun     bool
 	// ghost jobs ended before the takeover; runs of theirs are still being
 	// stopped. Nothing is recorded about them.
 	ghost     bool
--- a/internal/state/scheduler/place.go
+++ b/internal/state/scheduler/place.go
@@ -169,11 +169,11 @@
 
 func (p *placement) startIfTicketed(r *run) {
 	if !p.advised {
-		p.start(r, "")
+		p.start(r, ticket{})
 		return
 	}
 	if tk := p.step.advised[r.Upstream]; tk.until > p.now+ticketMargin {
-		p.start(r, tk.token)
+		p.start(r, tk)
 		return
 	}
 	if !slices.Contains(p.unticketed, r.Upstream) {
@@ -197,17 +197,17 @@
 		}
 	}
 	for _, r := range runs {
-		p.start(r, p.step.advised[r.Upstream].token)
+		p.start(r, p.step.advised[r.Upstream])
 	}
 }
 
-func (p *placement) start(r *run, token string) {
-	r.phase, r.since, r.startedAt = starting, p.now, p.now
+func (p *placement) start(r *run, tk ticket) {
+	r.phase, r.since, r.ticketUntil = planned, p.now, tk.until
 	r.task.lastRun = max(r.task.lastRun, r.Number)
 	p.step.started = true
 	p.s.touch(p.step.job)
 	p.plan.Starts = append(p.plan.Starts, Start{
-		Run: r.Run, Payload: p.step.job.spec.Payload, Checkpoint: r.task.checkpoint, Ticket: token,
+		Run: r.Run, Payload: p.step.job.spec.Payload, Checkpoint: r.task.checkpoint, Ticket: tk.token,
 	})
 }
 
--- a/internal/state/scheduler/plan.go
+++ b/internal/state/scheduler/plan.go
@@ -21,31 +21,15 @@
 	s.repeatStops(now)
 	s.evacuate(now)
 	s.pace(now, &plan)
-	blocked := s.uncertainServices(now)
 	s.pools, s.waits = map[workload.ServiceName]*pool{}, Waiting{}
 	for _, st := range s.order(now) {
-		s.placeStep(now, st, blocked, &plan)
+		s.placeStep(now, st, &plan)
 	}
 	plan.Stops, s.stops = s.stops, nil
 	plan.Ended, s.ended = s.ended, nil
 	return plan
 }
 
-// uncertainServices returns the services of which an upstream was not reached
-// since the takeover. Adopted tasks of theirs may run there.
-func (s *Scheduler) uncertainServices(now state.Time) map[workload.ServiceName]bool {
-	if now >= s.opts.UncertainUntil {
-		return nil
-	}
-	blocked := map[workload.ServiceName]bool{}
-	for _, u := range s.upstreams {
-		if !u.known {
-			blocked[u.Service] = true
-		}
-	}
-	return blocked
-}
-
 // rank orders steps; less goes first.
 type rank struct {
 	overShare bool
@@ -115,18 +99,18 @@
 }
 
 // placeStep places the waiting tasks of a step as far as there is room.
-func (s *Scheduler) placeStep(now state.Time, st *step, blocked map[workload.ServiceName]bool, plan *Plan) {
+func (s *Scheduler) placeStep(now state.Time, st *step, plan *Plan) {
 	q := s.config.Queue(st.job.spec.Queue)
 	if q == nil || s.jobs[st.job.id] != st.job || st.job.phase.Final() {
 		return
 	}
-	waiting, uncertain := s.waiting(now, st, blocked[q.Service])
-	s.waits.Uncertain += uncertain
-	if st.spec.Gang && uncertain == 0 && s.stopIncomplete(now, st) {
+	waiting, held := st.waiting()
+	s.waits.Held += held
+	if st.spec.Gang && held == 0 && s.stopIncomplete(now, st) {
 		return
 	}
 	if len(waiting) == 0 {
-		if uncertain == 0 {
+		if held == 0 {
 			delete(s.ready, st)
 		}
 		return
@@ -173,25 +157,25 @@
 	}
 }
 
-// waiting returns the tasks that have no run and may get one. uncertain counts
-// others that are held back because they may run where nobody could look yet.
-func (s *Scheduler) waiting(now state.Time, st *step, blocked bool) (out []*task, uncertain int) {
+// waiting returns the tasks that have no run and may get one. held counts
+// others that may run where nobody could look yet.
+func (st *step) waiting() (out []*task, held int) {
 	gangRuns := false
 	for _, t := range st.tasks {
 		if t.done || len(t.runs) > 0 {
 			gangRuns = gangRuns || len(t.runs) > 0
 			continue
 		}
-		if t.uncertain && (blocked || s.heldElsewhere(now, t)) {
-			uncertain++
+		if t.heldAt != "" {
+			held++
 			continue
 		}
 		out = append(out, t)
 	}
-	if st.spec.Gang && (uncertain > 0 || gangRuns) {
+	if st.spec.Gang && (held > 0 || gangRuns) {
 		out = nil
 	}
-	return out, uncertain
+	return out, held
 }
 
 // stopIncomplete stops the members of a gang of which not all run. An owner
@@ -213,12 +197,6 @@
 	return len(runs) > 0
 }
 
-// heldElsewhere reports whether the newest run of an adopted task may be alive
-// on an upstream that is not listed. Registrations lapse while the log is away.
-func (s *Scheduler) heldElsewhere(now state.Time, t *task) bool {
-	return t.heldAt != "" && now < s.opts.UncertainUntil && s.upstreams[t.heldAt] == nil
-}
-
 // pool is the usable part of a service in the course of a plan.
 type pool struct {
 	members []member
--- a/internal/state/scheduler/runs.go
+++ b/internal/state/scheduler/runs.go
@@ -82,7 +82,7 @@
 // stop orders a run to end. Its room stays taken until the upstream shows it.
 func (s *Scheduler) stop(now state.Time, r *run, reason StopReason) {
 	switch r.phase {
-	case awaiting:
+	case awaiting, planned:
 		s.release(now, r, false)
 	case stopping, over:
 	default:
@@ -130,6 +130,22 @@
 	return [...]string{"accepted", "refused", "refused-ticket", "unhealthy", "unanswered"}[o]
 }
 
+// Sent takes in that a planned start, which the log holds now, is about to be
+// sent. It reports false if the run is not wanted any more or its ticket has
+// ended; the start must not be sent then.
+func (s *Scheduler) Sent(now state.Time, id Run) bool {
+	r := s.find(id)
+	if r == nil || r.phase != planned {
+		return false
+	}
+	if r.ticketUntil > 0 && now >= r.ticketUntil {
+		s.release(now, r, false)
+		return false
+	}
+	r.phase, r.since, r.startedAt = starting, now, now
+	return true
+}
+
 // StartResult takes in the answer to a start.
 func (s *Scheduler) StartResult(now state.Time, id Run, outcome Outcome) {
 	r := s.find(id)
@@ -212,7 +228,7 @@
 		switch r.phase {
 		case starting, unsure:
 			s.stop(now, r, StopUnanswered)
-		case awaiting, running, stopping, over:
+		case awaiting, planned, running, stopping, over:
 			s.release(now, r, false)
 		}
 	}
@@ -250,7 +266,7 @@
 	}
 	u.listed = false
 	s.unlist(u)
-	if len(u.runs) == 0 && u.known {
+	if len(u.runs) == 0 && len(s.held[id]) == 0 {
 		s.dropUpstream(u)
 	}
 }
@@ -271,13 +287,15 @@
 	}
 }
 
-// Lapsed takes in that the leases of all runs on an upstream have run out.
+// Lapsed takes in that no run on an upstream can be alive: their leases have run
+// out, or another life answers at its address.
 func (s *Scheduler) Lapsed(now state.Time, id workload.UpstreamID) {
 	u := s.upstreams[id]
 	if u == nil {
 		return
 	}
 	u.known = false
+	s.settleAt(id)
 	for _, r := range u.sortedRuns() {
 		s.release(now, r, false)
 	}
