Let one claim follow an ended one

An entry judged the old owner, asked it for up to 500 ms, and then claimed on top of whatever claim was the newest by then; the small entries' questions failed at once where those of the large ones timed out, so the small ones were first.

Ruled out: a claim that had lapsed (each deposed owner was alive and had reached the log).

Change: a claim names the claim that it follows, and is appended only if the log ends where the entry has just read it, without a newer claim in it. The owner is asked after 0.7 s of silence instead of 1.3 s, claims come after 1 s, and entries wait longer while a clearly larger one is there. TestOneClaimFollowsAnother covers the races on a fake log.

--- a/internal/coordination/dispatch/manager.go
+++ b/internal/coordination/dispatch/manager.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"hash/fnv"
 	"math/rand/v2"
 	"sync"
@@ -23,10 +24,16 @@
 const (
 	// ownerSilence is how long the log may show no sign of the owner until
 	// another entry claims; the owner writes at least every heartbeat.
-	ownerSilence = 1300 * time.Millisecond
+	ownerSilence = 1000 * time.Millisecond
+	// ownerDoubt is the silence after which the owner is asked; a question takes
+	// up to askOwnerTimeout.
+	ownerDoubt = 700 * time.Millisecond
 	// claimSpread keeps entries from claiming at the same moment; the
 	// preferred ones claim first.
 	claimSpread = 400 * time.Millisecond
+	// smallerDelay is how much longer entries wait while a clearly larger one is
+	// there, which may still be asking the owner.
+	smallerDelay = askOwnerTimeout + 200*time.Millisecond
 	// freeSpread divides the spread when the ownership is known to be free, so
 	// that little time is lost.
 	freeSpread = 4
@@ -34,8 +41,10 @@
 	freshRead = 1300 * time.Millisecond
 	// claimCheck is how often an entry looks whether it should claim.
 	claimCheck = 50 * time.Millisecond
-	// askedPause is how long an owner that has answered is believed.
-	askedPause = 300 * time.Millisecond
+	// askedPause is how long an answer of the owner, or its absence, holds.
+	askedPause = 600 * time.Millisecond
+	// claimAttempts bounds how often a claim is tried while others append.
+	claimAttempts = 6
 	// epochStep leaves room for a random part, so that two claims that follow
 	// the same one differ.
 	epochStep = 1 << 16
@@ -92,9 +101,11 @@
 	cfg   Config
 	parts *parts
 
-	// askedAt is when the owner was last asked whether it goes on; only Run
-	// uses it.
-	askedAt time.Time
+	// askedAt is when the owner of askedEpoch was last asked whether it goes on,
+	// and askedOwning its answer; only Run uses them.
+	askedAt     time.Time
+	askedEpoch  int64
+	askedOwning bool
 
 	mu      sync.Mutex
 	current *owner
@@ -137,8 +148,8 @@
 	retries := newClaimBackOff()
 	for ctx.Err() == nil && !m.isStopped() {
 		pause := claimCheck
-		if m.shouldClaim(delay) {
-			if claim, ok := m.claim(ctx); ok {
+		if old, ok := m.claimable(delay); ok {
+			if claim, ok := m.claim(ctx, old); ok {
 				retries.Reset()
 				m.serve(ctx, claim)
 			} else {
@@ -196,13 +207,14 @@
 	return m.stopped
 }
 
-// shouldClaim reports whether the ownership is free as far as the log shows.
-func (m *Manager) shouldClaim(delay time.Duration) bool {
+// claimable reports whether the ownership is free as far as the log shows, and
+// returns the claim that ended.
+func (m *Manager) claimable(delay time.Duration) (claim ledger.Claim, ok bool) {
 	h := m.cfg.Replica.Health()
 	if !h.Loaded || h.Age > freshRead {
-		return false
+		return claim, false
 	}
-	claim := m.newestClaim()
+	claim = m.newestClaim()
 	free := claim.Epoch == 0 || claim.Released
 	m.cfg.Replica.View(func(t *ledger.Table, _ int64) {
 		read, _ := t.Claim()
@@ -211,37 +223,59 @@
 	if claim.Entry == m.cfg.Name && claim.Incarnation != m.cfg.Incarnation {
 		free = true
 	}
-	if claim.Released && claim.Successor == m.cfg.Name {
-		return true
+	if m.succeeds(claim) {
+		return claim, true
 	}
 	if claim.Released && claim.Successor != "" && claim.Entry != m.cfg.Name {
 		free = false
 	}
+	if m.isSmall() {
+		delay += smallerDelay
+	}
 	if free {
-		return h.OwnerSilence > delay/freeSpread
+		return claim, h.OwnerSilence > delay/freeSpread
 	}
-	if h.OwnerSilence <= ownerSilence+delay || time.Since(m.askedAt) < askedPause {
-		return false
+	if h.OwnerSilence <= ownerDoubt || m.ownerAnswers(claim) {
+		return claim, false
 	}
-	return !m.ownerAnswers(claim)
+	return claim, m.cfg.Replica.Health().OwnerSilence > ownerSilence+delay
+}
+
+// succeeds reports whether a claim was released to this entry.
+func (m *Manager) succeeds(claim ledger.Claim) bool {
+	return claim.Released && claim.Successor == m.cfg.Name
+}
+
+// isSmall reports whether a clearly larger entry takes part.
+func (m *Manager) isSmall() (small bool) {
+	m.cfg.Replica.View(func(t *ledger.Table, _ int64) {
+		for _, e := range t.Entries() {
+			small = small || e.CPUShare > yieldFactor*m.cfg.CPUShare
+		}
+	})
+	return small
 }
 
 // ownerAnswers asks an owner that the log shows no sign of whether it goes on.
 // A slow log delays the signs of its life.
 func (m *Manager) ownerAnswers(claim ledger.Claim) bool {
+	if m.askedEpoch == claim.Epoch && time.Since(m.askedAt) < askedPause {
+		return m.askedOwning
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), askOwnerTimeout)
 	defer cancel()
 	owning, err := m.cfg.Peers.Owning(ctx, claim.Address)
 	m.cfg.Logger.Info("owner asked", "owner", claim.Entry, "epoch", claim.Epoch, "owning", owning, "error", err)
-	m.askedAt = time.Now()
-	return err == nil && owning
+	m.askedAt, m.askedEpoch, m.askedOwning = time.Now(), claim.Epoch, err == nil && owning
+	return m.askedOwning
 }
 
-// claim appends a claim and waits until the replica has read everything before
-// it. From the claim on the log refuses what former owners append. Of claims
-// that cross, the one with the largest epoch holds.
-func (m *Manager) claim(ctx context.Context) (ledger.Claim, bool) {
-	old := m.newestClaim()
+// claim appends a claim that follows an ended one and waits until the replica
+// has read everything before it. From the claim on the log refuses what former
+// owners append. Of claims that cross, the first holds, as each requires that
+// nothing was appended since its entry read the log; that of a named successor
+// needs no such condition.
+func (m *Manager) claim(ctx context.Context, old ledger.Claim) (ledger.Claim, bool) {
 	claim := ledger.Claim{
 		Epoch: (old.Epoch/epochStep+1)*epochStep + rand.Int64N(epochStep-1) + 1,
 		Entry: m.cfg.Name, Incarnation: m.cfg.Incarnation, Address: m.cfg.Address, Domain: m.cfg.Domain,
@@ -253,21 +287,60 @@
 	}
 	callCtx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
-	_, err = m.cfg.Log.Append(callCtx, port.Append{
-		Topic: port.TopicJobs, Records: []ledger.Record{record}, At: port.AnyOffset, Fence: &port.Fence{Epoch: claim.Epoch},
-	})
+	entry := port.Append{Topic: port.TopicJobs, Records: []ledger.Record{record}, At: port.AnyOffset, Fence: &port.Fence{Epoch: claim.Epoch}}
+	if m.succeeds(old) {
+		_, err = m.cfg.Log.Append(callCtx, entry)
+	} else {
+		err = m.appendFirst(callCtx, entry, old)
+	}
 	m.cfg.Logger.Info("claim", "epoch", claim.Epoch, "previous", old.Entry, "previous_epoch", old.Epoch, "error", err)
-	if errors.Is(err, port.ErrNotDone) || errors.Is(err, port.ErrFenced) {
+	var conflict *port.ConflictError
+	if errors.Is(err, port.ErrNotDone) || errors.Is(err, port.ErrFenced) || errors.Is(err, errOvertaken) || errors.As(err, &conflict) {
 		return claim, false
 	}
 	return claim, m.claimRead(callCtx, claim)
 }
 
+// errOvertaken: another entry has claimed.
+var errOvertaken = errors.New("dispatch: another entry has claimed the ownership; follow it")
+
+// appendFirst appends a claim if the log holds no newer one than old.
+func (m *Manager) appendFirst(ctx context.Context, entry port.Append, old ledger.Claim) (err error) {
+	for range claimAttempts {
+		var batch port.Batch
+		from := int64(0)
+		m.cfg.Replica.View(func(_ *ledger.Table, next int64) { from = next })
+		if batch, err = m.cfg.Log.Read(ctx, port.TopicJobs, from, 0); err != nil {
+			return fmt.Errorf("%w: the log was not read: %w", port.ErrNotDone, err)
+		}
+		if m.cfg.Replica.Claim().Epoch > old.Epoch || overtaken(batch.Records, old) {
+			return errOvertaken
+		}
+		entry.At = batch.Next
+		_, err = m.cfg.Log.Append(ctx, entry)
+		var conflict *port.ConflictError
+		if !errors.As(err, &conflict) {
+			return err
+		}
+	}
+	return err
+}
+
+// overtaken reports whether records hold a sign of an owner after a claim.
+func overtaken(records []ledger.Record, old ledger.Claim) bool {
+	for _, r := range records {
+		if claim, ok := ledger.ClaimOf(r); ok && (claim.Epoch > old.Epoch || (claim.Epoch == old.Epoch && !claim.Released)) {
+			return true
+		}
+	}
+	return false
+}
+
 // claimRead waits until the replica has read the claim, which may also have
 // been appended without an answer. It reports whether the claim still holds.
 func (m *Manager) claimRead(ctx context.Context, claim ledger.Claim) bool {
-	m.cfg.Replica.SetOwning(true)
-	defer m.cfg.Replica.SetOwning(false)
+	m.cfg.Replica.SetPace(replica.Claiming)
+	defer m.cfg.Replica.SetPace(replica.Following)
 	for ctx.Err() == nil {
 		switch newest := m.cfg.Replica.Claim().Epoch; {
 		case newest == claim.Epoch:
--- /dev/null
+++ b/internal/coordination/dispatch/manager_test.go
@@ -0,0 +1,88 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/matryer/is"
+	metrics "github.com/rcrowley/go-metrics"
+
+	"github.com/samphirerail/samphirerail/internal/coordination/port"
+	"github.com/samphirerail/samphirerail/internal/coordination/replica"
+	"github.com/samphirerail/samphirerail/internal/state/ledger"
+	"github.com/samphirerail/samphirerail/internal/state/workload"
+)
+
+// raceLog is a log to which others append between a read and an append.
+type raceLog struct {
+	port.Log
+	records []ledger.Record
+	// others is appended before each append that the test's entry makes.
+	others  [][]ledger.Record
+	appends int
+}
+
+func (l *raceLog) Read(_ context.Context, _ port.Topic, from int64, _ time.Duration) (port.Batch, error) {
+	return port.Batch{Records: l.records[from:], Next: int64(len(l.records))}, nil
+}
+
+func (l *raceLog) Append(_ context.Context, a port.Append) (int64, error) {
+	if len(l.others) > 0 {
+		l.records = append(l.records, l.others[0]...)
+		l.others = l.others[1:]
+	}
+	if end := int64(len(l.records)); a.At != port.AnyOffset && a.At != end {
+		return 0, &port.ConflictError{End: end}
+	}
+	l.records = append(l.records, a.Records...)
+	l.appends++
+	return int64(len(l.records)), nil
+}
+
+func claimRecord(t *testing.T, c ledger.Claim) ledger.Record {
+	t.Helper()
+	r, err := ledger.ClaimRecord(&c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+// TestOneClaimFollowsAnother: of the entries that see the same owner end, one
+// becomes the owner, though other records are appended meanwhile.
+func TestOneClaimFollowsAnother(t *testing.T) {
+	old := ledger.Claim{Epoch: 70_000, Entry: "gone"}
+	job, err := ledger.JobRecord(&workload.Job{ID: "00000000000000aa", Steps: []workload.Step{{Count: 1}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	cases := []struct {
+		name    string
+		records []ledger.Record
+		others  [][]ledger.Record
+		want    error
+	}{
+		{name: "nobody else claims"},
+		{name: "jobs are appended meanwhile", others: [][]ledger.Record{{job}, {job}}},
+		{name: "another claim was there", records: []ledger.Record{claimRecord(t, ledger.Claim{Epoch: 135_000, Entry: "other"})}, want: errOvertaken},
+		{name: "another claim comes first", others: [][]ledger.Record{{claimRecord(t, ledger.Claim{Epoch: 135_000, Entry: "other"})}}, want: errOvertaken},
+		{name: "the owner is back", others: [][]ledger.Record{{claimRecord(t, old)}}, want: errOvertaken},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			log := &raceLog{records: c.records, others: c.others}
+			m := NewManager(Config{
+				Log: log, Replica: replica.New(log, anyConfig{}, hclog.NewNullLogger(), metrics.NewRegistry()),
+				Name: "self", Logger: hclog.NewNullLogger(), Registry: metrics.NewRegistry(),
+			})
+			next := ledger.Claim{Epoch: 140_000, Entry: "self"}
+			err := m.appendFirst(context.Background(), port.Append{Records: []ledger.Record{claimRecord(t, next)}}, old)
+			is.True(errors.Is(err, c.want))
+			is.Equal(log.appends == 1, c.want == nil)
+		})
+	}
+}
--- a/internal/coordination/dispatch/owner.go
+++ b/internal/coordination/dispatch/owner.go
@@ -223,8 +223,8 @@
 func (o *owner) run() {
 	defer o.group.Wait()
 	defer o.cancel()
-	o.replica.SetOwning(true)
-	defer o.replica.SetOwning(false)
+	o.replica.SetPace(replica.Owning)
+	defer o.replica.SetPace(replica.Following)
 	o.replica.Observe(o, func(t *ledger.Table, _ int64) { o.seed(t) })
 	defer o.replica.Observe(nil, nil)
 	o.group.Go(func() { o.followUpstreams(o.ctx) })
--- a/internal/coordination/replica/replica.go
+++ b/internal/coordination/replica/replica.go
@@ -40,6 +40,22 @@
 	Folded(changes []ledger.Change, next int64)
 }
 
+// Pace is how closely the ledger is followed.
+type Pace int64
+
+// The paces.
+const (
+	// Following is the pace of an entry that is not the owner.
+	Following Pace = iota
+	// Owning is the owner's pace.
+	Owning
+	// Claiming reads without a pause, while a claim waits to be read.
+	Claiming
+)
+
+// pauses are the least times between two reads.
+var pauses = map[Pace]time.Duration{Following: followerPause, Owning: ownerPause, Claiming: 0}
+
 // Replica follows the log. Its methods are safe for concurrent use.
 type Replica struct {
 	log     port.Log
@@ -57,7 +73,7 @@
 	readAt    atomic.Int64 // newest successful read; this and the next ones in nanoseconds since the start
 	okSince   atomic.Int64 // start of the current row of successful reads; 0 when the newest failed
 	aliveAt   atomic.Int64 // newest record of the owner
-	owning    atomic.Bool
+	pace      atomic.Int64
 	configAt  atomic.Int64
 	reads     metrics.Counter
 	readFails metrics.Counter
@@ -87,8 +103,8 @@
 // Config returns the newest configuration, or nil before the first.
 func (r *Replica) Config() *workload.Config { return r.config.Load() }
 
-// SetOwning chooses how closely the ledger is followed.
-func (r *Replica) SetOwning(owning bool) { r.owning.Store(owning) }
+// SetPace chooses how closely the ledger is followed.
+func (r *Replica) SetPace(p Pace) { r.pace.Store(int64(p)) }
 
 // Observe sets who is told of changes from now on and calls seed with the
 // table as it is, before any change is reported.
@@ -166,11 +182,7 @@
 			pause(ctx, retryPause)
 			continue
 		}
-		gap := followerPause
-		if r.owning.Load() {
-			gap = ownerPause
-		}
-		pause(ctx, gap-time.Since(began))
+		pause(ctx, pauses[Pace(r.pace.Load())]-time.Since(began))
 	}
 }
 
--- a/internal/state/ledger/record.go
+++ b/internal/state/ledger/record.go
@@ -153,6 +153,15 @@
 	return job, decode(r, job)
 }
 
+// ClaimOf returns the claim in a record; ok is false if the record holds something
+// else or cannot be read.
+func ClaimOf(r Record) (claim Claim, ok bool) {
+	if r.Key != keyOwner {
+		return claim, false
+	}
+	return claim, decode(r, &claim) == nil
+}
+
 // CancelOf returns the job that a record cancels.
 func CancelOf(r Record) (workload.JobID, bool) {
 	if r.Key == "" || r.Key[0] != kindCancel {
