Give up unanswered orders after 0.4 s and look at once

Cause: with a twentieth of the orders carried out late, a lost start cost its job 1.2 s of waiting, up to 1.5 s until the look that was already waiting at the upstream ended, a stop, and 0.4 s more for the look after it; most jobs have ten tasks or more.

Ruled out: slow answers.

Small entries no longer take a free ownership sooner than large ones. Starts are logged with the time they took.

--- a/internal/coordination/dispatch/link.go
+++ b/internal/coordination/dispatch/link.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"context"
 	"sync"
 	"time"
 
@@ -35,6 +36,10 @@
 	removed       bool
 	kick          chan struct{}
 	failures      int
+	// hurried asks for a look at once; interrupt ends the one that waits at the
+	// upstream, if any.
+	hurried   bool
+	interrupt context.CancelFunc
 }
 
 func newLink() *link { return &link{kick: make(chan struct{}, 1)} }
@@ -47,6 +52,17 @@
 	}
 }
 
+// hurry has the upstream looked at now, though a look waits there.
+func (l *link) hurry() {
+	l.mu.Lock()
+	l.hurried = true
+	if l.interrupt != nil {
+		l.interrupt()
+	}
+	l.mu.Unlock()
+	l.wake()
+}
+
 // sample takes in the upstream's clock. A clock that went back is a new life.
 func (l *link) sample(clockMS int64, now time.Time) (restarted bool) {
 	if clockMS <= 0 {
--- a/internal/coordination/dispatch/looker.go
+++ b/internal/coordination/dispatch/looker.go
@@ -20,8 +20,11 @@
 	idleLook = 4 * time.Second
 	// recordWait bounds the wait for ends to be recorded before the next look.
 	recordWait = 120 * time.Millisecond
-	// callTimeout bounds an order and, beside its wait, a look.
-	callTimeout = 1200 * time.Millisecond
+	// lookTimeout bounds a look, beside its wait.
+	lookTimeout = 800 * time.Millisecond
+	// orderTimeout bounds an order. One that is lost holds up its whole job, and
+	// an answer takes a few milliseconds.
+	orderTimeout = 400 * time.Millisecond
 	// lookGapPerUpstream bounds the looks of an owner at 4,000 a second.
 	lookGapPerUpstream = 250 * time.Microsecond
 	// verifyAfter is the gap between looks after which the upstream may have
@@ -37,14 +40,14 @@
 	var lookedAt time.Time
 	for ctx.Err() == nil {
 		l.mu.Lock()
-		active, closely, removed := l.active, l.close, l.removed
+		active, closely, removed, hurried := l.active, l.close, l.removed, l.hurried
 		unrecorded := l.reported > l.recorded
 		l.mu.Unlock()
 		if removed {
 			return
 		}
 		switch {
-		case !known:
+		case !known, hurried:
 		case time.Since(lookedAt) < o.lookGap():
 			if !o.sleep(ctx, nil, o.lookGap()-time.Since(lookedAt)) {
 				return
@@ -63,14 +66,18 @@
 		verify := !known || time.Since(lookedAt) > verifyAfter
 		wait := time.Duration(0)
 		l.mu.Lock()
-		if !verify && l.active && l.reported <= l.recorded {
+		if !verify && l.active && !l.hurried && l.reported <= l.recorded {
 			wait = lookWait
 			if closely || l.close {
 				wait = closeLookWait
 			}
 		}
 		l.mu.Unlock()
-		known = o.lookOnce(ctx, id, l, wait, verify)
+		result := o.lookOnce(ctx, id, l, wait, verify)
+		if result == lookInterrupted {
+			continue
+		}
+		known = result == lookAnswered
 		lookedAt = time.Now()
 		if !known && !o.sleep(ctx, l, silentRetry) {
 			return
@@ -102,10 +109,27 @@
 	return true
 }
 
-// lookOnce looks once and reports whether the upstream answered. A look that
-// verifies the life of the upstream acknowledges no ends.
-func (o *owner) lookOnce(ctx context.Context, id workload.UpstreamID, l *link, wait time.Duration, verify bool) bool {
+// lookResult says how a look went.
+type lookResult uint8
+
+const (
+	// lookUnanswered: the upstream gave no usable answer.
+	lookUnanswered lookResult = iota
+	lookAnswered
+	// lookInterrupted: another look is more urgent; nothing was learnt.
+	lookInterrupted
+)
+
+// lookOnce looks once. A look that verifies the life of the upstream
+// acknowledges no ends.
+func (o *owner) lookOnce(ctx context.Context, id workload.UpstreamID, l *link, wait time.Duration, verify bool) lookResult {
+	callCtx, cancel := context.WithTimeout(ctx, wait+lookTimeout)
+	defer cancel()
 	l.mu.Lock()
+	l.hurried = false
+	if wait > 0 {
+		l.interrupt = cancel
+	}
 	order := port.LookOrder{Epoch: o.epoch, LastSeen: l.recorded, Wait: wait}
 	if verify {
 		order.LastSeen = 0
@@ -119,26 +143,28 @@
 	if active && o.mayExtend() {
 		order.DeadlineMS = l.deadline(sentAt, o.lease)
 	}
-	callCtx, cancel := context.WithTimeout(ctx, wait+callTimeout)
 	reply, status, err := o.upstreams.Look(callCtx, target, order)
-	cancel()
-	if ctx.Err() != nil {
-		return false
+	l.mu.Lock()
+	l.interrupt = nil
+	interrupted := err != nil && l.hurried
+	l.mu.Unlock()
+	if ctx.Err() != nil || interrupted {
+		return lookInterrupted
 	}
 	now := time.Now()
 	if err != nil || status.OtherLife || status.Outcome != scheduler.Accepted {
 		o.lookFailed(id, l, status, err)
-		return false
+		return lookUnanswered
 	}
 	if status.Fenced {
 		o.post(func() { o.fenced("upstream " + string(id)) })
-		return false
+		return lookUnanswered
 	}
 	l.mu.Lock()
 	outdated := life != l.life
 	l.mu.Unlock()
 	if outdated {
-		return false
+		return lookUnanswered
 	}
 	restarted := l.sample(reply.ClockMS, now)
 	if restarted || (born != 0 && reply.BornUnixMS != 0 && reply.BornUnixMS != born) {
@@ -158,7 +184,7 @@
 		o.logger.Info("upstream reached again", "upstream", id)
 	}
 	o.report(id, l, &reply, sentAt)
-	return true
+	return lookAnswered
 }
 
 // report hands what an upstream said to the control loop.
--- a/internal/coordination/dispatch/manager.go
+++ b/internal/coordination/dispatch/manager.go
@@ -41,6 +41,8 @@
 	freshRead = 1300 * time.Millisecond
 	// claimCheck is how often an entry looks whether it should claim.
 	claimCheck = 50 * time.Millisecond
+	// smallerDelayIfFree is that delay when nobody needs to be asked.
+	smallerDelayIfFree = 300 * time.Millisecond
 	// askedPause is how long an answer of the owner, or its absence, holds.
 	askedPause = 600 * time.Millisecond
 	// claimAttempts bounds how often a claim is tried while others append.
@@ -229,18 +231,27 @@
 	if claim.Released && claim.Successor != "" && claim.Entry != m.cfg.Name {
 		free = false
 	}
-	if m.isSmall() {
-		delay += smallerDelay
-	}
 	if free {
-		return claim, h.OwnerSilence > delay/freeSpread
+		return claim, h.OwnerSilence > m.delayIfFree(delay)
 	}
 	if h.OwnerSilence <= ownerDoubt || m.ownerAnswers(claim) {
 		return claim, false
 	}
+	if m.isSmall() {
+		delay += smallerDelay
+	}
 	return claim, m.cfg.Replica.Health().OwnerSilence > ownerSilence+delay
 }
 
+// delayIfFree returns how long this entry waits before it takes an ownership
+// that nobody holds.
+func (m *Manager) delayIfFree(delay time.Duration) time.Duration {
+	if m.isSmall() {
+		return delay/freeSpread + smallerDelayIfFree
+	}
+	return delay / freeSpread
+}
+
 // succeeds reports whether a claim was released to this entry.
 func (m *Manager) succeeds(claim ledger.Claim) bool {
 	return claim.Released && claim.Successor == m.cfg.Name
@@ -513,7 +524,7 @@
 		o.releaseBegan = time.Now()
 	}
 	// A gang of which only some members were started would wait in vain.
-	starting := o.starting > 0 && time.Since(o.releaseBegan) < callTimeout
+	starting := o.starting > 0 && time.Since(o.releaseBegan) < orderTimeout
 	o.releasing = true
 	if !o.flushing && len(o.requests) > 0 {
 		o.startFlush(time.Now())
--- a/internal/coordination/dispatch/orders.go
+++ b/internal/coordination/dispatch/orders.go
@@ -48,7 +48,7 @@
 
 // start sends one start and reports its outcome.
 func (o *owner) start(target port.Target, l *link, order port.StartOrder) {
-	ctx, cancel := context.WithTimeout(o.ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(o.ctx, orderTimeout)
 	defer cancel()
 	began := time.Now()
 	reply, err := o.upstreams.Start(ctx, target, order)
@@ -67,7 +67,7 @@
 	if err != nil {
 		o.logger.Warn("start unanswered", "task", order.Task, "run", order.Number, "upstream", order.Upstream, "took_ms", took.Milliseconds(), "error", err)
 	} else {
-		o.logger.Info("start", "task", order.Task, "run", order.Number, "upstream", order.Upstream, "outcome", outcome, "reason", reply.Reason, "epoch", o.epoch)
+		o.logger.Info("start", "task", order.Task, "run", order.Number, "upstream", order.Upstream, "outcome", outcome, "reason", reply.Reason, "epoch", o.epoch, "took_ms", took.Milliseconds())
 	}
 	o.post(func() {
 		o.starting--
@@ -75,6 +75,9 @@
 			o.fenced("upstream " + string(order.Upstream))
 		}
 		o.sched.StartResult(o.now(), order.Run, outcome)
+		if outcome == scheduler.Unanswered {
+			l.hurry()
+		}
 	})
 	l.wake()
 }
@@ -85,12 +88,17 @@
 	if !ok {
 		return
 	}
-	ctx, cancel := context.WithTimeout(o.ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(o.ctx, orderTimeout)
 	defer cancel()
 	reply, err := o.upstreams.Stop(ctx, target, run, o.epoch)
 	answered := err == nil && reply.Outcome == scheduler.Accepted
 	o.logger.Info("stop", "task", run.Task, "run", run.Number, "upstream", run.Upstream, "why", stop.Reason, "percent", stop.Percent, "answered", answered, "reason", reply.Reason, "error", err)
-	o.post(func() { o.sched.StopResult(o.now(), run, answered) })
+	o.post(func() {
+		o.sched.StopResult(o.now(), run, answered)
+		if l := o.links[run.Upstream]; l != nil && answered && stop.Reason == scheduler.StopUnanswered {
+			l.hurry() // such a run may list no end that would end a look
+		}
+	})
 }
 
 func (o *owner) pace(p scheduler.Pace) {
@@ -98,7 +106,7 @@
 	if !ok {
 		return
 	}
-	ctx, cancel := context.WithTimeout(o.ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(o.ctx, orderTimeout)
 	defer cancel()
 	_, err := o.upstreams.Pace(ctx, target, p, o.epoch)
 	o.logger.Info("pace", "task", p.Task, "run", p.Number, "upstream", p.Upstream, "percent", p.Percent, "error", err)
--- a/internal/coordination/dispatch/owner.go
+++ b/internal/coordination/dispatch/owner.go
@@ -163,7 +163,7 @@
 	o.sched = scheduler.New(p.replica.Config(), scheduler.Options{
 		FirstRun:       p.firstRun(claim.Epoch),
 		Lookup:         o.lookup,
-		UncertainUntil: contactGrace + time.Duration(float64(p.lease)*slowClock) + callTimeout,
+		UncertainUntil: contactGrace + time.Duration(float64(p.lease)*slowClock) + orderTimeout,
 	})
 	o.advisors.init(p)
 	o.contactAt.Store(int64(o.now()))
