Ask about more upstreams while a gang has no room for all its members

The first call for advice names 30 upstreams, about a third of which are allowed; no further one was made while any of these had room for one task.

Change: a gang asks on until the known upstreams have room for all of it.

--- a/internal/state/scheduler/place.go
+++ b/internal/state/scheduler/place.go
@@ -260,8 +260,8 @@
 	return true
 }
 
-// askUnknown asks which upstreams may run a step, if none is known to have room
-// for it.
+// askUnknown asks which upstreams may run a step, if those that are known have
+// no room for one task, or for all of a gang.
 func (s *Scheduler) askUnknown(now state.Time, st *step, q *workload.Queue, pl *pool, waiting int, plan *Plan) {
 	if st.asking > 0 || now < st.askAfter || !s.mayAsk(q.Advice) {
 		return
@@ -270,7 +270,10 @@
 		// Most likely all are known; look through them only now and then.
 		st.askAfter = now + knownRetry
 	}
-	room := st.spec.Room()
+	room, places := st.spec.Room(), 1
+	if st.spec.Gang {
+		places = waiting
+	}
 	var unknown []candidate
 	for i := range pl.members {
 		u := pl.members[i].u
@@ -280,11 +283,11 @@
 		free := withSlots(u.free())
 		if tk, ok := st.advised[u.ID]; !ok {
 			unknown = append(unknown, candidate{u: u, free: free, cost: pl.members[i].cost})
-		} else if tk.good && room.Fits(free) && (st.spec.MaxPerUpstream == 0 || st.perUpstream[u.ID] < st.spec.MaxPerUpstream) {
-			return
+		} else if tk.good {
+			places -= st.places(u, places)
 		}
 	}
-	if len(unknown) == 0 {
+	if places <= 0 || len(unknown) == 0 {
 		return
 	}
 	slices.SortFunc(unknown, func(a, b candidate) int {
@@ -301,6 +304,19 @@
 	}
 }
 
+// places returns how many more tasks of the step an upstream has room for now, up
+// to a number.
+func (st *step) places(u *upstream, most int) (n int) {
+	if per := st.spec.MaxPerUpstream; per > 0 {
+		most = min(most, per-st.perUpstream[u.ID])
+	}
+	room := st.spec.Room()
+	for free := withSlots(u.free()); n < most && room.Fits(free); n++ {
+		free = free.Sub(room)
+	}
+	return n
+}
+
 func boolInt(b bool) int {
 	if b {
 		return 1
--- a/internal/state/scheduler/world_test.go
+++ b/internal/state/scheduler/world_test.go
@@ -33,6 +33,10 @@
 	failing func(run Run) bool
 	// speed is how many times longer a run takes on an upstream.
 	speed func(id workload.UpstreamID) float64
+	// effort is how many times longer a task takes than it declared.
+	effort func(id workload.TaskID) float64
+	// allowed is what the advice service says of a step and an upstream.
+	allowed func(step workload.StepID, id workload.UpstreamID) bool
 }
 
 type event struct {
@@ -82,6 +86,8 @@
 	w.now = time.Second
 	w.failing = func(Run) bool { return false }
 	w.speed = func(workload.UpstreamID) float64 { return 1 }
+	w.effort = func(workload.TaskID) float64 { return 1 }
+	w.allowed = func(_ workload.StepID, id workload.UpstreamID) bool { return id[len(id)-1]%3 != 0 }
 	return w
 }
 
@@ -215,11 +221,11 @@
 	}
 }
 
-// advise allows two upstreams of three.
+// advise answers a call for advice.
 func (w *world) advise(ask *Ask) {
 	tickets := map[workload.UpstreamID]string{}
 	for _, id := range ask.Upstreams {
-		if id[len(id)-1]%3 != 0 {
+		if w.allowed(ask.Step, id) {
 			tickets[id] = "t"
 		}
 	}
@@ -250,7 +256,7 @@
 		return Refused
 	}
 	spec := w.jobs[start.Task.Job].spec.Steps[start.Task.Step]
-	u.running[start.Task] = &simRun{run: start.Number, began: w.now, length: time.Duration(float64(spec.Estimate()) * w.speed(u.reg.ID))}
+	u.running[start.Task] = &simRun{run: start.Number, began: w.now, length: time.Duration(float64(spec.Estimate()) * w.speed(u.reg.ID) * w.effort(start.Task))}
 	w.check(u, start)
 	return Accepted
 }
