Go on trying to record a job while the log is away from all entries

Ruled out: entries that are cut off alone. Where no other entry is reached the answer still comes at once, so that the caller tries elsewhere.

Change: while another entry says that it does not reach the log either, a submission or cancellation is tried every 100 ms until the caller's deadline. An attempt without a clear outcome keeps the final answer unclear. New cases in TestSubmit. An owner that no entry reaches is replaced after 0.8 s of silence.

The caller's 3 s hold for all its tries, so what is sent in the first half of the outage is still lost.

--- a/internal/coordination/dispatch/manager.go
+++ b/internal/coordination/dispatch/manager.go
@@ -24,7 +24,7 @@
 const (
 	// ownerSilence is how long the log may show no sign of the owner until
 	// another entry claims; the owner writes at least every heartbeat.
-	ownerSilence = 1000 * time.Millisecond
+	ownerSilence = 800 * time.Millisecond
 	// ownerDoubt is the silence after which the owner is asked. Under load it
 	// appends every few milliseconds, and entries read every 250 ms.
 	ownerDoubt = 400 * time.Millisecond
--- a/internal/coordination/intake/intake.go
+++ b/internal/coordination/intake/intake.go
@@ -25,7 +25,8 @@
 	// the owner answers at all it is waited for: on a slow log, appends beside
 	// the owner's would only delay both.
 	ownerMargin = 100 * time.Millisecond
-	// ownerRetry is the pause between two questions who the owner is.
+	// ownerRetry is the pause between two questions who the owner is, or between
+	// two attempts to reach a log that is away.
 	ownerRetry = 100 * time.Millisecond
 	// phaseTimeout bounds a question to the owner.
 	phaseTimeout = 250 * time.Millisecond
@@ -54,6 +55,8 @@
 	port.Log
 	// Slow reports whether appends beside the owner's would delay both.
 	Slow() bool
+	// Away reports whether other entries do not reach the log either.
+	Away() bool
 }
 
 // Owner answers for the newest phase of a job.
@@ -129,25 +132,37 @@
 
 // record has the owner record something, in one append with other records. An
 // entry that can't ask the owner appends itself; writing the same record twice
-// changes nothing. On a slow log it waits for an owner instead.
+// changes nothing. On a slow log it waits for an owner instead. While the log is
+// away from all entries it goes on trying; the caller would only try in vain at
+// another entry.
 func (in *Intake) record(ctx context.Context, record ledger.Record) (via string, err error) {
 	ownerCtx, cancel := ctx, func() {}
 	if deadline, ok := ctx.Deadline(); ok {
 		ownerCtx, cancel = context.WithDeadline(ctx, deadline.Add(-ownerMargin))
 	}
 	defer cancel()
+	var unclear error // of an attempt that may have been carried out
 	for {
 		via, err = in.askOwner(ownerCtx, record)
 		if err == nil {
 			return via, nil
 		}
-		notAsked := errors.Is(err, port.ErrNotOwner) || port.NotSent(err)
-		switch {
-		case !in.log.Slow():
-			return "log", in.direct(ctx, record, notAsked, err)
-		case !notAsked:
-			return via, err
-		case ownerCtx.Err() != nil:
+		if !errors.Is(err, port.ErrNotOwner) && !port.NotSent(err) {
+			unclear = err
+		}
+		if !in.log.Slow() {
+			via, err = "log", in.batch.append(ctx, record)
+			if err == nil {
+				return via, nil
+			}
+			if !errors.Is(err, port.ErrNotDone) {
+				unclear = err
+			}
+		}
+		switch away := in.log.Away(); {
+		case unclear != nil && (!away || ownerCtx.Err() != nil):
+			return via, fmt.Errorf("intake: it may still be recorded: %w", unclear)
+		case ownerCtx.Err() != nil || (!away && !in.log.Slow()):
 			return via, port.ErrNotDone
 		}
 		select {
@@ -170,16 +185,6 @@
 	return claim.Entry, in.peers.Record(ctx, claim.Address, record)
 }
 
-// direct appends without the owner. cause is why the owner did not record it,
-// notAsked whether it can't have.
-func (in *Intake) direct(ctx context.Context, record ledger.Record, notAsked bool, cause error) error {
-	err := in.batch.append(ctx, record)
-	if errors.Is(err, port.ErrNotDone) && !notAsked {
-		return fmt.Errorf("intake: the owner may still record it: %w", cause)
-	}
-	return err
-}
-
 // Cancel cancels a job.
 func (in *Intake) Cancel(ctx context.Context, id workload.JobID) error {
 	row, ok := in.replica.Row(id)
--- a/internal/coordination/intake/intake_test.go
+++ b/internal/coordination/intake/intake_test.go
@@ -1,6 +1,7 @@
 package intake
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"sync"
@@ -25,17 +26,22 @@
 	appends int
 	err     error
 	slow    bool
+	away    bool
 	delay   time.Duration
+	// failures is how many appends fail; negative for all while err is set.
+	failures int
 }
 
 func (l *memoryLog) Slow() bool { return l.slow }
 
+func (l *memoryLog) Away() bool { return l.away }
+
 func (l *memoryLog) Append(_ context.Context, a port.Append) (int64, error) {
 	time.Sleep(l.delay)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.appends++
-	if l.err != nil {
+	if l.err != nil && (l.failures < 0 || l.appends <= l.failures) {
 		return 0, l.err
 	}
 	l.records = append(l.records, a.Records...)
@@ -129,6 +135,8 @@
 		owner    error
 		log      error
 		slow     bool
+		away     bool
+		failures int // appends that fail; 0 for all if log is set
 		accepted bool
 		rejected bool // false with accepted false: the outcome is unknown
 		appends  int
@@ -141,11 +149,15 @@
 		{name: "the log may have recorded it", owner: notSentError{}, log: errUnanswered, appends: 1},
 		{name: "no owner on a slow log", owner: port.ErrNotOwner, slow: true, rejected: true},
 		{name: "no answer on a slow log", owner: errUnanswered, slow: true},
+		{name: "the log is back in time", owner: notSentError{}, log: port.ErrNotDone, away: true, failures: 2, accepted: true, appends: 3},
+		{name: "the log is back after an unclear attempt", owner: notSentError{}, log: errUnanswered, away: true, failures: 1, accepted: true, appends: 2},
+		{name: "the log stays away", owner: notSentError{}, log: port.ErrNotDone, away: true, rejected: true, appends: 4},
+		{name: "the log stays away after an unclear attempt", owner: notSentError{}, log: errUnanswered, away: true, appends: 4},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
-			log := &memoryLog{err: c.log, slow: c.slow}
+			log := &memoryLog{err: c.log, slow: c.slow, away: c.away, failures: cmp.Or(c.failures, -1)}
 			in := newIntake(t, log, &otherOwner{err: c.owner})
 			ctx, cancel := context.WithTimeout(context.Background(), 400*time.Millisecond)
 			defer cancel()
--- a/internal/coordination/port/port.go
+++ b/internal/coordination/port/port.go
@@ -89,6 +89,14 @@
 	ErrExpired = errors.New("port: the log has dropped the records at this offset; load the newest of each key")
 )
 
+// RelayedError says that another entry was reached and got no answer from the
+// log; the call may have been carried out.
+type RelayedError struct{ Cause string }
+
+func (e *RelayedError) Error() string {
+	return "port: the log gave no answer to the relaying entry: " + e.Cause
+}
+
 // NotSent reports whether a call never reached the other side.
 func NotSent(err error) bool {
 	var call interface{ NotSent() bool }
--- a/internal/coordination/relay/relay.go
+++ b/internal/coordination/relay/relay.go
@@ -34,6 +34,9 @@
 	// one takes some 10 ms. It is tried again after slowMemory.
 	slowAppend = 120 * time.Millisecond
 	slowMemory = 3 * time.Second
+	// awayMemory is how long the word of another entry holds that it does not
+	// reach the log.
+	awayMemory = time.Second
 	// relayAppend bounds an append through another entry.
 	relayAppend = 900 * time.Millisecond
 	// readMargin is added to the wait of a read.
@@ -71,6 +74,8 @@
 	readAt time.Time
 	// prefer is the entry that relayed last.
 	prefer string
+	// awayAt is when another entry last said that it does not reach the log.
+	awayAt time.Time
 }
 
 // New returns a Log. addresses returns the other entries that may relay.
@@ -163,10 +168,23 @@
 	defer l.mu.Unlock()
 	switch {
 	case final(err):
-		l.prefer = address
+		l.prefer, l.awayAt = address, time.Time{}
+		return
 	case l.prefer == address:
 		l.prefer = ""
 	}
+	var relayed *port.RelayedError
+	if errors.Is(err, port.ErrNotDone) || errors.As(err, &relayed) {
+		l.awayAt = time.Now()
+	}
+}
+
+// Away reports whether other entries do not reach the log either, so that a
+// caller gains nothing by asking one of them.
+func (l *Log) Away() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return time.Since(l.awayAt) < awayMemory
 }
 
 // Append implements port.Log. Repeating an append through another entry is
--- a/internal/transport/peer/peer.go
+++ b/internal/transport/peer/peer.go
@@ -132,7 +132,7 @@
 		return &port.ConflictError{End: f.End}
 	case faultUnknown:
 	}
-	return errors.New("peer: the log gave no answer to the relaying entry: " + f.Text)
+	return &port.RelayedError{Cause: f.Text}
 }
 
 // service has the methods that net/rpc offers.
