--- a/internal/coordination/dispatch/looker.go
+++ b/internal/coordination/dispatch/looker.go
@@ -24,7 +24,7 @@
 	lookTimeout = 800 * time.Millisecond
 	// orderTimeout bounds an order. One that is lost holds up its whole job, and
 	// an answer takes a few milliseconds.
-	orderTimeout = 400 * time.Millisecond
+	orderTimeout = 250 * time.Millisecond
 	// lookGapPerUpstream bounds the looks of an owner at 4,000 a second.
 	lookGapPerUpstream = 250 * time.Microsecond
 	// verifyAfter is the gap between looks after which the upstream may have
