--- a/internal/coordination/dispatch/manager.go
+++ b/internal/coordination/dispatch/manager.go
@@ -2,14 +2,10 @@
 
 import (
 	"context"
-	"errors"
-	"fmt"
 	"hash/fnv"
-	"math/rand/v2"
 	"sync"
 	"time"
 
-	"github.com/cenkalti/backoff/v5"
 	"github.com/hashicorp/go-hclog"
 	metrics "github.com/rcrowley/go-metrics"
 
@@ -17,7 +13,6 @@
 	"github.com/samphirerail/samphirerail/internal/coordination/replica"
 	"github.com/samphirerail/samphirerail/internal/state"
 	"github.com/samphirerail/samphirerail/internal/state/ledger"
-	"github.com/samphirerail/samphirerail/internal/state/scheduler"
 	"github.com/samphirerail/samphirerail/internal/state/workload"
 )
 
@@ -45,32 +40,11 @@
 	smallerDelayIfFree = 300 * time.Millisecond
 	// askedPause is how long an answer of the owner, or its absence, holds.
 	askedPause = 600 * time.Millisecond
-	// claimAttempts bounds how often a claim is tried while others append.
-	claimAttempts = 6
-	// epochStep leaves room for a random part, so that two claims that follow
-	// the same one differ.
-	epochStep = 1 << 16
-	// claimTimeout bounds a claim until the replica has read it.
-	claimTimeout = 3 * time.Second
-	// The pause after a claim that did not hold grows from firstClaimRetry to
-	// lastClaimRetry.
-	firstClaimRetry = 200 * time.Millisecond
-	lastClaimRetry  = 2 * time.Second
-	// An owner yields after yieldAfter to an entry with yieldFactor times its
-	// processor share; the state of a new owner is complete by then.
-	yieldAfter  = 5 * time.Second
-	yieldFactor = 1.6
-	// yieldCheck is how often an owner looks for a larger entry.
-	yieldCheck = 2 * time.Second
 	// askOwnerTimeout bounds the question to an owner of which the log shows
 	// nothing.
 	askOwnerTimeout = 500 * time.Millisecond
 	// slowClaimFactor spreads claims further on a slow log.
 	slowClaimFactor = 4
-	// claimPoll is how often an entry looks whether it has read its claim.
-	claimPoll = 5 * time.Millisecond
-	// stopTimeout bounds the last append of an owner that stops.
-	stopTimeout = 1200 * time.Millisecond
 )
 
 // Config says who an entry is and what it uses.
@@ -170,15 +144,6 @@
 	}
 }
 
-// newClaimBackOff spaces the claims of an entry that others overtake, as
-// happens when all claim at once and the log is slow.
-func newClaimBackOff() *backoff.ExponentialBackOff {
-	b := backoff.NewExponentialBackOff()
-	b.InitialInterval = firstClaimRetry
-	b.MaxInterval = lastClaimRetry
-	return b
-}
-
 // Nominate takes in that the owner has released the ownership to this entry.
 func (m *Manager) Nominate(released ledger.Claim) {
 	m.mu.Lock()
@@ -286,92 +251,6 @@
 	return m.askedOwning
 }
 
-// claim appends a claim that follows an ended one and waits until the replica
-// has read everything before it. From the claim on the log refuses what former
-// owners append. Of claims that cross, the first holds, as each requires that
-// nothing was appended since its entry read the log; that of a named successor
-// needs no such condition.
-func (m *Manager) claim(ctx context.Context, old ledger.Claim) (ledger.Claim, bool) {
-	claim := ledger.Claim{
-		Epoch: (old.Epoch/epochStep+1)*epochStep + rand.Int64N(epochStep-1) + 1,
-		Entry: m.cfg.Name, Incarnation: m.cfg.Incarnation, Address: m.cfg.Address, Domain: m.cfg.Domain,
-	}
-	record, err := ledger.ClaimRecord(&claim)
-	if err != nil {
-		m.cfg.Logger.Error("claim not encoded", "error", err)
-		return claim, false
-	}
-	callCtx, cancel := context.WithTimeout(ctx, claimTimeout)
-	defer cancel()
-	entry := port.Append{Topic: port.TopicJobs, Records: []ledger.Record{record}, At: port.AnyOffset, Fence: &port.Fence{Epoch: claim.Epoch}}
-	if m.succeeds(old) {
-		_, err = m.cfg.Log.Append(callCtx, entry)
-	} else {
-		err = m.appendFirst(callCtx, entry, old)
-	}
-	m.cfg.Logger.Info("claim", "epoch", claim.Epoch, "previous", old.Entry, "previous_epoch", old.Epoch, "error", err)
-	var conflict *port.ConflictError
-	if errors.Is(err, port.ErrNotDone) || errors.Is(err, port.ErrFenced) || errors.Is(err, errOvertaken) || errors.As(err, &conflict) {
-		return claim, false
-	}
-	return claim, m.claimRead(callCtx, claim)
-}
-
-// errOvertaken: another entry has claimed.
-var errOvertaken = errors.New("dispatch: another entry has claimed the ownership; follow it")
-
-// appendFirst appends a claim if the log holds no newer one than old.
-func (m *Manager) appendFirst(ctx context.Context, entry port.Append, old ledger.Claim) (err error) {
-	for range claimAttempts {
-		var batch port.Batch
-		from := int64(0)
-		m.cfg.Replica.View(func(_ *ledger.Table, next int64) { from = next })
-		if batch, err = m.cfg.Log.Read(ctx, port.TopicJobs, from, 0); err != nil {
-			return fmt.Errorf("%w: the log was not read: %w", port.ErrNotDone, err)
-		}
-		if m.cfg.Replica.Claim().Epoch > old.Epoch || overtaken(batch.Records, old) {
-			return errOvertaken
-		}
-		entry.At = batch.Next
-		_, err = m.cfg.Log.Append(ctx, entry)
-		var conflict *port.ConflictError
-		if !errors.As(err, &conflict) {
-			return err
-		}
-	}
-	return err
-}
-
-// overtaken reports whether records hold a sign of an owner after a claim.
-func overtaken(records []ledger.Record, old ledger.Claim) bool {
-	for _, r := range records {
-		if claim, ok := ledger.ClaimOf(r); ok && (claim.Epoch > old.Epoch || (claim.Epoch == old.Epoch && !claim.Released)) {
-			return true
-		}
-	}
-	return false
-}
-
-// claimRead waits until the replica has read the claim, which may also have
-// been appended without an answer. It reports whether the claim still holds.
-func (m *Manager) claimRead(ctx context.Context, claim ledger.Claim) bool {
-	m.cfg.Replica.SetPace(replica.Claiming)
-	defer m.cfg.Replica.SetPace(replica.Following)
-	for ctx.Err() == nil {
-		switch newest := m.cfg.Replica.Claim().Epoch; {
-		case newest == claim.Epoch:
-			return true
-		case newest > claim.Epoch:
-			return false
-		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(claimPoll):
-		}
-	}
-	return false
-}
-
 func (m *Manager) serve(ctx context.Context, claim ledger.Claim) {
 	o := m.parts.newOwner(ctx, claim)
 	m.mu.Lock()
@@ -470,103 +349,3 @@
 	}
 	<-m.done
 }
-
-// successor returns the entry that should claim next; its name is empty if
-// there is none. Of the largest it is the one that started last: when entries
-// are restarted in turn, that one stays longest.
-func (o *owner) successor() ledger.Entry {
-	best := o.largest()
-	if len(best) == 0 {
-		return ledger.Entry{}
-	}
-	return best[0]
-}
-
-// nominate tells the successor, which would read it from the log a little later.
-func (o *owner) nominate(successor ledger.Entry) {
-	if successor.Name == "" {
-		return
-	}
-	ctx, cancel := context.WithTimeout(o.ctx, askOwnerTimeout)
-	defer cancel()
-	if err := o.peers.Nominate(ctx, successor.Address, o.claim); err != nil {
-		o.logger.Warn("successor not told", "successor", successor.Name, "error", err)
-	}
-}
-
-// largest returns the other entries with the largest processor share.
-func (o *owner) largest() []ledger.Entry {
-	var best []ledger.Entry
-	o.replica.View(func(t *ledger.Table, _ int64) {
-		for _, e := range t.Entries() {
-			switch {
-			case e.Name == o.self:
-			case len(best) == 0 || e.CPUShare > best[0].CPUShare:
-				best = []ledger.Entry{e}
-			case e.CPUShare == best[0].CPUShare:
-				best = append(best, e)
-			}
-		}
-	})
-	return best
-}
-
-// yieldIfSmall gives up ownership if a clearly larger entry could take it.
-func (o *owner) yieldIfSmall(now time.Time) {
-	if o.releasing || o.at(now) < yieldAfter || now.Sub(o.yieldCheckedAt) < yieldCheck {
-		return
-	}
-	o.yieldCheckedAt = now
-	if best := o.largest(); len(best) > 0 && best[0].CPUShare > yieldFactor*o.cpuShare {
-		o.logger.Info("ownership yielded", "epoch", o.epoch, "cpu_share", o.cpuShare, "larger", best[0].CPUShare)
-		o.release(make(chan struct{}))
-	}
-}
-
-// release records the state and the end of the term. The control loop calls it.
-func (o *owner) release(done chan struct{}) {
-	if o.releaseBegan.IsZero() {
-		o.releaseBegan = time.Now()
-	}
-	// A gang of which only some members were started would wait in vain.
-	starting := o.starting > 0 && time.Since(o.releaseBegan) < orderTimeout
-	o.releasing = true
-	if !o.flushing && len(o.requests) > 0 {
-		o.startFlush(time.Now())
-	}
-	if starting || o.flushing {
-		time.AfterFunc(finalFlushGap, func() { o.post(func() { o.release(done) }) })
-		return
-	}
-	for _, start := range o.planned {
-		o.sched.StartResult(o.now(), start.Run, scheduler.Refused)
-	}
-	o.planned = nil
-	successor := o.successor()
-	o.claim.Released, o.claim.Successor = true, successor.Name
-	ids, states := o.sched.Changed(time.Now().UnixMilli())
-	var records []ledger.Record
-	for i := range ids {
-		if record, err := ledger.StateRecord(ids[i], &states[i]); err == nil {
-			records = append(records, record)
-		} else {
-			o.logger.Error("job state not encoded", "job", ids[i], "error", err)
-		}
-	}
-	last, err := ledger.ClaimRecord(&o.claim)
-	if err != nil {
-		o.logger.Error("release not encoded", "error", err)
-	} else {
-		records = append(records, last)
-	}
-	o.flushing = true
-	entry := port.Append{Topic: port.TopicJobs, Records: records, Fence: &port.Fence{Epoch: o.epoch, Seq: o.seq}, At: port.AnyOffset}
-	o.seq++
-	o.group.Go(func() {
-		o.append(entry)
-		o.logger.Info("ownership released", "epoch", o.epoch, "records", len(records), "successor", successor.Name)
-		o.nominate(successor)
-		close(done)
-		o.cancel()
-	})
-}
--- /dev/null
+++ b/internal/coordination/dispatch/release.go
@@ -0,0 +1,121 @@
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"github.com/samphirerail/samphirerail/internal/coordination/port"
+	"github.com/samphirerail/samphirerail/internal/state/ledger"
+	"github.com/samphirerail/samphirerail/internal/state/scheduler"
+)
+
+const (
+	// An owner yields after yieldAfter to an entry with yieldFactor times its
+	// processor share; the state of a new owner is complete by then.
+	yieldAfter  = 5 * time.Second
+	yieldFactor = 1.6
+	// yieldCheck is how often an owner looks for a larger entry.
+	yieldCheck = 2 * time.Second
+	// stopTimeout bounds the last append of an owner that stops.
+	stopTimeout = 1200 * time.Millisecond
+)
+
+// successor returns the entry that should claim next; its name is empty if
+// there is none. Of the largest it is the one that started last: when entries
+// are restarted in turn, that one stays longest.
+func (o *owner) successor() ledger.Entry {
+	best := o.largest()
+	if len(best) == 0 {
+		return ledger.Entry{}
+	}
+	return best[0]
+}
+
+// nominate tells the successor, which would read it from the log a little later.
+func (o *owner) nominate(successor ledger.Entry) {
+	if successor.Name == "" {
+		return
+	}
+	ctx, cancel := context.WithTimeout(o.ctx, askOwnerTimeout)
+	defer cancel()
+	if err := o.peers.Nominate(ctx, successor.Address, o.claim); err != nil {
+		o.logger.Warn("successor not told", "successor", successor.Name, "error", err)
+	}
+}
+
+// largest returns the other entries with the largest processor share.
+func (o *owner) largest() []ledger.Entry {
+	var best []ledger.Entry
+	o.replica.View(func(t *ledger.Table, _ int64) {
+		for _, e := range t.Entries() {
+			switch {
+			case e.Name == o.self:
+			case len(best) == 0 || e.CPUShare > best[0].CPUShare:
+				best = []ledger.Entry{e}
+			case e.CPUShare == best[0].CPUShare:
+				best = append(best, e)
+			}
+		}
+	})
+	return best
+}
+
+// yieldIfSmall gives up ownership if a clearly larger entry could take it.
+func (o *owner) yieldIfSmall(now time.Time) {
+	if o.releasing || o.at(now) < yieldAfter || now.Sub(o.yieldCheckedAt) < yieldCheck {
+		return
+	}
+	o.yieldCheckedAt = now
+	if best := o.largest(); len(best) > 0 && best[0].CPUShare > yieldFactor*o.cpuShare {
+		o.logger.Info("ownership yielded", "epoch", o.epoch, "cpu_share", o.cpuShare, "larger", best[0].CPUShare)
+		o.release(make(chan struct{}))
+	}
+}
+
+// release records the state and the end of the term. The control loop calls it.
+func (o *owner) release(done chan struct{}) {
+	if o.releaseBegan.IsZero() {
+		o.releaseBegan = time.Now()
+	}
+	// A gang of which only some members were started would wait in vain.
+	starting := o.starting > 0 && time.Since(o.releaseBegan) < orderTimeout
+	o.releasing = true
+	if !o.flushing && len(o.requests) > 0 {
+		o.startFlush(time.Now())
+	}
+	if starting || o.flushing {
+		time.AfterFunc(finalFlushGap, func() { o.post(func() { o.release(done) }) })
+		return
+	}
+	for _, start := range o.planned {
+		o.sched.StartResult(o.now(), start.Run, scheduler.Refused)
+	}
+	o.planned = nil
+	successor := o.successor()
+	o.claim.Released, o.claim.Successor = true, successor.Name
+	ids, states := o.sched.Changed(time.Now().UnixMilli())
+	var records []ledger.Record
+	for i := range ids {
+		if record, err := ledger.StateRecord(ids[i], &states[i]); err == nil {
+			records = append(records, record)
+		} else {
+			o.logger.Error("job state not encoded", "job", ids[i], "error", err)
+		}
+	}
+	last, err := ledger.ClaimRecord(&o.claim)
+	if err != nil {
+		o.logger.Error("release not encoded", "error", err)
+	} else {
+		records = append(records, last)
+	}
+	o.flushing = true
+	entry := port.Append{Topic: port.TopicJobs, Records: records, Fence: &port.Fence{Epoch: o.epoch, Seq: o.seq}, At: port.AnyOffset}
+	o.seq++
+	o.group.Go(func() {
+		o.append(entry)
+		o.logger.Info("ownership released", "epoch", o.epoch, "records", len(records), "successor", successor.Name)
+		o.nominate(successor)
+		close(done)
+		o.cancel()
+	})
+}
--- a/internal/state/scheduler/takeover_test.go
+++ b/internal/state/scheduler/takeover_test.go
@@ -115,10 +115,7 @@
 	w.add(2, wide)
 	w.submit(&workload.Job{ID: jobID(1), Steps: []workload.Step{tasksOf(1, cores(1), 60_000)}})
 	w.play(100 * time.Millisecond)
-	holder := w.upstreams[0]
-	if len(holder.running) == 0 {
-		holder = w.upstreams[1]
-	}
+	holder := w.busy()
 	w.takeOver()
 	w.s.RemoveUpstream(holder.reg.ID) // nobody looked at it in this term
 	delete(w.s.upstreams, holder.reg.ID)
@@ -184,10 +181,7 @@
 			w.add(2, wide)
 			w.submit(&workload.Job{ID: jobID(1), Steps: []workload.Step{tasksOf(1, cores(1), 300)}})
 			w.play(100 * time.Millisecond)
-			lost := w.upstreams[0]
-			if len(lost.running) == 0 {
-				lost = w.upstreams[1]
-			}
+			lost := w.busy()
 			clear(lost.running)
 			lost.down = true
 			if c.takeOver {
@@ -209,10 +203,7 @@
 	w.add(2, state.Vector{CPUMilli: 8000, MemoryMB: 64000})
 	w.submit(&workload.Job{ID: jobID(1), Steps: []workload.Step{tasksOf(8, cores(1), 60_000)}})
 	w.play(100 * time.Millisecond)
-	holder := w.upstreams[0]
-	if len(holder.running) == 0 {
-		holder = w.upstreams[1]
-	}
+	holder := w.busy()
 	w.takeOver(holder)
 	w.submit(&workload.Job{ID: jobID(2), Steps: []workload.Step{tasksOf(4, cores(1), 100)}})
 	w.play(3 * time.Second)
@@ -233,10 +224,7 @@
 	w.add(2, wide)
 	w.submit(&workload.Job{ID: jobID(1), Steps: []workload.Step{tasksOf(1, cores(1), 60_000)}})
 	w.play(100 * time.Millisecond)
-	holder := w.upstreams[0]
-	if len(holder.running) == 0 {
-		holder = w.upstreams[1]
-	}
+	holder := w.busy()
 	w.takeOver(holder)
 	w.submit(&workload.Job{ID: jobID(2), Steps: []workload.Step{tasksOf(1, cores(1), 100)}})
 	w.play(4 * time.Second)                           // the world reports a second run of the adopted task
--- a/internal/state/scheduler/world_test.go
+++ b/internal/state/scheduler/world_test.go
@@ -141,6 +141,17 @@
 	return nil
 }
 
+// busy returns the first upstream that runs something.
+func (w *world) busy() *simUpstream {
+	for _, u := range w.upstreams {
+		if len(u.running) > 0 {
+			return u
+		}
+	}
+	w.t.Fatal("no upstream runs anything")
+	return nil
+}
+
 // play runs the world for a time.
 func (w *world) play(d state.Time) {
 	end := w.now + d
