Bar late starts again in a new life of their upstream

Their starts got no answer, the stops that bar them were answered 2 ms later, and the tasks were started and done elsewhere. The upstream then restarted under its ID, which forgets what was stopped, and the delayed starts were carried out by the new life.

Ruled out: a stop that was not answered (both were), another owner (one epoch).

Change: starts without an answer are remembered for 13 s, as orders may be carried out up to 12 s late, and are stopped again in each new life of their upstream. A start that reaches the new life before the owner has noticed it can still run for that moment; nothing in the order tells lives under one ID apart.

--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -39,6 +39,8 @@
 		{name: "answer of a former life", seed: 140, duration: 12 * time.Second},
 		// A gang of which the former owner had started some members was left as it was.
 		{name: "half a gang at a takeover", seed: 101, duration: 12 * time.Second},
+		// A late start, barred in its upstream's former life, was carried out by the new one.
+		{name: "late start meets a new life", seed: 3003, duration: 12 * time.Second},
 	}
 	binary := program(t)
 	for _, c := range cases {
--- a/internal/state/scheduler/plan.go
+++ b/internal/state/scheduler/plan.go
@@ -19,6 +19,7 @@
 	var plan Plan
 	s.settleExpired(now)
 	s.repeatStops(now)
+	s.orderBars(now)
 	s.evacuate(now)
 	s.pace(now, &plan)
 	s.pools, s.waits = map[workload.ServiceName]*pool{}, Waiting{}
--- a/internal/state/scheduler/runs.go
+++ b/internal/state/scheduler/runs.go
@@ -161,6 +161,7 @@
 		s.begin(r.task.step.job)
 	case Unanswered:
 		u.health.fault(now, 1)
+		s.remember(now, id)
 		if r.phase == starting {
 			r.phase, r.since = unsure, now
 		}
@@ -178,6 +179,7 @@
 
 // StopResult takes in the answer to a stop.
 func (s *Scheduler) StopResult(now state.Time, id Run, answered bool) {
+	s.barred(now, id, answered)
 	r := s.find(id)
 	if r == nil || r.phase != stopping {
 		return
@@ -208,6 +210,7 @@
 	if u == nil {
 		u = &upstream{runs: map[workload.TaskID]*run{}}
 		s.upstreams[reg.ID] = u
+		s.barLate(now, reg.ID)
 	} else {
 		if u.BornUnixMS != reg.BornUnixMS {
 			s.newLife(now, u)
@@ -221,6 +224,7 @@
 // newLife handles the runs of an upstream's former life.
 func (s *Scheduler) newLife(now state.Time, u *upstream) {
 	u.known = false
+	s.barLate(now, u.ID)
 	for _, st := range s.stepsOn(u) {
 		delete(st.advised, u.ID)
 	}
--- a/internal/state/scheduler/scheduler.go
+++ b/internal/state/scheduler/scheduler.go
@@ -45,6 +45,8 @@
 	held map[workload.UpstreamID][]*task
 	// pools are the usable upstreams during a plan.
 	pools map[workload.ServiceName]*pool
+	// late holds the starts without an answer by upstream.
+	late map[workload.UpstreamID]map[Run]*lateStart
 	// waits counts the tasks that the newest plan could not place.
 	waits Waiting
 	// timed are the steps whose occurrence is not due yet.
@@ -64,6 +66,7 @@
 		ready:     map[*step]struct{}{},
 		held:      map[workload.UpstreamID][]*task{},
 		timed:     map[*step]struct{}{},
+		late:      map[workload.UpstreamID]map[Run]*lateStart{},
 	}
 }
 
--- a/internal/state/scheduler/scheduler_test.go
+++ b/internal/state/scheduler/scheduler_test.go
@@ -223,6 +223,29 @@
 	is.Equal(w.phases()[ledger.Complete], 120)
 }
 
+// TestLateStartMeetsANewLife: a start without an answer is carried out by the
+// next life of its upstream, which knows of no stop before it.
+func TestLateStartMeetsANewLife(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, oneQueue(nil))
+	w.add(2, wide)
+	w.submit(&workload.Job{ID: jobID(1), Steps: []workload.Step{tasksOf(1, cores(1), 300)}})
+	w.s.Tick(w.unix())
+	lost := w.s.Plan(w.now).Starts[0]
+	is.True(w.s.Sent(w.now, lost.Run))
+	w.s.StartResult(w.now, lost.Run, Unanswered)
+	w.at(2*time.Second, func() {
+		u := w.upstream(lost.Upstream)
+		clear(u.barred)
+		u.ended, u.looked, u.shown = nil, 0, false
+		u.reg.BornUnixMS++
+		w.s.SetUpstream(w.now, u.reg)
+	})
+	w.at(4*time.Second, func() { w.arrive(lost) }) // the world reports a second run
+	w.play(5 * time.Second)
+	is.Equal(w.jobs[jobID(1)].phase, ledger.Complete)
+}
+
 func TestBacklogServesUrgentWorkFirst(t *testing.T) {
 	is := is.New(t)
 	config := oneQueue(nil)
