--- a/internal/coordination/dispatch/looker.go
+++ b/internal/coordination/dispatch/looker.go
@@ -166,16 +166,7 @@
 	if outdated {
 		return lookUnanswered
 	}
-	restarted := l.sample(reply.ClockMS, now)
-	if restarted || (born != 0 && reply.BornUnixMS != 0 && reply.BornUnixMS != born) {
-		o.logger.Warn("upstream restarted", "upstream", id, "born", reply.BornUnixMS, "registered", born)
-		l.forgetLife()
-		l.sample(reply.ClockMS, now)
-		l.mu.Lock()
-		l.bornUnixMS = reply.BornUnixMS
-		l.mu.Unlock()
-		o.post(func() { o.newLife(id, reply.BornUnixMS) })
-	}
+	o.checkLife(id, l, &reply, born, now)
 	l.mu.Lock()
 	recovered := l.failures > 0
 	l.failures = 0
@@ -187,6 +178,22 @@
 	return lookAnswered
 }
 
+// checkLife notices that an upstream has restarted since it was registered.
+func (o *owner) checkLife(id workload.UpstreamID, l *link, reply *port.LookReply, born int64, now time.Time) {
+	restarted := l.sample(reply.ClockMS, now)
+	if !restarted && (born == 0 || reply.BornUnixMS == 0 || reply.BornUnixMS == born) {
+		return
+	}
+	o.logger.Warn("upstream restarted", "upstream", id, "born", reply.BornUnixMS, "registered", born)
+	l.forgetLife()
+	l.sample(reply.ClockMS, now)
+	l.mu.Lock()
+	l.bornUnixMS = reply.BornUnixMS
+	l.mu.Unlock()
+	newBorn := reply.BornUnixMS
+	o.post(func() { o.newLife(id, newBorn) })
+}
+
 // report hands what an upstream said to the control loop.
 func (o *owner) report(id workload.UpstreamID, l *link, reply *port.LookReply, sentAt time.Time) {
 	ends, life := l.fresh(reply.Ended)
--- a/internal/coordination/replica/replica.go
+++ b/internal/coordination/replica/replica.go
@@ -183,12 +183,12 @@
 func (r *Replica) followJobs(ctx context.Context) {
 	for ctx.Err() == nil {
 		if !r.isLoaded() && !r.load(ctx) {
-			pause(ctx, retryPause)
+			pauseForRetry(ctx)
 			continue
 		}
 		began := time.Now()
 		if !r.step(ctx) {
-			pause(ctx, retryPause)
+			pauseForRetry(ctx)
 			continue
 		}
 		r.pauseAtPace(ctx, began)
@@ -317,14 +317,14 @@
 			continue
 		case err != nil:
 			r.logger.Debug("configuration not read", "error", err)
-			pause(ctx, retryPause)
+			pauseForRetry(ctx)
 			continue
 		}
 		next = batch.Next
 		r.configAt.Store(r.sinceStart())
 		r.takeConfig(batch)
 		if r.config.Load() == nil {
-			pause(ctx, retryPause)
+			pauseForRetry(ctx)
 		}
 	}
 }
@@ -349,11 +349,9 @@
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	timer := time.NewTimer(d)
+// pauseForRetry waits after a failed read.
+func pauseForRetry(ctx context.Context) {
+	timer := time.NewTimer(retryPause)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
--- a/internal/state/scheduler/runs.go
+++ b/internal/state/scheduler/runs.go
@@ -57,7 +57,7 @@
 		s.touch(st.job)
 	}
 	if st.spec.Gang && !r.task.done {
-		s.stopMembers(now, st, r.Number, StopGangBroken)
+		s.stopMembers(now, st, r.Number)
 	}
 	s.wake(st)
 	if st.job.phase.Final() {
@@ -69,11 +69,11 @@
 }
 
 // stopMembers stops the members of a gang run that has lost a member.
-func (s *Scheduler) stopMembers(now state.Time, st *step, number int64, reason StopReason) {
+func (s *Scheduler) stopMembers(now state.Time, st *step, number int64) {
 	for _, t := range st.tasks {
 		for _, r := range append([]*run(nil), t.runs...) {
 			if r.Number == number {
-				s.stop(now, r, reason)
+				s.stop(now, r, StopGangBroken)
 			}
 		}
 	}
