--- a/internal/coordination/port/port.go
+++ b/internal/coordination/port/port.go
@@ -30,6 +30,20 @@
 	TopicStatus
 )
 
+func (t Topic) String() string {
+	switch t {
+	case TopicJobs:
+		return "jobs"
+	case TopicOperators:
+		return "operators"
+	case TopicUpstreams:
+		return "upstreams"
+	case TopicStatus:
+		return "status"
+	}
+	return fmt.Sprintf("topic %d", uint8(t))
+}
+
 // Fence makes an append conditional on the writer's epoch.
 type Fence struct {
 	Epoch int64
--- a/internal/coordination/relay/relay.go
+++ b/internal/coordination/relay/relay.go
@@ -78,6 +78,8 @@
 	preferred string
 	// unreachableAt is when another entry last reported that it cannot reach the log.
 	unreachableAt time.Time
+	// relayFailed is set while the newest relayed read failed.
+	relayFailed bool
 }
 
 // New returns a Log. addresses returns the addresses of the entries that may relay.
@@ -273,10 +275,14 @@
 		last = err
 	}
 	for _, address := range l.relays() {
+		began := time.Now()
 		callCtx, cancel := context.WithTimeout(ctx, timeout)
 		batch, err := l.peers.Read(callCtx, address, q)
 		cancel()
 		l.recordRelayResult(address, err)
+		if ctx.Err() == nil {
+			l.recordRelayedRead(address, q, time.Since(began), err)
+		}
 		if isAnswer(err) || ctx.Err() != nil {
 			return batch, err
 		}
@@ -288,6 +294,17 @@
 	return port.Batch{}, last
 }
 
+// recordRelayedRead logs the first of a series of relayed reads that fail.
+func (l *Log) recordRelayedRead(address string, q port.ReadQuery, took time.Duration, err error) {
+	l.mu.Lock()
+	failedBefore := l.relayFailed
+	l.relayFailed = !isAnswer(err)
+	l.mu.Unlock()
+	if !isAnswer(err) && !failedBefore {
+		l.logger.Warn("reading the log through another entry failed", "relay", address, "topic", q.Topic, "from", q.From, "took_ms", took.Milliseconds(), "error", err)
+	}
+}
+
 func (l *Log) readDirect(ctx context.Context, q port.ReadQuery) (port.Batch, error) {
 	if q.Newest {
 		return l.direct.NewestPage(ctx, q.Topic, q.After)
--- a/internal/coordination/replica/replica.go
+++ b/internal/coordination/replica/replica.go
@@ -87,21 +87,26 @@
 	ownerRecordAt atomic.Int64 // newest record of the owner
 	mode          atomic.Int64
 	// modeChanged ends the pause between two reads when the mode changes.
-	modeChanged chan struct{}
-	configAt    atomic.Int64
-	reads       metrics.Counter
-	readFails   metrics.Counter
+	modeChanged     chan struct{}
+	configReadAt    atomic.Int64 // newest successful read of the configuration
+	reads           metrics.Counter
+	readFails       metrics.Counter
+	configReadFails metrics.Counter
 }
 
 // New returns a Replica that reads nothing until Run.
 func New(log port.Log, decoder port.Decoder, logger hclog.Logger, registry metrics.Registry) *Replica {
-	return &Replica{
+	r := &Replica{
 		log: log, decoder: decoder, logger: logger, startedAt: time.Now(),
-		table:       ledger.NewTable(),
-		modeChanged: make(chan struct{}, 1),
-		reads:       metrics.GetOrRegisterCounter("replica.reads", registry),
-		readFails:   metrics.GetOrRegisterCounter("replica.read_failures", registry),
+		table:           ledger.NewTable(),
+		modeChanged:     make(chan struct{}, 1),
+		reads:           metrics.GetOrRegisterCounter("replica.reads", registry),
+		readFails:       metrics.GetOrRegisterCounter("replica.read_failures", registry),
+		configReadFails: metrics.GetOrRegisterCounter("replica.config_read_failures", registry),
 	}
+	metrics.NewRegisteredFunctionalGauge("replica.config_version", registry, r.configVersion)
+	metrics.NewRegisteredFunctionalGauge("replica.config_age_ms", registry, func() int64 { return r.configAge().Milliseconds() })
+	return r
 }
 
 // Run follows the log until the context ends.
@@ -119,6 +124,21 @@
 // Config returns the newest configuration, or nil before the first one was read.
 func (r *Replica) Config() *workload.Config { return r.config.Load() }
 
+// configVersion returns the version of the newest configuration, or 0 before the first one
+// was read.
+func (r *Replica) configVersion() int64 {
+	if config := r.config.Load(); config != nil {
+		return config.Version
+	}
+	return 0
+}
+
+// configAge returns the time since the configuration was last read successfully, whether
+// or not it had changed, or since the start before the first read.
+func (r *Replica) configAge() time.Duration {
+	return time.Duration(r.monotonicNow() - r.configReadAt.Load())
+}
+
 // SetReadMode sets how often the ledger is read.
 func (r *Replica) SetReadMode(m ReadMode) {
 	r.mode.Store(int64(m))
@@ -370,6 +390,7 @@
 
 func (r *Replica) followConfig(ctx context.Context) {
 	next := int64(-1)
+	failing := false
 	for ctx.Err() == nil {
 		var batch port.Batch
 		var err error
@@ -387,12 +408,20 @@
 			next = -1
 			continue
 		case err != nil:
-			r.logger.Debug("reading the configuration failed", "error", err)
+			r.configReadFails.Inc(1)
+			if !failing && ctx.Err() == nil {
+				r.logger.Warn("configuration not readable", "version", r.configVersion(), "age_ms", r.configAge().Milliseconds(), "from", next, "error", err)
+			}
+			failing = true
 			pauseForRetry(ctx)
 			continue
 		}
+		if failing {
+			failing = false
+			r.logger.Info("configuration readable again", "age_ms", r.configAge().Milliseconds(), "from", next)
+		}
 		next = batch.Next
-		r.configAt.Store(r.monotonicNow())
+		r.configReadAt.Store(r.monotonicNow())
 		r.applyConfig(batch)
 		if r.config.Load() == nil {
 			pauseForRetry(ctx)
@@ -416,7 +445,7 @@
 		}
 		config.Index()
 		r.config.Store(config)
-		r.logger.Info("configuration applied", "version", config.Version, "queues", len(config.Queues), "workspaces", len(config.Workspaces))
+		r.logger.Info("configuration applied", "version", config.Version, "queues", len(config.Queues), "workspaces", len(config.Workspaces), "bytes", len(record.Value))
 	}
 }
 
