End reads of the log for lack of progress, not after a fixed time

Cause: a read of the log had a time limit of 1.7 s, which covers the wait for a record of up to 1 s and the transfer of the reply. A configuration of 972 kB takes 0.8 s on a link of 10 Mbit/s, so a change late in the wait was cut. Nothing of a cut reply is kept, and the next read starts anew. The log refused nothing and entries with fast links were not affected, which rules out a slow log.

A silent connection is detected as soon as before. A second entry is asked only within a second, so that a read that falls back to other entries does not keep the log from being tried again.

--- a/internal/coordination/relay/relay.go
+++ b/internal/coordination/relay/relay.go
@@ -41,8 +41,11 @@
 	unreachableTTL = time.Second
 	// relayAppendTimeout bounds an append through another entry.
 	relayAppendTimeout = 900 * time.Millisecond
-	// readMargin is added to the wait of a read to get its timeout.
-	readMargin = 700 * time.Millisecond
+	// relayReadTimeout bounds a read through another entry, in addition to its wait. Only
+	// within relayRetryWindow of the first attempt is a second entry asked, so that the
+	// log itself is tried again soon.
+	relayReadTimeout = 4 * time.Second
+	relayRetryWindow = time.Second
 	// After a failed read, and after a failed append, reads go through other entries for
 	// readPause or appendPause; the next direct read then shows whether the log responds.
 	readPause   = 1200 * time.Millisecond
@@ -243,24 +246,18 @@
 
 // Read implements port.Log.
 func (l *Log) Read(ctx context.Context, topic port.Topic, from int64, wait time.Duration) (port.Batch, error) {
-	return l.read(ctx, port.ReadQuery{Topic: topic, From: from, Wait: wait}, wait+readMargin)
+	return l.read(ctx, port.ReadQuery{Topic: topic, From: from, Wait: wait})
 }
 
 // NewestPage implements port.Log.
 func (l *Log) NewestPage(ctx context.Context, topic port.Topic, after string) (port.Batch, error) {
-	return l.read(ctx, port.ReadQuery{Topic: topic, Newest: true, After: after}, pageTimeout)
+	return l.read(ctx, port.ReadQuery{Topic: topic, Newest: true, After: after})
 }
 
-// pageTimeout bounds the read of a page of the newest records, which has at most 500
-// records and 1 MB.
-const pageTimeout = 4 * time.Second
-
-func (l *Log) read(ctx context.Context, q port.ReadQuery, timeout time.Duration) (port.Batch, error) {
+func (l *Log) read(ctx context.Context, q port.ReadQuery) (port.Batch, error) {
 	var last error
 	if l.tryDirectRead() {
-		callCtx, cancel := context.WithTimeout(ctx, timeout)
-		batch, err := l.readDirect(callCtx, q)
-		cancel()
+		batch, err := l.readDirect(ctx, q)
 		if isAnswer(err) {
 			l.mu.Lock()
 			l.readAt = time.Now()
@@ -274,9 +271,13 @@
 		}
 		last = err
 	}
+	relaysSince := time.Now()
 	for _, address := range l.relays() {
 		began := time.Now()
-		callCtx, cancel := context.WithTimeout(ctx, timeout)
+		if began.Sub(relaysSince) > relayRetryWindow {
+			break
+		}
+		callCtx, cancel := context.WithTimeout(ctx, q.Wait+relayReadTimeout)
 		batch, err := l.peers.Read(callCtx, address, q)
 		cancel()
 		l.recordRelayResult(address, err)
--- a/internal/coordination/replica/replica.go
+++ b/internal/coordination/replica/replica.go
@@ -21,13 +21,6 @@
 	// readWait is how long the log may hold a read open without new records. It bounds
 	// how long a dead connection goes unnoticed.
 	readWait = time.Second
-	// readTimeout bounds a read that is held open for readWait.
-	readTimeout = readWait + 800*time.Millisecond
-	// newestTimeout bounds a full load of the configuration.
-	newestTimeout = 5 * time.Second
-	// pageTimeout bounds the read of a page of the ledger's newest records, through other
-	// entries if the log does not respond to this one.
-	pageTimeout = 5 * time.Second
 	// locateInterval is the pause between two reads of the claim and the entries while the
 	// ledger is being loaded.
 	locateInterval = time.Second
@@ -314,9 +307,7 @@
 
 // readPage reads a page of the newest records and folds it.
 func (r *Replica) readPage(ctx context.Context, after string) (port.Batch, bool) {
-	callCtx, cancel := context.WithTimeout(ctx, pageTimeout)
-	defer cancel()
-	page, err := r.log.NewestPage(callCtx, port.TopicJobs, after)
+	page, err := r.log.NewestPage(ctx, port.TopicJobs, after)
 	if err != nil {
 		r.recordFailure("load the ledger", err)
 		return port.Batch{}, false
@@ -331,12 +322,10 @@
 // readNext reads and folds the next batch. If the log no longer holds it, it loads the
 // newest record of each key instead.
 func (r *Replica) readNext(ctx context.Context) bool {
-	callCtx, cancel := context.WithTimeout(ctx, readTimeout)
-	defer cancel()
 	r.mu.RLock()
 	from := r.next
 	r.mu.RUnlock()
-	batch, err := r.log.Read(callCtx, port.TopicJobs, from, readWait)
+	batch, err := r.log.Read(ctx, port.TopicJobs, from, readWait)
 	if errors.Is(err, port.ErrExpired) {
 		r.logger.Warn("ledger records expired from the log", "from", from, "action", "load the newest of each key")
 		return r.load(ctx)
@@ -395,13 +384,9 @@
 		var batch port.Batch
 		var err error
 		if next < 0 {
-			callCtx, cancel := context.WithTimeout(ctx, newestTimeout)
-			batch, err = port.ReadNewest(callCtx, r.log, port.TopicOperators)
-			cancel()
+			batch, err = port.ReadNewest(ctx, r.log, port.TopicOperators)
 		} else {
-			callCtx, cancel := context.WithTimeout(ctx, readTimeout)
-			batch, err = r.log.Read(callCtx, port.TopicOperators, next, readWait)
-			cancel()
+			batch, err = r.log.Read(ctx, port.TopicOperators, next, readWait)
 		}
 		switch {
 		case errors.Is(err, port.ErrExpired):
