Keep a peer connection that delivers a large reply

Cause: a probe whose reply waits behind a large one counts as unanswered after 400 ms, which is less than 1 MB takes on a link of 10 Mbit/s. A connection is now closed only if nothing arrived since the probe. TestLargeRelayedReadIsNotCutByProbes failed before with "the entry is not responding" after 0.80 s.

--- a/internal/transport/peer/client.go
+++ b/internal/transport/peer/client.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/rpc"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/samphirerail/samphirerail/internal/coordination/port"
@@ -20,11 +21,35 @@
 type Client struct {
 	dialer net.Dialer
 	mu     sync.Mutex
-	conns  map[string]*rpc.Client
+	conns  map[string]*connection
 	// failedDials holds the last failed connection attempt of each address.
 	failedDials map[string]failedDial
 }
 
+// connection is a connection to another entry.
+type connection struct {
+	*rpc.Client
+	// received counts the bytes that arrived.
+	received *atomic.Int64
+}
+
+// countingConn counts the bytes that it receives.
+type countingConn struct {
+	net.Conn
+	received *atomic.Int64
+}
+
+func (c countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.received.Add(int64(n))
+	return n, err
+}
+
+func newConnection(raw net.Conn) *connection {
+	received := &atomic.Int64{}
+	return &connection{rpc.NewClient(countingConn{raw, received}), received}
+}
+
 // failedDial is a failed connection attempt. No new attempt is made before
 // retryAt.
 type failedDial struct {
@@ -35,7 +60,7 @@
 // NewClient returns a client that dials from the address local, or from any local
 // address if local is nil.
 func NewClient(local net.Addr) *Client {
-	return &Client{dialer: netopt.Dialer(local, dialTimeout), conns: map[string]*rpc.Client{}, failedDials: map[string]failedDial{}}
+	return &Client{dialer: netopt.Dialer(local, dialTimeout), conns: map[string]*connection{}, failedDials: map[string]failedDial{}}
 }
 
 // Close closes all connections. Pending calls fail.
@@ -50,7 +75,7 @@
 	return err
 }
 
-func (c *Client) conn(ctx context.Context, address string) (*rpc.Client, error) {
+func (c *Client) conn(ctx context.Context, address string) (*connection, error) {
 	c.mu.Lock()
 	existing := c.conns[address]
 	failed := c.failedDials[address]
@@ -68,7 +93,7 @@
 		c.mu.Unlock()
 		return nil, &NotSentError{Address: address, Cause: err}
 	}
-	fresh := rpc.NewClient(raw)
+	fresh := newConnection(raw)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if other := c.conns[address]; other != nil {
@@ -82,7 +107,7 @@
 // to the address failed within redialBackoff.
 var errRecentDialFailure = errors.New("no new connection attempt yet after a recent failure")
 
-func (c *Client) drop(address string, conn *rpc.Client) {
+func (c *Client) drop(address string, conn *connection) {
 	c.mu.Lock()
 	if c.conns[address] == conn {
 		delete(c.conns, address)
@@ -119,6 +144,7 @@
 	probe := time.NewTicker(probeInterval)
 	defer probe.Stop()
 	var ping *rpc.Call
+	received := conn.received.Load()
 	for {
 		select {
 		case <-call.Done:
@@ -128,9 +154,14 @@
 			}
 			return call.Error
 		case <-probe.C:
+			before := received
+			received = conn.received.Load()
 			if ping != nil && !isDone(ping) {
-				c.drop(address, conn)
-				return errNoResponse
+				if received == before {
+					c.drop(address, conn)
+					return errNoResponse
+				}
+				continue // the reply to the probe is behind another one that is arriving
 			}
 			ping = conn.Go(serviceName+".Ping", struct{}{}, &struct{}{}, make(chan *rpc.Call, 1))
 		case <-ctx.Done():
--- a/internal/transport/peer/peer.go
+++ b/internal/transport/peer/peer.go
@@ -19,7 +19,8 @@
 	// dialTimeout bounds a connection attempt. Peers are in the same region.
 	dialTimeout = 500 * time.Millisecond
 	// probeInterval is how often a pending call probes its connection. If a probe has
-	// not been answered by the time the next one is due, the connection is closed.
+	// not been answered by the time the next one is due, and nothing else has arrived
+	// meanwhile, the connection is closed.
 	probeInterval = 400 * time.Millisecond
 	// redialBackoff is how long calls to an address fail at once after a failed
 	// connection attempt, so that callers do not wait for an unreachable entry.
--- a/internal/transport/peer/peer_test.go
+++ b/internal/transport/peer/peer_test.go
@@ -13,6 +13,8 @@
 	"github.com/matryer/is"
 
 	"github.com/samphirerail/samphirerail/internal/coordination/port"
+	"github.com/samphirerail/samphirerail/internal/state/ledger"
+	"github.com/samphirerail/samphirerail/internal/testlink"
 )
 
 // owningBackend is a Backend that owns the placement; its other methods are not called.
@@ -53,6 +55,49 @@
 	is.NoErr(server.Close())
 }
 
+// readingBackend is a Backend whose log returns one record of size bytes.
+type readingBackend struct {
+	owningBackend
+	size int
+}
+
+func (b readingBackend) Log() port.Log { return sizedLog{size: b.size} }
+
+type sizedLog struct {
+	port.Log
+	size int
+}
+
+func (l sizedLog) Read(context.Context, port.Topic, int64, time.Duration) (port.Batch, error) {
+	return port.Batch{Records: []ledger.Record{{Key: "config", Value: make([]byte, l.size)}}, Next: 1}, nil
+}
+
+// serveNarrow serves a backend over a narrow link and returns its address.
+func serveNarrow(t *testing.T, backend Backend) string {
+	is := is.New(t)
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	is.NoErr(err)
+	server, err := serve(testlink.Narrow(listener), backend, hclog.NewNullLogger())
+	is.NoErr(err)
+	t.Cleanup(func() { is.NoErr(server.Close()) })
+	return listener.Addr().String()
+}
+
+// TestLargeRelayedReadIsNotCutByProbes reads what takes a narrow link longer than the
+// connection's probes may take.
+func TestLargeRelayedReadIsNotCutByProbes(t *testing.T) {
+	is := is.New(t)
+	const size = testlink.NarrowBandwidth * 3 / 2
+	address := serveNarrow(t, readingBackend{size: size})
+	client := NewClient(nil)
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	batch, err := client.Read(ctx, address, port.ReadQuery{Topic: port.TopicOperators})
+	is.NoErr(err)
+	is.Equal(len(batch.Records[0].Value), size)
+	is.NoErr(client.Close())
+}
+
 // TestWatchEndsWithTheEntry checks that a watching call fails when the watched process
 // ends, and not before.
 func TestWatchEndsWithTheEntry(t *testing.T) {
