Read the log through other entries on connections of their own

Cause: all calls to an entry share one connection on which replies are sent one after the other. A reply of 1 MB delays the others by 0.8 s on a link of 10 Mbit/s, and one that nobody waits for any more is still sent first. Reads now have a connection for each topic, which is closed when a read is given up.

TestLargeRelayedReadDoesNotDelayCalls (deadline exceeded) and TestAbandonedReadIsNotSent failed before.

--- a/internal/coordination/relay/relay_test.go
+++ b/internal/coordination/relay/relay_test.go
@@ -47,7 +47,11 @@
 }
 
 func (p *scriptedPeers) Read(ctx context.Context, _ string, q port.ReadQuery) (port.Batch, error) {
-	time.Sleep(p.latency)
+	select {
+	case <-time.After(p.latency):
+	case <-ctx.Done():
+		return port.Batch{}, ctx.Err()
+	}
 	return p.log.Read(ctx, q.Topic, q.From, q.Wait)
 }
 
@@ -128,3 +132,16 @@
 		is.Equal(direct.calls, 2)
 	})
 }
+
+// TestLargeRelayedReadIsNotCut reads what takes two slow links, one after the other, longer
+// than a read waits for the reply of the log to begin.
+func TestLargeRelayedReadIsNotCut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		log, _, peers := newScripted([]error{errResponseLost}, []error{nil})
+		peers.latency = 3 * time.Second
+		batch, err := log.Read(context.Background(), port.TopicOperators, 0, 0)
+		is.NoErr(err)
+		is.Equal(batch.Next, int64(7))
+	})
+}
--- a/internal/transport/peer/client.go
+++ b/internal/transport/peer/client.go
@@ -16,16 +16,32 @@
 	"github.com/samphirerail/samphirerail/internal/transport/netopt"
 )
 
-// Client calls other entries. It keeps one connection per address and is safe for
-// concurrent use.
+// Client calls other entries. It keeps one connection per address and lane and is safe
+// for concurrent use.
 type Client struct {
 	dialer net.Dialer
 	mu     sync.Mutex
-	conns  map[string]*connection
+	conns  map[connKey]*connection
 	// failedDials holds the last failed connection attempt of each address.
 	failedDials map[string]failedDial
 }
 
+// connKey identifies a connection.
+type connKey struct {
+	address string
+	lane    lane
+}
+
+// lane is a class of calls that share a connection. Replies on one connection are sent one
+// after the other, and those to reads of the log may take long.
+type lane int
+
+// callLane is the lane of all calls but reads of the log.
+const callLane lane = 0
+
+// readLane returns the lane of the reads of a topic.
+func readLane(topic port.Topic) lane { return callLane + 1 + lane(topic) }
+
 // connection is a connection to another entry.
 type connection struct {
 	*rpc.Client
@@ -60,7 +76,7 @@
 // NewClient returns a client that dials from the address local, or from any local
 // address if local is nil.
 func NewClient(local net.Addr) *Client {
-	return &Client{dialer: netopt.Dialer(local, dialTimeout), conns: map[string]*connection{}, failedDials: map[string]failedDial{}}
+	return &Client{dialer: netopt.Dialer(local, dialTimeout), conns: map[connKey]*connection{}, failedDials: map[string]failedDial{}}
 }
 
 // Close closes all connections. Pending calls fail.
@@ -68,38 +84,38 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var err error
-	for address, conn := range c.conns {
+	for key, conn := range c.conns {
 		err = errors.Join(err, conn.Close())
-		delete(c.conns, address)
+		delete(c.conns, key)
 	}
 	return err
 }
 
-func (c *Client) conn(ctx context.Context, address string) (*connection, error) {
+func (c *Client) conn(ctx context.Context, key connKey) (*connection, error) {
 	c.mu.Lock()
-	existing := c.conns[address]
-	failed := c.failedDials[address]
+	existing := c.conns[key]
+	failed := c.failedDials[key.address]
 	c.mu.Unlock()
 	if existing != nil {
 		return existing, nil
 	}
 	if time.Now().Before(failed.retryAt) {
-		return nil, &NotSentError{Address: address, Cause: fmt.Errorf("%w: %w", errRecentDialFailure, failed.err)}
+		return nil, &NotSentError{Address: key.address, Cause: fmt.Errorf("%w: %w", errRecentDialFailure, failed.err)}
 	}
-	raw, err := c.dialer.DialContext(ctx, "tcp4", address)
+	raw, err := c.dialer.DialContext(ctx, "tcp4", key.address)
 	if err != nil {
 		c.mu.Lock()
-		c.failedDials[address] = failedDial{err, time.Now().Add(redialBackoff)}
+		c.failedDials[key.address] = failedDial{err, time.Now().Add(redialBackoff)}
 		c.mu.Unlock()
-		return nil, &NotSentError{Address: address, Cause: err}
+		return nil, &NotSentError{Address: key.address, Cause: err}
 	}
 	fresh := newConnection(raw)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if other := c.conns[address]; other != nil {
+	if other := c.conns[key]; other != nil {
 		return other, fresh.Close()
 	}
-	c.conns[address] = fresh
+	c.conns[key] = fresh
 	return fresh, nil
 }
 
@@ -107,10 +123,10 @@
 // to the address failed within redialBackoff.
 var errRecentDialFailure = errors.New("no new connection attempt yet after a recent failure")
 
-func (c *Client) drop(address string, conn *connection) {
+func (c *Client) drop(key connKey, conn *connection) {
 	c.mu.Lock()
-	if c.conns[address] == conn {
-		delete(c.conns, address)
+	if c.conns[key] == conn {
+		delete(c.conns, key)
 	}
 	c.mu.Unlock()
 	// The connection is discarded, so an error of Close has no consequence.
@@ -136,7 +152,12 @@
 func (e *NotSentError) Unwrap() error { return e.Cause }
 
 func (c *Client) call(ctx context.Context, address, method string, args, reply any) error {
-	conn, err := c.conn(ctx, address)
+	return c.callOn(ctx, connKey{address, callLane}, method, args, reply)
+}
+
+// callOn makes a call on the connection of a lane.
+func (c *Client) callOn(ctx context.Context, key connKey, method string, args, reply any) error {
+	conn, err := c.conn(ctx, key)
 	if err != nil {
 		return err
 	}
@@ -150,7 +171,7 @@
 		case <-call.Done:
 			var serverErr rpc.ServerError
 			if call.Error != nil && !errors.As(call.Error, &serverErr) {
-				c.drop(address, conn)
+				c.drop(key, conn)
 			}
 			return call.Error
 		case <-probe.C:
@@ -158,13 +179,16 @@
 			received = conn.received.Load()
 			if ping != nil && !isDone(ping) {
 				if received == before {
-					c.drop(address, conn)
+					c.drop(key, conn)
 					return errNoResponse
 				}
 				continue // the reply to the probe is behind another one that is arriving
 			}
 			ping = conn.Go(serviceName+".Ping", struct{}{}, &struct{}{}, make(chan *rpc.Call, 1))
 		case <-ctx.Done():
+			if key.lane != callLane {
+				c.drop(key, conn) // otherwise the next read waits until the reply to this one was sent
+			}
 			return ctx.Err()
 		}
 	}
@@ -195,7 +219,8 @@
 // Watch waits until the process of the entry at an address ends, which is an error, or ctx
 // does. It returns nil if the entry ends the call.
 func (c *Client) Watch(ctx context.Context, address string) error {
-	conn, err := c.conn(ctx, address)
+	key := connKey{address, callLane}
+	conn, err := c.conn(ctx, key)
 	if err != nil {
 		return err
 	}
@@ -206,7 +231,7 @@
 		if call.Error == nil || errors.As(call.Error, &serverErr) { // an older build has no such call
 			return nil
 		}
-		c.drop(address, conn)
+		c.drop(key, conn)
 		return call.Error
 	case <-ctx.Done():
 		return ctx.Err()
@@ -252,7 +277,7 @@
 // Read reads the log through the entry at an address.
 func (c *Client) Read(ctx context.Context, address string, args port.ReadQuery) (port.Batch, error) {
 	reply := &ReadReply{}
-	if err := c.call(ctx, address, "Read", args, reply); err != nil {
+	if err := c.callOn(ctx, connKey{address, readLane(args.Topic)}, "Read", args, reply); err != nil {
 		return port.Batch{}, err
 	}
 	return reply.Batch, reply.Fault.Err()
--- a/internal/transport/peer/peer_test.go
+++ b/internal/transport/peer/peer_test.go
@@ -98,6 +98,45 @@
 	is.NoErr(client.Close())
 }
 
+// TestLargeRelayedReadDoesNotDelayCalls checks that a short call is answered while a large
+// reply is being sent.
+func TestLargeRelayedReadDoesNotDelayCalls(t *testing.T) {
+	is := is.New(t)
+	address := serveNarrow(t, readingBackend{size: 2 * testlink.NarrowBandwidth})
+	client := NewClient(nil)
+	ctx, cancel := context.WithCancel(context.Background())
+	read := make(chan error, 1)
+	go func() {
+		_, err := client.Read(ctx, address, port.ReadQuery{Topic: port.TopicOperators})
+		read <- err
+	}()
+	time.Sleep(probeInterval / 2)
+	callCtx, cancelCall := context.WithTimeout(context.Background(), probeInterval)
+	defer cancelCall()
+	owning, err := client.Owning(callCtx, address)
+	is.NoErr(err)
+	is.True(owning)
+	cancel()
+	is.True(errors.Is(<-read, context.Canceled))
+	is.NoErr(client.Close())
+}
+
+// TestAbandonedReadIsNotSent checks that a read does not wait for the reply of an earlier
+// one that was given up.
+func TestAbandonedReadIsNotSent(t *testing.T) {
+	is := is.New(t)
+	const transfer = time.Second
+	address := serveNarrow(t, readingBackend{size: testlink.NarrowBandwidth})
+	client := NewClient(nil)
+	for _, timeout := range []time.Duration{transfer / 4, transfer / 4, transfer * 3 / 2} {
+		ctx, cancel := context.WithTimeout(context.Background(), timeout)
+		_, err := client.Read(ctx, address, port.ReadQuery{Topic: port.TopicOperators})
+		cancel()
+		is.Equal(err == nil, timeout > transfer)
+	}
+	is.NoErr(client.Close())
+}
+
 // TestWatchEndsWithTheEntry checks that a watching call fails when the watched process
 // ends, and not before.
 func TestWatchEndsWithTheEntry(t *testing.T) {
