--- a/internal/coordination/dispatch/registrations.go
+++ b/internal/coordination/dispatch/registrations.go
@@ -16,13 +16,11 @@
 		var batch port.Batch
 		var err error
 		full := next < 0
-		callCtx, cancel := context.WithTimeout(ctx, registrationTimeout)
 		if full {
-			batch, err = port.ReadNewest(callCtx, o.log, port.TopicUpstreams)
+			batch, err = port.ReadNewest(ctx, o.log, port.TopicUpstreams)
 		} else {
-			batch, err = o.log.Read(callCtx, port.TopicUpstreams, next, registrationWait)
+			batch, err = o.log.Read(ctx, port.TopicUpstreams, next, registrationWait)
 		}
-		cancel()
 		if errors.Is(err, port.ErrExpired) {
 			next = -1
 			continue
@@ -42,8 +40,6 @@
 const (
 	// registrationWait is how long the log may hold a read of registrations open.
 	registrationWait = time.Second
-	// registrationTimeout bounds such a read, and a full load of the registrations.
-	registrationTimeout = 3 * time.Second
 	// registrationGap is the minimum time between two reads of registrations.
 	registrationGap = 50 * time.Millisecond
 )
