Read the newest configuration after several missed changes

On a link of 10 Mbit/s each version of 1 MB takes 0.8 s, so an entry that was cut off while the configuration changed 30 times would be right only 24 s after its return. Beyond one record of backlog it now loads the newest of each key.

--- a/internal/coordination/port/port.go
+++ b/internal/coordination/port/port.go
@@ -69,6 +69,9 @@
 	Records []ledger.Record
 	// Next is the offset at which reading continues.
 	Next int64
+	// End is the offset at which the topic ended when it was read; 0 if not known. More
+	// records remain to be read if it is larger than Next.
+	End int64
 	// After is set in a page of the newest records that is not the last one: the next page
 	// begins after this key.
 	After string
--- a/internal/coordination/replica/replica.go
+++ b/internal/coordination/replica/replica.go
@@ -24,6 +24,10 @@
 	// locateInterval is the pause between two reads of the claim and the entries while the
 	// ledger is being loaded.
 	locateInterval = time.Second
+	// maxConfigBacklog is the maximum number of operators' records that are read one after
+	// the other. Each holds a whole configuration, of which only the newest matters, and the
+	// newest of each key is sent in base64, which is a third larger.
+	maxConfigBacklog = 1
 	// retryPause is the pause after a failed read.
 	retryPause = 100 * time.Millisecond
 	// followerPause is the minimum time between two reads of an entry that is not
@@ -406,6 +410,9 @@
 			r.logger.Info("configuration readable again", "age_ms", r.configAge().Milliseconds(), "from", next)
 		}
 		next = batch.Next
+		if batch.End-batch.Next > maxConfigBacklog {
+			next = -1
+		}
 		r.configReadAt.Store(r.monotonicNow())
 		r.applyConfig(batch)
 		if r.config.Load() == nil {
--- a/internal/coordination/replica/replica_test.go
+++ b/internal/coordination/replica/replica_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -49,10 +50,8 @@
 		defer l.mu.Unlock()
 		return port.Batch{Records: l.directory, After: "s"}, nil
 	}
-	select {
-	case <-time.After(l.pageTime):
-	case <-ctx.Done():
-		return port.Batch{}, ctx.Err()
+	if err := sleep(ctx, l.pageTime); err != nil {
+		return port.Batch{}, err
 	}
 	for i, job := range l.jobs {
 		if job.Key <= after {
@@ -165,3 +164,69 @@
 		synctest.Wait()
 	})
 }
+
+// changingLog holds versions of a configuration, each of which takes a second to read.
+type changingLog struct {
+	port.Log
+	versions atomic.Int64
+}
+
+const versionReadTime = time.Second
+
+func (l *changingLog) record(version int64) ledger.Record {
+	return ledger.Record{Key: "config", Value: []byte{byte(version)}, Offset: version - 1}
+}
+
+func (l *changingLog) NewestPage(ctx context.Context, topic port.Topic, _ string) (port.Batch, error) {
+	if topic != port.TopicOperators {
+		<-ctx.Done()
+		return port.Batch{}, ctx.Err()
+	}
+	newest := l.versions.Load()
+	return port.Batch{Records: []ledger.Record{l.record(newest)}, Next: newest}, sleep(ctx, versionReadTime)
+}
+
+func (l *changingLog) Read(ctx context.Context, _ port.Topic, from int64, wait time.Duration) (port.Batch, error) {
+	end := l.versions.Load()
+	if from >= end {
+		return port.Batch{Next: from, End: end}, sleep(ctx, wait)
+	}
+	return port.Batch{Records: []ledger.Record{l.record(from + 1)}, Next: from + 1, End: end}, sleep(ctx, versionReadTime)
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+	return ctx.Err()
+}
+
+type versionDecoder struct{ configDecoder }
+
+func (versionDecoder) Config(r ledger.Record) (*workload.Config, error) {
+	return &workload.Config{Version: int64(r.Value[0])}, nil
+}
+
+// TestNewestConfigurationIsReadAfterManyChanges checks that an entry does not read all the
+// versions that it missed, one after the other.
+func TestNewestConfigurationIsReadAfterManyChanges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		log := &changingLog{}
+		log.versions.Store(1)
+		r := New(log, versionDecoder{}, hclog.NewNullLogger(), metrics.NewRegistry())
+		ctx, cancel := context.WithCancel(t.Context())
+		go r.followConfig(ctx)
+		time.Sleep(versionReadTime + readWait/2)
+		is.Equal(r.Config().Version, int64(1))
+		log.versions.Store(30)
+		time.Sleep(readWait/2 + 2*versionReadTime + time.Millisecond)
+		is.Equal(r.Config().Version, int64(30))
+		log.versions.Store(31)
+		time.Sleep(readWait + versionReadTime)
+		is.Equal(r.Config().Version, int64(31))
+		cancel()
+		synctest.Wait()
+	})
+}
