--- a/internal/coordination/relay/relay.go
+++ b/internal/coordination/relay/relay.go
@@ -13,6 +13,7 @@
 	metrics "github.com/rcrowley/go-metrics"
 
 	"github.com/samphirerail/samphirerail/internal/coordination/port"
+	"github.com/samphirerail/samphirerail/internal/state/ledger"
 )
 
 const (
@@ -24,6 +25,9 @@
 	appendTimeoutFactor = 6
 	minAppendTimeout    = 250 * time.Millisecond
 	maxAppendTimeout    = 1500 * time.Millisecond
+	// slowestLink is the bandwidth of the smallest entry VMs, 10 Mbit/s, in bytes per second.
+	// The time that an append's records take on it is added to each of its timeouts.
+	slowestLink = 10_000_000 / 8
 	// latencyWeight is the weight of the newest append in the smoothed latency.
 	latencyWeight = 0.2
 	// directAttempts is how often an append is attempted directly.
@@ -90,6 +94,15 @@
 	return &Log{direct: direct, peers: peers, addresses: addresses, logger: logger, relayed: metrics.GetOrRegisterCounter("relay.calls", registry)}
 }
 
+// transferTime returns the time that records take on the slowest link.
+func transferTime(records []ledger.Record) time.Duration {
+	bytes := 0
+	for _, r := range records {
+		bytes += len(r.Key) + len(r.Value)
+	}
+	return time.Duration(bytes) * time.Second / slowestLink
+}
+
 // isAnswer reports whether an error, or nil, is an answer of the log itself.
 func isAnswer(err error) bool {
 	var conflict *port.ConflictError
@@ -200,8 +213,9 @@
 func (l *Log) Append(ctx context.Context, a port.Append) (int64, error) {
 	notDone := true
 	var last, unconfirmed error
+	transfer := transferTime(a.Records)
 	attempt := func(timeout time.Duration, call func(ctx context.Context) (int64, error)) (int64, bool) {
-		callCtx, cancel := context.WithTimeout(ctx, timeout)
+		callCtx, cancel := context.WithTimeout(ctx, timeout+transfer)
 		defer cancel()
 		offset, err := call(callCtx)
 		if !isAnswer(err) && !errors.Is(err, port.ErrNotDone) && !port.NotSent(err) {
--- a/internal/coordination/relay/relay_test.go
+++ b/internal/coordination/relay/relay_test.go
@@ -12,12 +12,15 @@
 	metrics "github.com/rcrowley/go-metrics"
 
 	"github.com/samphirerail/samphirerail/internal/coordination/port"
+	"github.com/samphirerail/samphirerail/internal/state/ledger"
 )
 
 // scriptedLog returns errs in turn for appends and reads; the last one repeats.
 type scriptedLog struct {
 	errs  []error
 	calls int
+	// appendLatency is how long an append takes.
+	appendLatency time.Duration
 }
 
 func (l *scriptedLog) next() error {
@@ -26,7 +29,15 @@
 	return err
 }
 
-func (l *scriptedLog) Append(context.Context, port.Append) (int64, error) { return 7, l.next() }
+func (l *scriptedLog) Append(ctx context.Context, _ port.Append) (int64, error) {
+	select {
+	case <-time.After(l.appendLatency):
+		return 7, l.next()
+	case <-ctx.Done():
+		l.calls++
+		return 0, ctx.Err()
+	}
+}
 
 func (l *scriptedLog) Read(context.Context, port.Topic, int64, time.Duration) (port.Batch, error) {
 	return port.Batch{Next: 7}, l.next()
@@ -145,3 +156,30 @@
 		is.Equal(batch.Next, int64(7))
 	})
 }
+
+// TestLargeAppendIsNotCut appends what takes a slow link longer than a small append may
+// take, directly or through another entry.
+func TestLargeAppendIsNotCut(t *testing.T) {
+	const latency = 1200 * time.Millisecond
+	large := port.Append{At: port.AnyOffset, Records: []ledger.Record{{Key: "jobs", Value: make([]byte, slowestLink)}}}
+	tests := []struct {
+		name   string
+		direct error
+		calls  int
+	}{
+		{name: "directly", calls: 1},
+		{name: "through another entry", direct: port.ErrNotDone, calls: 2},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				log, direct, peers := newScripted([]error{tt.direct}, []error{nil})
+				direct.appendLatency, peers.log.appendLatency = latency, latency
+				_, err := log.Append(context.Background(), large)
+				is.NoErr(err)
+				is.Equal(direct.calls+peers.log.calls, tt.calls)
+			})
+		})
+	}
+}
