Check in the soak that large changes reach entries with narrow links

Now all entries but one reach the log over 10 Mbit/s, every other change has 1.6 MB, and after the faults two changes must be in force at every entry within 3 s.

--- a/internal/coordination/port/port.go
+++ b/internal/coordination/port/port.go
@@ -92,7 +92,7 @@
 
 // Log is the platform's log. It returns the error types and values of this package. A read
 // fails if its reply does not begin or continue in time. The time that a whole reply takes
-// depends on its size, so callers set no time limit of their own on reads.
+// depends on its size, so callers need no time limit of their own on reads.
 type Log interface {
 	// Append returns the offset of the first record.
 	Append(ctx context.Context, a Append) (offset int64, err error)
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -123,10 +123,21 @@
 	return status
 }
 
-// request makes one request and returns its HTTP status and the job state in the
-// reply. It returns 0 if there was no complete response.
+// get requests a path and returns the HTTP status, or 0 if there was no response.
+func (c *callers) get(e *entry, path string) int {
+	status, _ := c.send(http.MethodGet, e, path, nil)
+	return status
+}
+
+// request makes one request for a job and returns its HTTP status and the job state in
+// the reply. It returns 0 if there was no complete response.
 func (c *callers) request(method string, e *entry, id string, body []byte) (int, string) {
-	req, err := http.NewRequest(method, "http://"+e.callers+fakewire.Prefix+id, bytes.NewReader(body))
+	return c.send(method, e, fakewire.Prefix+id, body)
+}
+
+// send is request for a path.
+func (c *callers) send(method string, e *entry, path string, body []byte) (int, string) {
+	req, err := http.NewRequest(method, "http://"+e.callers+path, bytes.NewReader(body))
 	if err != nil {
 		return 0, ""
 	}
@@ -149,6 +160,28 @@
 	return resp.StatusCode, reply.State
 }
 
+// checkConfiguration publishes two changes, of which one is large, and checks that each
+// is in force at every entry in time. It returns the violations.
+func (c *callers) checkConfiguration() []string {
+	time.Sleep(recoveryTime)
+	var problems []string
+	for range 2 {
+		c.cluster.publishConfig()
+		version, published := c.cluster.newestVersion(), time.Now()
+		for _, e := range c.cluster.entries {
+			status := c.get(e, fakewire.VersionPrefix(version))
+			for status != http.StatusOK && time.Since(published) < applyBound {
+				time.Sleep(10 * time.Millisecond)
+				status = c.get(e, fakewire.VersionPrefix(version))
+			}
+			if status != http.StatusOK {
+				problems = append(problems, fmt.Sprintf("CONFIG: %s answers with status %d for a queue of version %d, published %s ago", e.name, status, version, time.Since(published).Round(time.Millisecond)))
+			}
+		}
+	}
+	return problems
+}
+
 // verify polls the state of every acknowledged job until all have ended or wait has
 // passed, and compares it with the replies to the callers and the runs on the runners.
 func (c *callers) verify(wait time.Duration) Report {
--- a/internal/soak/cluster.go
+++ b/internal/soak/cluster.go
@@ -25,6 +25,8 @@
 	restartDelay = 300 * time.Millisecond
 	// startupTimeout bounds the wait for every entry to become ready.
 	startupTimeout = 15 * time.Second
+	// largeConfigQueues makes a configuration of about 1.6 MB, which takes a narrow link 1.3 s.
+	largeConfigQueues = 7000
 )
 
 // host is unique to this process, so that soak runs on the same machine never use
@@ -118,21 +120,34 @@
 	return nil
 }
 
-// publishConfig writes the next version of the configuration to the log.
+// publishConfig writes the next version of the configuration to the log, a large one every
+// other time.
 func (c *cluster) publishConfig() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.version += 3
-	value, err := json.Marshal(fakewire.Config(c.version, host, service, workspaceMaxCPUMilli))
+	furtherQueues := 0
+	if c.version%2 == 0 {
+		furtherQueues = largeConfigQueues
+	}
+	value, err := json.Marshal(fakewire.Config(c.version, host, service, workspaceMaxCPUMilli, furtherQueues))
 	if err == nil {
 		c.log.Put("keyed.op", "config", value)
 	}
 }
 
+// newestVersion returns the newest published version of the configuration.
+func (c *cluster) newestVersion() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.version
+}
+
 // addEntry writes the settings of the entry with index i and starts its process; the
-// entries are spread over three failure domains.
+// entries are spread over three failure domains, and all but the first reach the log over
+// a narrow link.
 func (c *cluster) addEntry(i int, logAddress string) error {
-	p, err := newProxy(logAddress)
+	p, err := newProxy(logAddress, i > 0)
 	if err != nil {
 		return err
 	}
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -30,25 +30,34 @@
 // proxyDelay is about a tenth of the shortest timeout of an entry.
 const proxyDelay = 40 * time.Millisecond
 
+// narrowBandwidth is the bandwidth of the smallest entry VMs, 10 Mbit/s, in bytes per
+// second.
+const narrowBandwidth = 10_000_000 / 8
+
 // proxy forwards the connections of one entry to the log.
 type proxy struct {
 	listener net.Listener
 	target   string
+	// narrow limits the replies of all connections together to narrowBandwidth.
+	narrow bool
 
 	mu    sync.Mutex
 	mode  proxyMode
 	conns map[net.Conn]struct{}
 	// changed is closed when the mode changes.
 	changed chan struct{}
+	// linkFreeAt is when a narrow link has delivered all replies that it has taken so far.
+	linkFreeAt time.Time
 }
 
-// newProxy listens on a free loopback port and forwards connections to target.
-func newProxy(target string) (*proxy, error) {
+// newProxy listens on a free loopback port and forwards connections to target, over a
+// narrow link if narrow is set.
+func newProxy(target string, narrow bool) (*proxy, error) {
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{listener: listener, target: target, conns: map[net.Conn]struct{}{}, changed: make(chan struct{})}
+	p := &proxy{listener: listener, target: target, narrow: narrow, conns: map[net.Conn]struct{}{}, changed: make(chan struct{})}
 	go p.accept()
 	return p, nil
 }
@@ -127,6 +136,9 @@
 	buffer := make([]byte, 64<<10)
 	for {
 		n, err := from.Read(buffer)
+		if toEntry && p.narrow {
+			p.awaitLink(n)
+		}
 		if n > 0 && p.awaitForward(toEntry) {
 			if _, writeErr := to.Write(buffer[:n]); writeErr != nil {
 				err = errors.Join(err, writeErr)
@@ -140,6 +152,18 @@
 	}
 }
 
+// awaitLink blocks until the narrow link has delivered n more bytes.
+func (p *proxy) awaitLink(n int) {
+	p.mu.Lock()
+	if now := time.Now(); p.linkFreeAt.Before(now) {
+		p.linkFreeAt = now
+	}
+	p.linkFreeAt = p.linkFreeAt.Add(time.Duration(n) * time.Second / narrowBandwidth)
+	until := p.linkFreeAt
+	p.mu.Unlock()
+	time.Sleep(time.Until(until))
+}
+
 // awaitForward blocks while the mode holds data of this direction back. It reports
 // whether the data may be forwarded.
 func (p *proxy) awaitForward(toEntry bool) bool {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -54,6 +54,14 @@
 // unreachable upstreams and the wait of a new owner for them to expire add up to 12 s.
 const settleTimeout = 40 * time.Second
 
+const (
+	// recoveryTime is how long after the last fault the bound on changes of the
+	// configuration holds again.
+	recoveryTime = 5 * time.Second
+	// applyBound is within what time a change must be in force at every entry.
+	applyBound = 3 * time.Second
+)
+
 // Run starts a cluster, submits jobs while it injects faults, and verifies the outcome
 // of every job. Violated guarantees are in the report; the error is set only if the
 // run itself failed.
@@ -82,8 +90,10 @@
 	close(stop)
 	<-done
 	c.clearFaults()
+	problems := callers.checkConfiguration()
 	report := callers.verify(settleTimeout)
 	report.Seed, report.Dir = opts.Seed, c.dir
+	report.Problems = append(report.Problems, problems...)
 	report.Problems = append(report.Problems, c.fleet.Problems()...)
 	err = c.close()
 	if len(report.Problems) == 0 {
