--- a/internal/transport/rpc/connection.go
+++ b/internal/transport/rpc/connection.go
@@ -135,7 +135,8 @@
 }
 
 // ping probes the connection and closes it if the peer does not answer within
-// HeartbeatTimeout.
+// HeartbeatTimeout and nothing else arrives meanwhile: the answer may be behind a large
+// reply.
 func (c *connection) ping() error {
 	ctx, cancel := context.WithTimeout(context.Background(), c.cfg.HeartbeatTimeout)
 	defer cancel()
@@ -144,13 +145,16 @@
 		return nil
 	}
 	if errors.Is(err, context.DeadlineExceeded) {
+		if c.frames.idle() < c.cfg.HeartbeatTimeout {
+			return nil
+		}
 		err = ErrProbeTimeout
 	}
 	c.close(err)
 	return err
 }
 
-// fresh reports whether a frame arrived within the last HeartbeatInterval.
+// fresh reports whether data arrived within the last HeartbeatInterval.
 func (c *connection) fresh() bool { return c.frames.idle() < c.cfg.HeartbeatInterval }
 
 // clientCodec implements rpc.ClientCodec.
--- a/internal/transport/rpc/fault_test.go
+++ b/internal/transport/rpc/fault_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/samphirerail/samphirerail/internal/coordination"
 	"github.com/samphirerail/samphirerail/internal/state"
+	"github.com/samphirerail/samphirerail/internal/testlink"
 )
 
 func TestNotSent(t *testing.T) {
@@ -202,6 +203,24 @@
 	}
 }
 
+// TestLargeReplyIsNotCutByProbes gets a reply that takes a narrow link longer than a probe
+// may take.
+func TestLargeReplyIsNotCutByProbes(t *testing.T) {
+	is := is.New(t)
+	output := make([]byte, testlink.NarrowBandwidth)
+	_, address := testServer(t, &fakePeer{get: func(_ context.Context, id state.JobID, _ time.Duration) (coordination.JobStatus, error) {
+		return coordination.JobStatus{ID: id, Outputs: [][]byte{output}}, nil
+	}}, nil)
+	c := testClient(t, func(cfg *ClientConfig) {
+		cfg.ConnectionsPerPeer = 1
+		cfg.HeartbeatInterval = 100 * time.Millisecond
+		cfg.HeartbeatTimeout = 300 * time.Millisecond
+	})
+	status, err := c.Get(testContext(t), narrowProxy(t, address), "team", jobA, 0)
+	is.NoErr(err)
+	is.Equal(len(status.Outputs[0]), len(output))
+}
+
 // needsProbe reports whether the next call to an address would probe its connection or
 // open one.
 func (c *Client) needsProbe(address string) bool {
--- a/internal/transport/rpc/frame.go
+++ b/internal/transport/rpc/frame.go
@@ -43,14 +43,15 @@
 	out     bytes.Buffer
 	encoder *gob.Encoder
 
-	// opened is when the connection was opened. lastRead is when the last complete
-	// frame arrived, in nanoseconds of the monotonic clock since opened.
+	// opened is when the connection was opened. lastRead is when data last arrived, also a
+	// part of a frame, in nanoseconds of the monotonic clock since opened.
 	opened   time.Time
 	lastRead atomic.Int64
 }
 
 func newFrameConn(conn net.Conn, limit int, writeTimeout time.Duration) *frameConn {
-	f := &frameConn{conn: conn, limit: limit, writeTimeout: writeTimeout, in: bufio.NewReaderSize(conn, readBufferBytes), opened: time.Now()}
+	f := &frameConn{conn: conn, limit: limit, writeTimeout: writeTimeout, opened: time.Now()}
+	f.in = bufio.NewReaderSize(arrivalReader{f}, readBufferBytes)
 	f.decoder = gob.NewDecoder(&f.message)
 	f.encoder = gob.NewEncoder(&f.out)
 	return f
@@ -84,10 +85,20 @@
 		}
 		return err
 	}
-	f.lastRead.Store(int64(time.Since(f.opened)))
 	return nil
 }
 
+// arrivalReader reads from the connection of frames and records when data arrives.
+type arrivalReader struct{ frames *frameConn }
+
+func (r arrivalReader) Read(p []byte) (int, error) {
+	n, err := r.frames.conn.Read(p)
+	if n > 0 {
+		r.frames.lastRead.Store(int64(time.Since(r.frames.opened)))
+	}
+	return n, err
+}
+
 // decode reads the next value of the current frame into value; nil skips it.
 func (f *frameConn) decode(value any) error { return f.decoder.Decode(value) }
 
@@ -128,7 +139,7 @@
 	return len(frame) - n, err
 }
 
-// idle returns the time since the last complete frame arrived.
+// idle returns the time since data last arrived.
 func (f *frameConn) idle() time.Duration {
 	return time.Since(f.opened) - time.Duration(f.lastRead.Load())
 }
--- a/internal/transport/rpc/helpers_test.go
+++ b/internal/transport/rpc/helpers_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/samphirerail/samphirerail/internal/coordination"
 	"github.com/samphirerail/samphirerail/internal/state"
+	"github.com/samphirerail/samphirerail/internal/testlink"
 )
 
 const (
@@ -230,4 +231,37 @@
 }
 
 // discardAll reads and discards everything until the connection ends.
+// narrowProxy forwards connections to target and sends the replies over a narrow link. It
+// returns its address.
+func narrowProxy(t *testing.T, target string) string {
+	listener, err := net.Listen("tcp4", loopback)
+	is.New(t).NoErr(err)
+	var group sync.WaitGroup
+	t.Cleanup(func() {
+		_ = listener.Close()
+		group.Wait()
+	})
+	narrow := testlink.Narrow(listener)
+	group.Go(func() {
+		for {
+			client, err := narrow.Accept()
+			if err != nil {
+				return
+			}
+			server, err := net.Dial("tcp4", target)
+			if err != nil {
+				_ = client.Close()
+				return
+			}
+			for _, pair := range [][2]net.Conn{{client, server}, {server, client}} {
+				group.Go(func() {
+					_, _ = io.Copy(pair[0], pair[1]) // ends when either side closes
+					_, _ = client.Close(), server.Close()
+				})
+			}
+		}
+	})
+	return listener.Addr().String()
+}
+
 func discardAll(conn net.Conn) { _, _ = io.Copy(io.Discard, conn) }
