--- a/internal/coordination/replica/replica_test.go
+++ b/internal/coordination/replica/replica_test.go
@@ -1,10 +1,12 @@
 package replica
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -230,3 +232,30 @@
 		synctest.Wait()
 	})
 }
+
+// brokenLog fails every read.
+type brokenLog struct{ port.Log }
+
+func (brokenLog) NewestPage(context.Context, port.Topic, string) (port.Batch, error) {
+	return port.Batch{}, errors.New("no response")
+}
+
+// TestUnreadableConfigurationIsReported checks that a series of failed reads leaves one line
+// and that the metrics show how old the configuration is.
+func TestUnreadableConfigurationIsReported(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var out bytes.Buffer
+		registry := metrics.NewRegistry()
+		r := New(brokenLog{}, configDecoder{}, hclog.New(&hclog.LoggerOptions{Output: &out}), registry)
+		ctx, cancel := context.WithCancel(t.Context())
+		go r.followConfig(ctx)
+		time.Sleep(10*retryPause + time.Millisecond)
+		cancel()
+		synctest.Wait()
+		is.Equal(strings.Count(out.String(), "configuration not readable"), 1)
+		is.Equal(registry.Get("replica.config_read_failures").(metrics.Counter).Count(), int64(11))
+		is.Equal(registry.Get("replica.config_age_ms").(metrics.Gauge).Value(), (10*retryPause + time.Millisecond).Milliseconds())
+		is.Equal(registry.Get("replica.config_version").(metrics.Gauge).Value(), int64(0))
+	})
+}
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -9,6 +9,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"github.com/samphirerail/samphirerail/internal/testlink"
 )
 
 // proxyMode is what a proxy does with the data that it forwards.
@@ -30,15 +32,11 @@
 // proxyDelay is about a tenth of the shortest timeout of an entry.
 const proxyDelay = 40 * time.Millisecond
 
-// narrowBandwidth is the bandwidth of the smallest entry VMs, 10 Mbit/s, in bytes per
-// second.
-const narrowBandwidth = 10_000_000 / 8
-
 // proxy forwards the connections of one entry to the log.
 type proxy struct {
 	listener net.Listener
 	target   string
-	// narrow limits the replies of all connections together to narrowBandwidth.
+	// narrow limits the replies of all connections together to testlink.NarrowBandwidth.
 	narrow bool
 
 	mu    sync.Mutex
@@ -158,7 +156,7 @@
 	if now := time.Now(); p.linkFreeAt.Before(now) {
 		p.linkFreeAt = now
 	}
-	p.linkFreeAt = p.linkFreeAt.Add(time.Duration(n) * time.Second / narrowBandwidth)
+	p.linkFreeAt = p.linkFreeAt.Add(time.Duration(n) * time.Second / testlink.NarrowBandwidth)
 	until := p.linkFreeAt
 	p.mu.Unlock()
 	time.Sleep(time.Until(until))
--- a/internal/testlink/testlink.go
+++ b/internal/testlink/testlink.go
@@ -1,4 +1,4 @@
-// Package testlink limits the bandwidth of connections in tests.
+// Package testlink limits the bandwidth of connections. Only tests and the soak import it.
 package testlink
 
 import (
