Place nothing on an upstream that was removed from the list

Cause: plans that consider only what has changed take upstreams from the log of those that were freed, by their place in the last pool. An upstream that leaves the list kept that place, so it was still a candidate. If it had returned meanwhile, as after an outage of the log in which registrations lapse, the run was reserved on the object of the former registration, its start was dropped as unknown, and the task waited for it for good; if it had not, a start went to an upstream that was leaving.

An upstream now loses its place when it leaves the list. TestNoRunIsPlacedOnRemovedUpstream failed before, with and without a return.

--- a/internal/state/scheduler/candidates_test.go
+++ b/internal/state/scheduler/candidates_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"github.com/samphirerail/samphirerail/internal/state"
+	"github.com/samphirerail/samphirerail/internal/state/ledger"
 	"github.com/samphirerail/samphirerail/internal/state/workload"
 )
 
@@ -84,3 +85,34 @@
 		})
 	}
 }
+
+// TestNoRunIsPlacedOnRemovedUpstream removes an upstream that was freed since the last plan
+// from the list. Without its return, the waiting task goes to no upstream; after its return
+// it runs there.
+func TestNoRunIsPlacedOnRemovedUpstream(t *testing.T) {
+	for _, returns := range []bool{false, true} {
+		t.Run(fmt.Sprintf("returns %v", returns), func(t *testing.T) {
+			is := is.New(t)
+			sim := newSimulation(t, oneQueue(nil))
+			sim.add(1, largeUpstream, "a")
+			sim.add(1, largeUpstream, "b")
+			for i := range 2 {
+				sim.submit(&workload.Job{ID: jobID(i), Steps: []workload.Step{{Count: 1, Each: cores(32), EstimateMS: 300, Constraint: "a"}}})
+			}
+			sim.advance(100 * time.Millisecond)
+			sim.stalled = true // the first task ends before the next plan
+			sim.advance(400 * time.Millisecond)
+			u := sim.upstreams[0]
+			sim.s.RemoveUpstream(u.reg.ID)
+			u.unlisted, u.polled = !returns, false
+			if returns {
+				sim.s.SetUpstream(sim.now, u.reg)
+			}
+			sim.stalled = false
+			sim.plan()
+			is.Equal(sim.s.used["w"], state.Vector{}) // it is not listed, or was not polled since
+			sim.advance(600 * time.Millisecond)
+			is.Equal(sim.jobs[jobID(1)].phase == ledger.Complete, returns)
+		})
+	}
+}
--- a/internal/state/scheduler/runs.go
+++ b/internal/state/scheduler/runs.go
@@ -285,7 +285,9 @@
 	}
 }
 
+// unlist removes an upstream from the list of its service, so that no plan considers it.
 func (s *Scheduler) unlist(u *upstream) {
+	u.member = nil
 	s.byService[u.Service] = slices.DeleteFunc(s.byService[u.Service], func(other *upstream) bool { return other == u })
 }
 
