--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -135,7 +135,7 @@
 	return c.send(method, e, fakewire.Prefix+id, body)
 }
 
-// send is request for a path.
+// send makes one request for a path; see request.
 func (c *callers) send(method string, e *entry, path string, body []byte) (int, string) {
 	req, err := http.NewRequest(method, "http://"+e.callers+path, bytes.NewReader(body))
 	if err != nil {
