Log each run that is lost with its upstream

What callers saw: jobs that stay queued or running until their time is up while the logs show start after start of one task and no end. Cause: ends are logged only where an upstream lists them; the runs of a crashed upstream are released without a line, so the hypotheses of the incident could not be told apart. Change: the scheduler reports lost runs with the next plan, with what showed the loss, whether the upstream had accepted the start, the age of the run when contact was lost and how many jobs were there; the owner logs and counts them. No decision changes.

--- a/internal/coordination/dispatch/commands.go
+++ b/internal/coordination/dispatch/commands.go
@@ -15,6 +15,7 @@
 	o.pendingStarts = append(o.pendingStarts, plan.Starts...)
 	o.noteMoves(plan.Moves)
 	o.noteCopies(plan.Copies)
+	o.noteLosses(plan.Losses)
 	for _, stop := range plan.Stops {
 		if stop.Preemption != nil {
 			o.notePreemption(&stop)
--- a/internal/coordination/dispatch/owner.go
+++ b/internal/coordination/dispatch/owner.go
@@ -161,6 +161,7 @@
 	// with a learned speed; factors are those of the fastest and the slowest upstream of each
 	// kind, in percent.
 	moves, copies metrics.Counter
+	losses        metrics.Counter
 	learned       metrics.Gauge
 	factors       metrics.Histogram
 }
@@ -453,13 +454,17 @@
 	if o.links[id] != l {
 		return
 	}
-	o.sched.MarkUnreachable(id)
+	o.sched.MarkUnreachable(o.now(), id)
 	any, _ := o.sched.HasRuns(id)
 	if replaced || (any && leasesExpired && o.now() > o.sched.UnconfirmedUntil()) {
 		if any {
 			o.logger.Warn("runs declared lost", "upstream", id, "lapsed", leasesExpired, "replaced", replaced)
 		}
-		o.sched.ReleaseRuns(o.now(), id)
+		cause := scheduler.LossExpired
+		if replaced {
+			cause = scheduler.LossRestarted
+		}
+		o.sched.ReleaseRuns(o.now(), id, cause)
 	}
 	o.dropLinkIfUnknown(id, l)
 	o.planDue = true
--- a/internal/state/scheduler/candidates_test.go
+++ b/internal/state/scheduler/candidates_test.go
@@ -51,7 +51,7 @@
 	}
 	for i := range 6 {
 		u := sim.upstreams[3*i]
-		sim.at(time.Duration(500+900*i)*time.Millisecond, func() { u.down = true; sim.s.MarkUnreachable(u.reg.ID) })
+		sim.at(time.Duration(500+900*i)*time.Millisecond, func() { u.down = true; sim.s.MarkUnreachable(sim.now, u.reg.ID) })
 		sim.at(time.Duration(1500+900*i)*time.Millisecond, func() { u.down = false })
 		draining := sim.upstreams[3*i+1]
 		sim.at(time.Duration(700+800*i)*time.Millisecond, func() {
--- a/internal/state/scheduler/model.go
+++ b/internal/state/scheduler/model.go
@@ -116,6 +116,8 @@
 	Moves []Move
 	// Copies explains the starts of copies.
 	Copies []Copy
+	// Losses are the runs that were lost with their upstreams since the last plan.
+	Losses []Loss
 }
 
 // phase is the progress of a run as known to the scheduler.
@@ -148,6 +150,8 @@
 	since state.Time
 	// startedAt is when the start was sent.
 	startedAt state.Time
+	// accepted is set once the upstream accepted the start or reported the run.
+	accepted bool
 	// ticketUntil is when the ticket of a planned start expires; 0 without a ticket.
 	ticketUntil state.Time
 	// progress is the last reported progress in percent; progressAt is when it last
@@ -298,7 +302,9 @@
 	polled bool
 	// unreachable is set while calls to the upstream fail.
 	unreachable bool
-	used        state.Vector
+	// unreachableSince is when the calls began to fail.
+	unreachableSince state.Time
+	used             state.Vector
 	// bestEffortCPU is the processor share requested by best-effort (Fills) runs, in
 	// thousandths of a core.
 	bestEffortCPU int64
--- a/internal/state/scheduler/plan.go
+++ b/internal/state/scheduler/plan.go
@@ -29,6 +29,7 @@
 	}
 	plan.Stops, s.stops = s.stops, nil
 	plan.Ended, s.ended = s.ended, nil
+	plan.Losses, s.losses = s.losses, nil
 	return plan
 }
 
--- a/internal/state/scheduler/report.go
+++ b/internal/state/scheduler/report.go
@@ -144,7 +144,7 @@
 		}
 		r.task.checkpoint = reported.Checkpoint
 	}
-	r.load = reported.Load
+	r.load, r.accepted = reported.Load, true
 	if r.phase == starting || r.phase == startUnconfirmed {
 		r.phase, r.since = running, now
 	}
--- a/internal/state/scheduler/runs.go
+++ b/internal/state/scheduler/runs.go
@@ -170,6 +170,7 @@
 	u := s.upstreams[id.Upstream]
 	switch outcome {
 	case Accepted:
+		r.accepted = true
 		if r.phase == starting || r.phase == startUnconfirmed {
 			r.phase, r.since = running, now
 		}
@@ -245,6 +246,7 @@
 // revokes the unconfirmed starts.
 func (s *Scheduler) handleNewIncarnation(now state.Time, u *upstream) {
 	u.polled = false
+	s.noteLosses(now, u, LossRestarted)
 	s.revokeStarts(now, u.ID)
 	for _, st := range s.readyStepsWithAdvice(u) {
 		delete(st.tickets, u.ID)
@@ -310,20 +312,21 @@
 }
 
 // MarkUnreachable marks an upstream as unreachable until it is polled successfully.
-func (s *Scheduler) MarkUnreachable(id workload.UpstreamID) {
-	if u := s.upstreams[id]; u != nil {
-		u.unreachable = true
+func (s *Scheduler) MarkUnreachable(now state.Time, id workload.UpstreamID) {
+	if u := s.upstreams[id]; u != nil && !u.unreachable {
+		u.unreachable, u.unreachableSince = true, now
 	}
 }
 
-// ReleaseRuns releases all runs on an upstream, because none can exist any more: their
-// leases have expired, or another incarnation responds at its address.
-func (s *Scheduler) ReleaseRuns(now state.Time, id workload.UpstreamID) {
+// ReleaseRuns releases all runs on an upstream, because the cause shows that none can exist
+// any more.
+func (s *Scheduler) ReleaseRuns(now state.Time, id workload.UpstreamID, cause LossCause) {
 	u := s.upstreams[id]
 	if u == nil {
 		return
 	}
 	u.polled = false
+	s.noteLosses(now, u, cause)
 	s.confirmUpstream(id, false)
 	for _, r := range u.sortedRuns() {
 		s.release(now, r, false)
--- a/internal/state/scheduler/scheduler.go
+++ b/internal/state/scheduler/scheduler.go
@@ -41,6 +41,7 @@
 	dirty     []*job
 	ended     []EndedJob
 	stops     []Stop
+	losses    []Loss
 	advisors  advisorPool
 	evacuated evacuation.Set
 	// movedOutAt is when moves out of evacuated domains were last decided.
--- a/internal/state/scheduler/silence_test.go
+++ b/internal/state/scheduler/silence_test.go
@@ -230,8 +230,8 @@
 			s.ApplyReport(time.Second, "listed", RunReport{SentAt: time.Second, Partial: true})
 		}},
 		{name: "connection refused", settle: func(s *Scheduler) { s.SettleUpstream("listed") }, want: 1},
-		{name: "replaced", settle: func(s *Scheduler) { s.ReleaseRuns(time.Second, "listed") }, want: 1},
-		{name: "unreachable", settle: func(s *Scheduler) { s.MarkUnreachable("listed") }},
+		{name: "replaced", settle: func(s *Scheduler) { s.ReleaseRuns(time.Second, "listed", LossRestarted) }, want: 1},
+		{name: "unreachable", settle: func(s *Scheduler) { s.MarkUnreachable(time.Second, "listed") }},
 		{name: "removed from the platform's list", settle: func(s *Scheduler) { s.RemoveUpstream("listed") }},
 		{name: "another incarnation is registered", settle: func(s *Scheduler) {
 			s.SetUpstream(time.Second, workload.Upstream{ID: "listed", Service: "s", StartedUnixMS: 7, Capacity: largeUpstream})
--- a/internal/state/scheduler/silentlog_test.go
+++ b/internal/state/scheduler/silentlog_test.go
@@ -125,7 +125,7 @@
 	}
 	for _, u := range sim.upstreams {
 		if u.down || u.hiddenFrom == 0 || u.hiddenFrom > sim.epoch {
-			f.s.MarkUnreachable(u.reg.ID)
+			f.s.MarkUnreachable(sim.now, u.reg.ID)
 			continue
 		}
 		u.leaseEnd = max(u.leaseEnd, sim.now+simLease)
--- a/internal/state/scheduler/takeover_test.go
+++ b/internal/state/scheduler/takeover_test.go
@@ -189,8 +189,8 @@
 			if c.takeOver {
 				sim.takeOver(lost)
 			}
-			sim.s.MarkUnreachable(lost.reg.ID)
-			sim.s.ReleaseRuns(sim.now, lost.reg.ID)
+			sim.s.MarkUnreachable(sim.now, lost.reg.ID)
+			sim.s.ReleaseRuns(sim.now, lost.reg.ID, LossExpired)
 			sim.advance(500 * time.Millisecond)
 			is.Equal(sim.jobs[jobID(1)].phase, ledger.Complete)
 		})
