Withdraw starts that do not fit an upstream that has shrunk

Cause: a smaller capacity counted for the next placement, but starts that were planned, recorded, ticketed or members of a gang were sent by the capacity at the time of the decision; runs that an upstream reports beside a planned start were not checked either. Class of fault: a decision is carried out after what it was based on has changed. Change: a smaller capacity withdraws the newest unsent starts until the rest fits, a gang with all its members; the last check before a start is sent compares what the upstream's runs use with its capacity. Runs above the capacity continue, and nothing is placed beside them. Both are logged and counted.

--- a/internal/coordination/dispatch/manager.go
+++ b/internal/coordination/dispatch/manager.go
@@ -135,6 +135,7 @@
 			preemption: newPreemptionMetrics(cfg.Registry),
 			unrecorded: newUnrecordedMetrics(cfg.Registry),
 			losses:     newLossMetrics(cfg.Registry),
+			capacity:   newCapacityMetrics(cfg.Registry),
 			moves:      counter("owner.moves"), copies: counter("owner.copies"), learned: gauge("owner.learned_upstreams"), factors: histogram("owner.run_time_factor_percent"),
 		},
 	}}
--- a/internal/coordination/dispatch/owner.go
+++ b/internal/coordination/dispatch/owner.go
@@ -162,6 +162,7 @@
 	// kind, in percent.
 	moves, copies metrics.Counter
 	losses        lossMetrics
+	capacity      capacityMetrics
 	learned       metrics.Gauge
 	factors       metrics.Histogram
 }
--- a/internal/coordination/dispatch/registrations.go
+++ b/internal/coordination/dispatch/registrations.go
@@ -108,7 +108,9 @@
 	if !had || old.Draining != reg.Draining || restarted {
 		o.logger.Info("upstream registered", "upstream", reg.ID, "service", reg.Service, "address", reg.Address, "draining", reg.Draining, "born", reg.StartedUnixMS)
 	}
-	o.sched.SetUpstream(o.now(), reg)
+	if change := o.sched.SetUpstream(o.now(), reg); change != nil {
+		o.noteCapacity(change)
+	}
 	if isNew { // the first poll needs the address
 		wait := o.scheduleFirstPoll(time.Now())
 		o.spawn(func() {
--- a/internal/state/scheduler/runs.go
+++ b/internal/state/scheduler/runs.go
@@ -145,14 +145,14 @@
 
 // MarkSent records that a planned start is about to be sent: the log holds it by now, or
 // the upstream is one on which a new owner looks for runs that the log does not show.
-// It returns false if the run is no longer wanted, its ticket has expired or the upstream's
-// domain is evacuated; the start must not be sent then.
+// It returns false if the run is no longer wanted, its ticket has expired, the upstream's domain
+// is evacuated or its runs exceed its capacity; the start must not be sent then.
 func (s *Scheduler) MarkSent(now state.Time, id Run) bool {
 	r := s.find(id)
 	if r == nil || r.phase != planned {
 		return false
 	}
-	if u := s.upstreams[id.Upstream]; s.isEvacuated(u) || (r.ticketUntil > 0 && now >= r.ticketUntil) {
+	if u := s.upstreams[id.Upstream]; s.isEvacuated(u) || !u.withinCapacity() || (r.ticketUntil > 0 && now >= r.ticketUntil) {
 		s.release(now, r, false)
 		return false
 	}
@@ -222,14 +222,15 @@
 
 // SetUpstream adds or updates the registration of an upstream. A new incarnation has
 // none of the runs of the previous one, but may still execute starts that had no
-// response.
-func (s *Scheduler) SetUpstream(now state.Time, reg workload.Upstream) {
-	u := s.upstreams[reg.ID]
+// response. It returns the change of the capacity, or nil if there is none.
+func (s *Scheduler) SetUpstream(now state.Time, reg workload.Upstream) *CapacityChange {
+	u, before := s.upstreams[reg.ID], reg.Capacity
 	if u == nil {
 		u = &upstream{runs: map[workload.TaskID]*run{}}
 		s.upstreams[reg.ID] = u
 		s.revokeStarts(now, reg.ID)
 	} else {
+		before = u.Capacity
 		if u.StartedUnixMS != reg.StartedUnixMS {
 			s.handleNewIncarnation(now, u)
 		}
@@ -240,6 +241,7 @@
 	s.byService[reg.Service] = append(s.byService[reg.Service], u)
 	s.noteFreed(u)
 	s.admission.registered(&reg)
+	return s.applyCapacity(now, u, before)
 }
 
 // handleNewIncarnation releases the runs of an upstream's previous incarnation and
