Hold tasks back whatever the size of an unsettled upstream

What callers saw: nothing yet; a task could have run twice. Cause: after a takeover tasks wait that a former owner may have started without a record on an upstream that is not polled yet, but only those that fit its capacity; an upstream that has shrunk since then runs larger ones. The bound of what a workspace may use there was too low for the same reason. Evidence: TestTaskOnShrunkUpstreamIsHeldBack fails on the code before (one start on another upstream). Change: only the label decides whether a task may run on such an upstream, and the bound takes the largest capacity of the service.

--- a/internal/state/scheduler/capacity_test.go
+++ b/internal/state/scheduler/capacity_test.go
@@ -123,3 +123,21 @@
 	sim.s.ApplyReport(sim.now, "u000", RunReport{SentAt: sim.now, Running: []RunningRun{{Task: other, Run: 7, Percent: 1}}})
 	is.True(!sim.s.MarkSent(sim.now, starts[0].Run))
 }
+
+// TestTaskOnShrunkUpstreamIsHeldBack guards against a second run of a task that a former owner started, without a record, on an upstream that has shrunk since.
+func TestTaskOnShrunkUpstreamIsHeldBack(t *testing.T) {
+	is := is.New(t)
+	config := oneQueue(nil)
+	config.Index()
+	list := ledger.StartList{ConfigVersion: 1, Upstreams: []ledger.ListedUpstream{{Service: "s", ID: "u000"}}}
+	s := New(config, Options{FirstRun: 10_000, UnconfirmedUntil: time.Minute, StartList: StartList{StartList: list}})
+	job := &workload.Job{ID: jobID(1), Queue: "q", Workspace: "w", Steps: []workload.Step{tasksOf(1, cores(20), 500)}}
+	s.AddJob(time.Second, 1000, job, &ledger.JobState{}, false)
+	s.InheritJobs()
+	s.SetUpstream(time.Second, workload.Upstream{ID: "u000", Service: "s", Capacity: state.Vector{CPUMilli: 8000, MemoryMB: 64_000}})
+	s.SetUpstream(time.Second, workload.Upstream{ID: "u001", Service: "s", Capacity: largeUpstream})
+	s.ApplyReport(time.Second, "u001", RunReport{SentAt: time.Second})
+	is.Equal(len(s.Plan(time.Second).Starts), 0)
+	s.ApplyReport(time.Second, "u000", RunReport{SentAt: time.Second})
+	is.Equal(len(s.Plan(time.Second).Starts), 1)
+}
--- a/internal/state/scheduler/startlist.go
+++ b/internal/state/scheduler/startlist.go
@@ -117,7 +117,8 @@
 			continue
 		}
 		for id := range ids {
-			if u := s.upstreams[id]; u == nil || (st.allows(u) && st.spec.Demand().Fits(withSlots(u.Capacity))) {
+			// The upstream may have been larger when the task was started there.
+			if u := s.upstreams[id]; u == nil || st.allows(u) {
 				return true
 			}
 		}
@@ -179,8 +180,8 @@
 	}
 }
 
-// unsettledCapacity returns the capacity of the upstreams that are not settled. One that is
-// not registered counts as large as the largest of its service.
+// unsettledCapacity returns the capacity of the upstreams that are not settled, each as large as
+// the largest of its service: its own may have shrunk since tasks were started there.
 func (s *Scheduler) unsettledCapacity() (total state.Vector) {
 	if s.startList.unreadable {
 		for _, u := range s.upstreams {
@@ -195,10 +196,9 @@
 		}
 		for id := range ids {
 			if u := s.upstreams[id]; u != nil {
-				total = total.Add(withSlots(u.Capacity))
-			} else {
-				total = total.Add(withSlots(largest))
+				largest = largest.Max(u.Capacity)
 			}
+			total = total.Add(withSlots(largest))
 		}
 	}
 	return total
