Keep one kind of upstream for capacities that shrink and grow

What callers saw: nothing yet. Cause: the owner keeps each capacity that it has seen with the labels of an upstream, to refuse tasks that fit none; capacities that change all the time would add entries without bound, and each refusal visits all. Evidence: 100 capacities of one upstream left 101 entries in TestShrunkUpstreamRefusesNoJobForGood on the code before. Change: an entry that a larger one covers is dropped; a job that fits once the upstream has grown again is not refused. Measured: one entry after the same changes.

--- a/internal/state/scheduler/capacity_test.go
+++ b/internal/state/scheduler/capacity_test.go
@@ -141,3 +141,17 @@
 	s.ApplyReport(time.Second, "u000", RunReport{SentAt: time.Second})
 	is.Equal(len(s.Plan(time.Second).Starts), 1)
 }
+
+// TestShrunkUpstreamRefusesNoJobForGood guards against refusals of jobs that fit once an upstream has grown again.
+func TestShrunkUpstreamRefusesNoJobForGood(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation(t, oneQueue(nil))
+	sim.add(1, largeUpstream)
+	sim.advance(20 * time.Second)
+	for n := range 100 {
+		sim.resize(sim.upstreams[0], state.Vector{CPUMilli: int64(100 + n), MemoryMB: 64_000})
+	}
+	is.Equal(len(sim.s.admission.kinds), 1)
+	spec := &workload.Job{ID: jobID(1), Queue: "q", Workspace: "w", Steps: []workload.Step{tasksOf(1, cores(30), 500)}}
+	is.True(!sim.s.neverRuns(sim.now, spec, sim.config.Queue("q")))
+}
--- a/internal/state/scheduler/neverruns.go
+++ b/internal/state/scheduler/neverruns.go
@@ -20,9 +20,22 @@
 }
 
 // registered notes the kind of an upstream. It stays known after the upstream has left,
-// because another one may replace it soon.
+// because another one may replace it soon. A kind that is smaller than a known one adds nothing:
+// the capacity of an upstream may shrink for a while.
 func (a *admission) registered(reg *workload.Upstream) {
-	a.kinds[upstreamKind{reg.Service, reg.Capacity, "\x00" + strings.Join(reg.Labels, "\x00") + "\x00"}] = struct{}{}
+	kind := upstreamKind{reg.Service, reg.Capacity, "\x00" + strings.Join(reg.Labels, "\x00") + "\x00"}
+	for known := range a.kinds {
+		if known.service != kind.service || known.labels != kind.labels {
+			continue
+		}
+		if kind.capacity.Fits(known.capacity) {
+			return
+		}
+		if known.capacity.Fits(kind.capacity) {
+			delete(a.kinds, known)
+		}
+	}
+	a.kinds[kind] = struct{}{}
 }
 
 // neverRuns reports whether a job can never run: a task is larger than any upstream with
