Keep the bounds of a step and the state of the upstream in trials

Cause: a trial placed suspected tasks wherever they fit its upstream, without the step's bound per upstream, and without a look at whether the upstream had begun to drain or was lost since it was reserved. Change: a trial asks the same questions as any other placement, in one function with the pool. The simulation checks the bound at each start. Measured: the test passes.

--- a/internal/state/scheduler/crash_test.go
+++ b/internal/state/scheduler/crash_test.go
@@ -155,6 +155,22 @@
 	t.Logf("%d crashes by 20 jobs, at most %d of %d upstreams down at once", crashes.count, crashes.mostDown, upstreams)
 }
 
+// TestSuspectedTasksKeepTheirStepsBound guards against trials that put more tasks of a step on one upstream than it allows.
+func TestSuspectedTasksKeepTheirStepsBound(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation(t, oneQueue(nil))
+	sim.add(6, largeUpstream)
+	crashes := sim.crashOn(func(workload.TaskID) (state.Time, bool) { return 0, false })
+	sim.submit(&workload.Job{ID: jobID(1), Steps: []workload.Step{{Count: 3, Each: cores(1), LongRunning: true, MaxPerUpstream: 1}}})
+	sim.advance(time.Second)
+	for range 2 { // two of its three upstreams, too far apart for a shared cause
+		crashes.crash(sim.firstBusy())
+		sim.advance(500 * time.Millisecond)
+	}
+	sim.advance(10 * time.Second)
+	is.Equal(sim.running(jobID(1)), 3)
+}
+
 // TestCrashesAreRecordedBeforeTheNextStart guards against starts of suspected tasks that a new owner does not count.
 func TestCrashesAreRecordedBeforeTheNextStart(t *testing.T) {
 	is := is.New(t)
--- a/internal/state/scheduler/crashsim_test.go
+++ b/internal/state/scheduler/crashsim_test.go
@@ -79,6 +79,19 @@
 	})
 }
 
+// checkMaxPerUpstream verifies the bound of a step on the tasks that run on one upstream.
+func (sim *simulation) checkMaxPerUpstream(u *simUpstream, start Start) {
+	limit, n := sim.jobs[start.Task.Job].spec.Steps[start.Task.Step].MaxPerUpstream, 0
+	for id := range u.running {
+		if id.StepID() == start.Task.StepID() {
+			n++
+		}
+	}
+	if limit > 0 && n > limit {
+		sim.t.Errorf("%s: %d tasks of step %s run on %s, at most %d may", sim.now, n, start.Task.StepID(), u.reg.ID, limit)
+	}
+}
+
 // phaseOf returns the newest phase of a job that the log holds or the scheduler reported.
 func (sim *simulation) phaseOf(id workload.JobID) ledger.Phase {
 	return max(sim.jobs[id].phase, sim.recorded[id].Phase)
--- a/internal/state/scheduler/pool.go
+++ b/internal/state/scheduler/pool.go
@@ -47,6 +47,11 @@
 	earmarks []*earmark
 }
 
+// usable reports whether tasks may be placed on an upstream.
+func (s *Scheduler) usable(now state.Time, u *upstream) bool {
+	return u.listed && u.polled && !u.unreachable && !u.Draining && !s.isEvacuated(u) && !u.coldPaused(now) && u.health.recentFaults(now) < avoidFaults
+}
+
 // pool returns the usable upstreams of a service.
 func (s *Scheduler) pool(now state.Time, service workload.ServiceName) *pool {
 	if pl := s.pools[service]; pl != nil {
@@ -54,7 +59,7 @@
 	}
 	pl := &pool{service: service, members: make([]member, 0, len(s.byService[service]))}
 	for _, u := range s.byService[service] {
-		if !u.polled || u.unreachable || u.Draining || s.isEvacuated(u) || u.coldPaused(now) || u.trial != nil || u.health.recentFaults(now) >= avoidFaults {
+		if u.trial != nil || !s.usable(now, u) {
 			u.member = nil
 			continue
 		}
--- a/internal/state/scheduler/simulation_test.go
+++ b/internal/state/scheduler/simulation_test.go
@@ -354,6 +354,7 @@
 	if !used.Fits(withSlots(u.reg.Capacity)) {
 		sim.t.Errorf("%s: upstream %s uses %s, more than its capacity %s", sim.now, u.reg.ID, used, u.reg.Capacity)
 	}
+	sim.checkMaxPerUpstream(u, start)
 	job := sim.jobs[start.Task.Job]
 	if job.done[start.Task] {
 		sim.t.Errorf("%s: %s started again after it was done", sim.now, start.Task)
--- a/internal/state/scheduler/trials.go
+++ b/internal/state/scheduler/trials.go
@@ -52,8 +52,7 @@
 	if tr.begun {
 		return now >= tr.until || !slices.ContainsFunc(tr.upstreams, func(u *upstream) bool { return u.runsOf(tr.job) > 0 })
 	}
-	u := tr.upstreams[0]
-	return s.upstreams[u.ID] != u || !u.listed || !u.polled || u.unreachable || u.Draining || s.isEvacuated(u)
+	return !s.usable(now, tr.upstreams[0])
 }
 
 func (s *Scheduler) endTrial(tr *trial) {
@@ -132,7 +131,7 @@
 		return true
 	}
 	for _, t := range suspects {
-		if !p.step.spec.Demand().Fits(withSlots(u.free())) || !s.withinMaximum(j.spec.Workspace, p.step.spec.Each) || !p.usable(u) || u.coldPaused(p.now) {
+		if !s.usable(p.now, u) || !p.mayRunOn(u) || p.step.freePlaces(u, 1) == 0 || !s.withinMaximum(j.spec.Workspace, p.step.spec.Each) {
 			break
 		}
 		p.assign(t, u, s.nextRun(t.lastRun))
@@ -160,8 +159,8 @@
 	}
 }
 
-// usable reports whether the label and the advice allow the step on an upstream.
-func (p *placement) usable(u *upstream) bool {
+// mayRunOn reports whether the label and the advice allow the step on an upstream.
+func (p *placement) mayRunOn(u *upstream) bool {
 	return p.step.allows(u) && (!p.needsAdvice() || p.step.tickets[u.ID].allowed)
 }
 
@@ -211,7 +210,7 @@
 	bestCost := 0.0
 	for i := range p.pool.members {
 		m := &p.pool.members[i]
-		if m.reserved || m.earmarked(p.step) || !p.usable(m.u) || !p.step.spec.Demand().Fits(withSlots(m.u.Capacity)) {
+		if m.reserved || m.earmarked(p.step) || !p.mayRunOn(m.u) || !p.step.spec.Demand().Fits(withSlots(m.u.Capacity)) {
 			continue
 		}
 		after := time.Duration(0)
