Blame no task for an upstream that may only have been cut off

Cause: an upstream that is silent until its leases have expired and that is gone from the list counted like a confirmed crash for the blame, so that tasks of an upstream that was only partitioned were tried alone after one loss. Change: the evidence is confirmed (another process answers), presumed (gone) or shared (lost together with others); only a confirmed one gives blame.

--- a/internal/state/crashes/crashes.go
+++ b/internal/state/crashes/crashes.go
@@ -36,10 +36,26 @@
 	Certain bool
 }
 
+// Evidence is what is known of a crash.
+type Evidence uint8
+
+// Kinds of evidence.
+const (
+	// Confirmed: another process answers in place of the upstream's.
+	Confirmed Evidence = iota
+	// Presumed: the upstream is gone. It may have been cut off instead, or have left.
+	Presumed
+	// Shared: other upstreams were lost with it, so that the cause may be one that they share.
+	Shared
+)
+
+// String returns the evidence as written to logs.
+func (e Evidence) String() string { return [...]string{"confirmed", "presumed", "shared"}[e] }
+
 // Involvement is what one crash says about one of the runs.
 type Involvement struct {
-	// Certain says that the run certainly was on the upstream, Shared that the crash may have a
-	// cause that other upstreams share.
+	// Certain says that the upstream certainly crashed while the run was there, Shared that the
+	// cause may be one that other upstreams share.
 	Certain, Shared bool
 	// Blame is the probability in percent that the run's job is the cause.
 	Blame int
@@ -48,10 +64,10 @@
 	Age   time.Duration
 }
 
-// Assess returns the involvement of each run that was on an upstream when it crashed. shared
-// says that other upstreams were lost with it, so that the cause may be one that they share.
-// The jobs whose runs had just begun have equal shares of the blame; if none had, all have.
-func Assess(present []Presence, shared bool) []Involvement {
+// Assess returns the involvement of each run that was on an upstream when it crashed. For a
+// confirmed crash the jobs whose runs had just begun have equal shares of the blame; if none had,
+// all have.
+func Assess(present []Presence, evidence Evidence) []Involvement {
 	jobs, begun := map[string]struct{}{}, map[string]struct{}{}
 	for _, p := range present {
 		jobs[p.Job] = struct{}{}
@@ -65,8 +81,10 @@
 	}
 	out := make([]Involvement, len(present))
 	for i, p := range present {
-		out[i] = Involvement{Certain: p.Certain, Shared: shared, Age: p.Age, Alone: !shared && len(jobs) == 1}
-		if _, ok := blamed[p.Job]; ok && !shared {
+		out[i] = Involvement{
+			Certain: p.Certain && evidence == Confirmed, Shared: evidence == Shared, Alone: evidence != Shared && len(jobs) == 1, Age: p.Age,
+		}
+		if _, ok := blamed[p.Job]; ok && evidence == Confirmed {
 			out[i].Blame = 100 / len(blamed)
 		}
 	}
--- a/internal/state/scheduler/losses.go
+++ b/internal/state/scheduler/losses.go
@@ -40,9 +40,9 @@
 	Age time.Duration
 	// Jobs is the number of jobs that had runs on the upstream.
 	Jobs int
-	// Crash says that the loss counts as a crash of the upstream, Shared that it may have a cause
-	// that other upstreams share.
-	Crash, Shared bool
+	// Crash says that the loss counts as a crash of the upstream, for which there is Evidence.
+	Crash    bool
+	Evidence crashes.Evidence
 	// Crashes is what is held against the task after the loss, and Verdict what follows from it.
 	Crashes crashes.Record
 	Verdict crashes.Verdict
@@ -78,9 +78,15 @@
 	}
 	// An upstream that is listed and does not answer may go on with its runs.
 	crash := !u.Draining && (cause == LossRestarted || !u.listed)
-	shared := s.outages.Shared(string(u.ID), u.place(), u.lostContactAt(now))
+	evidence := crashes.Confirmed
+	switch {
+	case s.outages.Shared(string(u.ID), u.place(), u.lostContactAt(now)):
+		evidence = crashes.Shared
+	case cause != LossRestarted:
+		evidence = crashes.Presumed
+	}
 	return s.countLosses(lost, Loss{
-		Run: Run{Upstream: u.ID}, Cause: cause, Draining: u.Draining, Listed: u.listed, Crash: crash, Shared: shared,
+		Run: Run{Upstream: u.ID}, Cause: cause, Draining: u.Draining, Listed: u.listed, Crash: crash, Evidence: evidence,
 	})
 }
 
@@ -90,7 +96,7 @@
 	for _, t := range tasks {
 		lost = append(lost, lostRun{t, t.lastRun, false, unknownAge})
 	}
-	return s.countLosses(lost, Loss{Run: Run{Upstream: id}, Cause: LossInherited, Listed: listed, Crash: true})
+	return s.countLosses(lost, Loss{Run: Run{Upstream: id}, Cause: LossInherited, Listed: listed, Crash: true, Evidence: crashes.Presumed})
 }
 
 // countLosses reports the lost runs of an upstream with the next plan and, if it crashed, holds
@@ -102,10 +108,10 @@
 	for i, l := range lost {
 		job := l.task.step.job.id
 		jobs[job] = struct{}{}
-		present[i] = crashes.Presence{Job: string(job), Age: l.age, Certain: l.accepted && common.Cause == LossRestarted}
+		present[i] = crashes.Presence{Job: string(job), Age: l.age, Certain: l.accepted}
 	}
 	common.Jobs = len(jobs)
-	for i, involvement := range crashes.Assess(present, common.Shared) {
+	for i, involvement := range crashes.Assess(present, common.Evidence) {
 		l := lost[i]
 		loss := common
 		loss.Task, loss.Number, loss.Accepted, loss.Age = l.task.id(), l.number, l.accepted, l.age
