Hold starts while the capacities were not read recently

What callers saw: nothing yet; the operators' rule LIMIT counts a smaller capacity from a bound and one heartbeat on, also while the log is silent. Cause: an owner that cannot read the registrations goes on with the capacities that it has read, in starts without a record, in starts that were planned before an outage of the log and are recorded at its end, and after a pause of its VM; a start that is delayed on the way carried a lease longer than the owner's knowledge. Class of fault: acting on a permission that has run out.

--- a/internal/coordination/dispatch/evacuation_test.go
+++ b/internal/coordination/dispatch/evacuation_test.go
@@ -63,17 +63,21 @@
 	}
 }
 
-// gatedLog holds the responses to reads of the operators' topic, and appends of the state of
-// the second job, at gates.
+// gatedLog holds the responses to reads of the operators' topic and of the registrations, and
+// appends of the state of the second job, at gates.
 type gatedLog struct {
 	port.Log
-	operators, states gate
+	operators, states, registrations gate
 }
 
 func (l *gatedLog) Read(ctx context.Context, topic port.Topic, from int64, wait time.Duration) (port.Batch, error) {
 	batch, err := l.Log.Read(ctx, topic, from, wait)
-	if topic == port.TopicOperators {
+	switch topic {
+	case port.TopicOperators:
 		l.operators.pass(ctx)
+	case port.TopicUpstreams:
+		l.registrations.pass(ctx)
+	case port.TopicJobs, port.TopicStatus:
 	}
 	return batch, err
 }
@@ -96,6 +100,7 @@
 	fleet   *fakewire.Fleet
 	replica *replica.Replica
 	manager *Manager
+	runners []*fakewire.Runner
 	// paused is how long the process was paused.
 	paused atomic.Int64
 	out    syncBuffer
@@ -120,6 +125,10 @@
 }
 
 func newEvacuationSystem(t *testing.T, limit time.Duration) *evacuationSystem {
+	return newLimitedSystem(t, limit, 0)
+}
+
+func newLimitedSystem(t *testing.T, limit, capacityLimit time.Duration) *evacuationSystem {
 	e := &evacuationSystem{I: is.New(t), t: t}
 	wire := fakewire.NewLog()
 	e.fleet = fakewire.NewFleet(wire, nil)
@@ -135,6 +144,7 @@
 		var runner *fakewire.Runner
 		serve := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { runner.ServeHTTP(w, r) })
 		runner = e.fleet.AddIn(zone, []string{"i-1", "i-2"}[i], "pool", address(serve), 8000, "a", zone)
+		e.runners = append(e.runners, runner)
 	}
 	config, err := json.Marshal(fakewire.Config(1, "h.example", "pool", 0, 0))
 	e.NoErr(err)
@@ -145,7 +155,7 @@
 	e.replica = replica.New(e.log, platform.Decoder{}, logger, metrics.NewRegistry(), replica.WithClock(clock), replica.WithEvacuationLimit(limit))
 	e.manager = NewManager(Config{
 		Log: e.log, Decoder: platform.Decoder{}, Upstreams: platform.NewRunners(nil), Replica: e.replica, Name: "self",
-		Lease: 5 * time.Second, EvacuationLimit: limit, Retention: time.Minute, Slow: func() bool { return false }, Logger: logger, Registry: metrics.NewRegistry(),
+		Lease: 5 * time.Second, EvacuationLimit: limit, CapacityLimit: capacityLimit, Retention: time.Minute, Slow: func() bool { return false }, Logger: logger, Registry: metrics.NewRegistry(),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	var group sync.WaitGroup
--- a/internal/coordination/dispatch/manager.go
+++ b/internal/coordination/dispatch/manager.go
@@ -69,6 +69,9 @@
 	// EvacuationLimit is within what time after its request an evacuation must be in force; 0
 	// if starts need no recent read of the operators' topic.
 	EvacuationLimit time.Duration
+	// CapacityLimit is within what time the capacity that an upstream reports takes effect; 0 if
+	// starts need no recent read of the registrations.
+	CapacityLimit time.Duration
 	// StartsWithoutRecord allows the owner to start tasks before the log holds their start.
 	StartsWithoutRecord bool
 	// Slow reports whether the log is slow.
@@ -123,6 +126,7 @@
 		log: cfg.Log, decoder: cfg.Decoder, upstreams: cfg.Upstreams, replica: cfg.Replica, peers: cfg.Peers,
 		self: cfg.Name, cpuShare: cfg.CPUShare, advisor: cfg.Advisor, lease: cfg.Lease, retention: cfg.Retention, learnRunTimes: cfg.LearnedRunTimes, logger: cfg.Logger, clock: cfg.Clock,
 		evacuationLimit:     cfg.EvacuationLimit,
+		capacityLimit:       cfg.CapacityLimit,
 		startsWithoutRecord: cfg.StartsWithoutRecord,
 		metrics: ownerMetrics{
 			starts: counter("owner.starts"), ends: counter("owner.ends"),
--- a/internal/coordination/dispatch/owner.go
+++ b/internal/coordination/dispatch/owner.go
@@ -108,6 +108,10 @@
 	startsInFlight int
 
 	evacuations evacuationState
+	// held holds the starts that wait for newer reads of evacuations or capacities.
+	held heldStarts
+	// registrationsAt is when the newest complete read of the registrations was sent, by clock.
+	registrationsAt time.Duration
 
 	// requests are callers' records that wait for the next append.
 	requests []request
@@ -140,8 +144,11 @@
 	learnRunTimes bool
 	// evacuationLimit is within what time an evacuation takes effect; 0 disables the check.
 	evacuationLimit time.Duration
-	logger          hclog.Logger
-	metrics         ownerMetrics
+	// capacityLimit is within what time the capacity that an upstream reports takes effect; 0
+	// disables the check.
+	capacityLimit time.Duration
+	logger        hclog.Logger
+	metrics       ownerMetrics
 	// clock measures the age of the permission to act.
 	clock bootclock.Clock
 	// startsWithoutRecord allows starts that the log does not hold yet.
@@ -350,6 +357,7 @@
 func (o *owner) runCycle() {
 	now := time.Now()
 	o.applyEvacuations()
+	o.sendHeldStarts()
 	if o.planDue && now.Sub(o.plannedAt) >= o.planPause && o.mayAct() && !o.releasing {
 		o.planDue = false
 		o.plannedAt = now
--- a/internal/coordination/dispatch/registrations.go
+++ b/internal/coordination/dispatch/registrations.go
@@ -17,6 +17,7 @@
 		var batch port.Batch
 		var err error
 		full := next < 0
+		sentAt := o.clock()
 		if full {
 			batch, err = port.ReadNewest(ctx, o.log, port.TopicUpstreams)
 		} else {
@@ -36,6 +37,9 @@
 		o.post(func() {
 			o.noteLogReturn(without)
 			o.applyRegistrations(batch, full)
+			if batch.Next >= batch.End {
+				o.registrationsAt = sentAt
+			}
 		})
 		if !full {
 			o.wait(ctx, registrationGap)
--- a/internal/coordination/dispatch/registrations_test.go
+++ b/internal/coordination/dispatch/registrations_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/samphirerail/samphirerail/internal/coordination/bootclock"
 	"github.com/samphirerail/samphirerail/internal/coordination/port"
 	"github.com/samphirerail/samphirerail/internal/state/ledger"
 )
@@ -47,7 +48,7 @@
 func TestManyRegistrationsAreLoadedOverSlowLink(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		o := &owner{ownerDeps: &ownerDeps{log: pagedRegistrations{pages: 7}}, signal: make(chan struct{}, 1)}
+		o := &owner{ownerDeps: &ownerDeps{log: pagedRegistrations{pages: 7}, clock: bootclock.Now}, signal: make(chan struct{}, 1)}
 		ctx, cancel := context.WithCancel(t.Context())
 		go o.followUpstreams(ctx)
 		time.Sleep(20 * time.Second)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -153,8 +153,8 @@
 		Log: p.log, Decoder: platform.Decoder{}, Upstreams: platform.NewRunners(id.local), Advisor: p.advice,
 		Replica: p.replica, Peers: p.peers, Name: id.name, Incarnation: id.incarnation, Address: id.address,
 		Domain: state.DomainID(s.Entry.Domain), CPUShare: s.Limits.CPUShare,
-		EvacuationLimit: s.Upstream.EvacuationLimit.Std(),
-		Slow:            p.log.Slow, Lease: s.Upstream.Lease.Std(), Retention: s.Upstream.Retention.Std(),
+		EvacuationLimit: s.Upstream.EvacuationLimit.Std(), CapacityLimit: s.Upstream.CapacityLimit(),
+		Slow: p.log.Slow, Lease: s.Upstream.Lease.Std(), Retention: s.Upstream.Retention.Std(),
 		StartsWithoutRecord: s.Upstream.StartsWithoutRecord, LearnedRunTimes: s.Placement.LearnedRunTimes, Logger: logger, Registry: registry,
 	})
 	p.intake = intake.New(p.log, p.replica, p.manager, p.peers, id.address, logger, registry)
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -77,11 +77,27 @@
 	// must be in force. The owner sends no starts if its newest read of the operators' records
 	// is nearly that old. With 0 it does not check the age.
 	EvacuationLimit Duration `toml:"evacuation_limit"`
+	// CapacityNotice is how long after an upstream has reported a smaller capacity starts may
+	// exceed it, apart from the Heartbeat that brings the report. The owner sends no starts if its
+	// newest read of the registrations is nearly as old as both together. With 0 it does not
+	// check the age.
+	CapacityNotice Duration `toml:"capacity_notice"`
+	// Heartbeat is the interval at which upstreams renew their registrations.
+	Heartbeat Duration `toml:"heartbeat"`
 	// StartsWithoutRecord allows the owner to start tasks of recorded jobs before the log
 	// holds their start, while the log does not respond.
 	StartsWithoutRecord bool `toml:"starts_without_record"`
 }
 
+// CapacityLimit returns within what time the capacity that an upstream reports takes effect; 0 if
+// that is not checked.
+func (u *NodeUpstream) CapacityLimit() time.Duration {
+	if u.CapacityNotice <= 0 {
+		return 0
+	}
+	return u.CapacityNotice.Std() + u.Heartbeat.Std()
+}
+
 // NodePlacement selects how the owner places tasks.
 type NodePlacement struct {
 	// LearnedRunTimes makes the owner learn the speed of upstreams and the error of
@@ -121,6 +137,8 @@
 	c.duration("upstream.lease", s.Upstream.Lease, time.Second, time.Minute)
 	c.duration("upstream.retention", s.Upstream.Retention, time.Second, 24*time.Hour)
 	c.duration("upstream.evacuation_limit", s.Upstream.EvacuationLimit, 0, 10*time.Minute)
+	c.duration("upstream.capacity_notice", s.Upstream.CapacityNotice, 0, 10*time.Minute)
+	c.duration("upstream.heartbeat", s.Upstream.Heartbeat, 0, time.Minute)
 	c.duration("shutdown.balancer_delay", s.Shutdown.BalancerDelay, 0, time.Minute)
 	c.duration("shutdown.timeout", s.Shutdown.Timeout, s.Shutdown.BalancerDelay.Std(), 10*time.Minute)
 	c.oneOf("log.level", s.Log.Level, "trace", "debug", "info", "warn", "error")
