Register a new incarnation of an upstream in one step

Cause: the start time of a new incarnation was stored before the numbers of the former one's ends were reset, in two critical sections. A poll in between counts as one of the new incarnation, is answered, and the next one acknowledges the former numbers, so the new incarnation drops its ends before the owner has seen them. Class of fault: two updates that belong together can be observed apart. Change: one method of the link updates both under one lock.

--- a/internal/coordination/dispatch/link.go
+++ b/internal/coordination/dispatch/link.go
@@ -126,13 +126,32 @@
 	return l.recorded > l.acknowledged && now.Sub(l.acknowledgedAt) >= acknowledgeInterval
 }
 
+// register applies a registration and returns the start time of the newest incarnation that is
+// known, and whether the registration begins a new one.
+func (l *link) register(target port.Target, startedUnixMS int64) (newest int64, restarted bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.target = target
+	restarted = l.startedUnixMS != 0 && startedUnixMS > l.startedUnixMS
+	l.startedUnixMS = max(l.startedUnixMS, startedUnixMS)
+	if restarted {
+		l.resetEnds() // a poll in between would acknowledge ends of the former incarnation
+	}
+	return l.startedUnixMS, restarted
+}
+
 // beginIncarnation restarts the numbering of run ends for a new incarnation.
 func (l *link) beginIncarnation() {
 	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.resetEnds()
+}
+
+// resetEnds is beginIncarnation for callers that hold the lock.
+func (l *link) resetEnds() {
 	l.incarnation++
 	l.reported, l.recorded, l.acknowledged, l.clockMS = 0, 0, 0, 0
 	l.answered, l.unbroken = false, false
-	l.mu.Unlock()
 }
 
 // newEnds returns the run ends that were not reported before and marks them as
--- a/internal/coordination/dispatch/registrations.go
+++ b/internal/coordination/dispatch/registrations.go
@@ -97,16 +97,9 @@
 		o.links[reg.ID] = l
 	}
 	old, had := o.sched.Registration(reg.ID)
-	l.mu.Lock()
-	l.target = port.Target{ID: reg.ID, Address: reg.Address}
-	restarted := l.startedUnixMS != 0 && reg.StartedUnixMS > l.startedUnixMS
-	if l.startedUnixMS > reg.StartedUnixMS {
-		reg.StartedUnixMS = l.startedUnixMS
-	}
-	l.startedUnixMS = reg.StartedUnixMS
-	l.mu.Unlock()
+	var restarted bool
+	reg.StartedUnixMS, restarted = l.register(port.Target{ID: reg.ID, Address: reg.Address}, reg.StartedUnixMS)
 	if restarted {
-		l.beginIncarnation()
 		l.wake()
 	}
 	if !had || old.Draining != reg.Draining || restarted {
