Check the incarnation of a report where its ends are taken over

What callers saw: nothing; found beside the mixed registration. Cause: a report was compared with the newest incarnation before its ends were numbered and before the control loop applied it, so one of a former incarnation could advance the numbers of the new one in between, or have its runs adopted there. Class of fault: a check and the act that it allows are apart. Evidence: by the code; the new part of TestEndsAreReportedOnce passes a late report to the link. Change: the link compares the incarnation under the lock that guards the numbers, and the control loop once more; ends of a former incarnation still complete their tasks, its runs are left aside. Measured: the tests of the package pass.

--- a/internal/coordination/dispatch/link.go
+++ b/internal/coordination/dispatch/link.go
@@ -141,10 +141,12 @@
 }
 
 // beginIncarnation restarts the numbering of run ends for a new incarnation.
-func (l *link) beginIncarnation() {
+// It returns the number of the incarnation.
+func (l *link) beginIncarnation() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.resetEnds()
+	return l.incarnation
 }
 
 // resetEnds is beginIncarnation for callers that hold the lock.
@@ -154,11 +156,21 @@
 	l.answered, l.unbroken = false, false
 }
 
-// newEnds returns the run ends that were not reported before and marks them as
-// reported. It also returns the incarnation that they belong to.
-func (l *link) newEnds(ends []port.RunEnd) (out []port.RunEnd, incarnation int) {
+// isNewest reports whether an incarnation is the newest one.
+func (l *link) isNewest(incarnation int) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	return incarnation == l.incarnation
+}
+
+// newEnds returns the run ends that were not reported before and marks them as reported. It
+// reports false, and does neither, if the incarnation that reported them is not the newest one.
+func (l *link) newEnds(ends []port.RunEnd, incarnation int) (out []port.RunEnd, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if incarnation != l.incarnation {
+		return nil, false
+	}
 	newest := l.reported
 	for _, e := range ends {
 		if e.Number > l.reported {
@@ -167,5 +179,5 @@
 		}
 	}
 	l.reported = newest
-	return out, l.incarnation
+	return out, true
 }
--- a/internal/coordination/dispatch/link_test.go
+++ b/internal/coordination/dispatch/link_test.go
@@ -32,14 +32,19 @@
 func TestEndsAreReportedOnce(t *testing.T) {
 	is := is.New(t)
 	l := newLink()
-	ends, incarnation := l.newEnds([]port.RunEnd{{Number: 1}, {Number: 2}})
+	incarnation := l.incarnation
+	ends, ok := l.newEnds([]port.RunEnd{{Number: 1}, {Number: 2}}, incarnation)
+	is.True(ok)
 	is.Equal(len(ends), 2)
-	ends, _ = l.newEnds([]port.RunEnd{{Number: 1}, {Number: 2}, {Number: 3}})
+	ends, _ = l.newEnds([]port.RunEnd{{Number: 1}, {Number: 2}, {Number: 3}}, incarnation)
 	is.Equal(len(ends), 1)
 	l.acknowledge(incarnation, 2)
 	is.Equal(l.recorded, int64(2))
-	l.beginIncarnation()
-	ends, next := l.newEnds([]port.RunEnd{{Number: 1}})
+	next := l.beginIncarnation()
+	_, ok = l.newEnds([]port.RunEnd{{Number: 45}}, incarnation)
+	is.True(!ok) // a report of the former incarnation arrives late
+	is.Equal(l.reported, int64(0))
+	ends, _ = l.newEnds([]port.RunEnd{{Number: 1}}, next)
 	is.Equal(len(ends), 1) // a new incarnation numbers its ends from 1
 	l.acknowledge(incarnation, 3)
 	is.Equal(l.recorded, int64(0)) // an end of a former incarnation is recorded late
--- a/internal/coordination/dispatch/poller.go
+++ b/internal/coordination/dispatch/poller.go
@@ -200,16 +200,18 @@
 		o.loseOwnership("upstream " + string(id))
 		return pollFailed
 	}
-	l.mu.Lock()
-	outdated := incarnation != l.incarnation
-	l.mu.Unlock()
-	if outdated {
+	if !l.isNewest(incarnation) {
 		return pollFailed
 	}
 	if report.Invalid != nil {
 		o.logger.Warn("invalid rows of a run report ignored", "upstream", id, "error", report.Invalid)
 	}
-	o.checkIncarnation(id, l, &report, startedUnixMS, now)
+	if o.hasRestarted(id, l, &report, startedUnixMS, now) {
+		incarnation = o.beginIncarnation(id, l, &report, now)
+	}
+	if !o.postReport(id, l, &report, sentAt, incarnation) {
+		return pollFailed
+	}
 	l.mu.Lock()
 	recovered := l.failures > 0
 	l.failures, l.answered, l.polledAt = 0, true, now
@@ -220,29 +222,39 @@
 	if recovered {
 		o.logger.Info("upstream reachable again", "upstream", id)
 	}
-	o.postReport(id, l, &report, sentAt)
 	return pollSucceeded
 }
 
-// checkIncarnation detects a restart of the upstream since its registration.
-func (o *owner) checkIncarnation(id workload.UpstreamID, l *link, report *port.RunReport, startedUnixMS int64, now time.Time) {
+// hasRestarted detects a restart of the upstream since its registration.
+func (o *owner) hasRestarted(id workload.UpstreamID, l *link, report *port.RunReport, startedUnixMS int64, now time.Time) bool {
 	restarted := l.updateClock(report.ClockMS, now)
 	if !restarted && (startedUnixMS == 0 || report.StartedUnixMS == 0 || report.StartedUnixMS == startedUnixMS) {
-		return
+		return false
 	}
 	o.logger.Warn("upstream restarted", "upstream", id, "born", report.StartedUnixMS, "registered", startedUnixMS)
-	l.beginIncarnation()
+	return true
+}
+
+// beginIncarnation begins the incarnation of the upstream that made a report, and returns its
+// number.
+func (o *owner) beginIncarnation(id workload.UpstreamID, l *link, report *port.RunReport, now time.Time) int {
+	incarnation := l.beginIncarnation()
 	l.updateClock(report.ClockMS, now)
 	l.mu.Lock()
 	l.startedUnixMS = report.StartedUnixMS
 	l.mu.Unlock()
 	newStartedUnixMS := report.StartedUnixMS
 	o.post(func() { o.handleRestart(id, newStartedUnixMS) })
+	return incarnation
 }
 
-// postReport passes an upstream's run report to the control loop.
-func (o *owner) postReport(id workload.UpstreamID, l *link, report *port.RunReport, sentAt time.Time) {
-	ends, incarnation := l.newEnds(report.Ended)
+// postReport passes the run report of an upstream's incarnation to the control loop. It reports
+// false if a newer incarnation has registered since the report was checked.
+func (o *owner) postReport(id workload.UpstreamID, l *link, report *port.RunReport, sentAt time.Time, incarnation int) bool {
+	ends, ok := l.newEnds(report.Ended, incarnation)
+	if !ok {
+		return false
+	}
 	clock := time.Duration(report.ClockMS) * time.Millisecond
 	converted := scheduler.RunReport{SentAt: o.at(sentAt), Clock: clock, Running: report.Running, Partial: report.Partial}
 	newestEnd := int64(0)
@@ -251,10 +263,15 @@
 		newestEnd = max(newestEnd, e.Number)
 	}
 	o.post(func() {
-		if o.links[id] == l {
+		switch {
+		case o.links[id] != l:
+		case l.isNewest(incarnation):
 			o.handleReport(id, l, converted, incarnation, o.holdUnknownEnds(id, l, incarnation, ends, newestEnd))
+		default: // the runs ended with the former incarnation
+			o.sched.ApplyEnds(o.now(), id, converted.Ended)
 		}
 	})
+	return true
 }
 
 // recordPollFailure counts a failed poll and reports it to the control loop.
--- a/internal/coordination/dispatch/poller_test.go
+++ b/internal/coordination/dispatch/poller_test.go
@@ -95,7 +95,7 @@
 func TestReportOfFormerIncarnationIsIgnored(t *testing.T) {
 	is := is.New(t)
 	l := newLink()
-	upstreams := &scriptedUpstreams{duringPoll: l.beginIncarnation, reply: port.RunReport{Ended: []port.RunEnd{{Number: 45}}}}
+	upstreams := &scriptedUpstreams{duringPoll: func() { l.beginIncarnation() }, reply: port.RunReport{Ended: []port.RunEnd{{Number: 45}}}}
 	o := &owner{
 		ownerDeps: &ownerDeps{upstreams: upstreams, lease: 5 * time.Second, logger: hclog.NewNullLogger(), clock: bootclock.Now},
 		base:      time.Now(), ctx: context.Background(), signal: make(chan struct{}, 1), links: map[workload.UpstreamID]*link{},
--- a/internal/coordination/dispatch/unknownends_test.go
+++ b/internal/coordination/dispatch/unknownends_test.go
@@ -42,7 +42,7 @@
 			}
 			report := port.RunReport{Ended: []port.RunEnd{end(2, known, 0), end(3, unknown, 0), end(4, known, 0), end(5, unknown, 1)}}
 			o.runEvents()
-			o.postReport("u0", l, &report, time.Now())
+			o.postReport("u0", l, &report, time.Now(), l.incarnation)
 			o.runEvents()
 			newest := func() (n int64) {
 				for _, a := range o.acks {
