Test that crashes count on after the death of each owner

Cause and class: the guard is the crashes in the job's recorded state. Evidence: with their restoration switched off the other cases of the test still pass, because an owner lives long enough to see two crashes; the new case, in which each owner dies once it has recorded one, fails with 10 starts after the third crash. Change: the case. Measured: it passes with the guard.

--- a/internal/state/scheduler/crash_test.go
+++ b/internal/state/scheduler/crash_test.go
@@ -20,9 +20,11 @@
 		step workload.Step
 		// after is when the first task crashes its upstream.
 		after state.Time
-		// takeOvers is the time between two deaths of the owner.
-		takeOvers state.Time
-		advice    bool
+		// takeOvers is the time between two deaths of the owner; afterLosses makes each owner die
+		// once it has noted a crash.
+		takeOvers   state.Time
+		afterLosses bool
+		advice      bool
 	}{
 		{name: "at its start", step: tasksOf(1, cores(1), 500), after: 10 * time.Millisecond},
 		{name: "near its end", step: tasksOf(1, cores(1), 3000), after: 2 * time.Second},
@@ -31,6 +33,7 @@
 		{name: "long-running", step: workload.Step{Count: 2, Each: cores(1), LongRunning: true}, after: 100 * time.Millisecond},
 		{name: "with advice", step: tasksOf(4, cores(1), 500), after: 10 * time.Millisecond, advice: true},
 		{name: "owners killed in turn", step: tasksOf(1, cores(1), 500), after: 10 * time.Millisecond, takeOvers: 7 * time.Second},
+		{name: "owners killed after each crash", step: tasksOf(1, cores(1), 500), after: 10 * time.Millisecond, afterLosses: true},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -44,6 +47,9 @@
 			crashes := sim.crashOn(func(id workload.TaskID) (state.Time, bool) {
 				return c.after, id == workload.TaskID{Job: jobID(9999)}
 			})
+			if c.afterLosses {
+				crashes.onLoss = func() { sim.takeOver() }
+			}
 			sim.submit(&workload.Job{ID: jobID(9999), Steps: []workload.Step{c.step}})
 			lastTakeOver := sim.now
 			for i := range 400 {
--- a/internal/state/scheduler/crashsim_test.go
+++ b/internal/state/scheduler/crashsim_test.go
@@ -20,6 +20,8 @@
 	down, mostDown int
 	// count is the number of crashes.
 	count int
+	// onLoss is called after the owner has noted and recorded a crash; nil if unused.
+	onLoss func()
 }
 
 const (
@@ -76,6 +78,10 @@
 		sim.s.MarkUnreachable(sim.now, u.reg.ID)
 		sim.s.ReleaseRuns(sim.now, u.reg.ID, LossRestarted)
 		sim.s.RemoveUpstream(u.reg.ID)
+		if c.onLoss != nil {
+			sim.record()
+			c.onLoss()
+		}
 	})
 }
 
