Teach the soak tasks that crash runners and runners that shrink and grow

Cause: the soak knew neither of the two kinds of trouble, so that no run of it could show BUDGET, or LIMIT on a runner whose capacity changes. Change: jobs whose tasks crash their runner 1 to 500 ms after the start, one every 2.5 s; a runner changes its capacity every 0.2 to 0.8 s, one time in ten with reads of the registrations stalled beyond the bound. The fake runners check both rules; a job that is shown as failed needs two crashes under one of its tasks.

--- a/internal/command/soak.go
+++ b/internal/command/soak.go
@@ -24,6 +24,8 @@
 			&cli.IntFlag{Name: "entries", Usage: "processes to start", Value: 5},
 			&cli.IntFlag{Name: "runners", Usage: "fake runners", Value: 12},
 			&cli.BoolFlag{Name: "starts-without-record", Usage: "switch the setting on at every entry"},
+			&cli.BoolFlag{Name: "crashing-tasks", Usage: "submit jobs that crash the runners that start them", Value: true},
+			&cli.BoolFlag{Name: "changing-capacities", Usage: "let runners shrink and grow", Value: true},
 			&cli.BoolFlag{Name: "quiet", Usage: "inject no faults"},
 			&cli.BoolFlag{Name: "faults", Usage: "print each fault"},
 		},
@@ -38,6 +40,7 @@
 					Seed: cmd.Uint64("seed") + uint64(i), Duration: cmd.Duration("duration"), Entries: cmd.Int("entries"),
 					Runners: cmd.Int("runners"), Program: program, NoFaults: cmd.Bool("quiet"),
 					StartsWithoutRecord: cmd.Bool("starts-without-record"),
+					CrashingTasks:       cmd.Bool("crashing-tasks"), ChangingCapacities: cmd.Bool("changing-capacities"),
 				}
 				if cmd.Bool("faults") {
 					opts.Out = cmd.Root().Writer
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -32,7 +32,9 @@
 	// cancelSent is set before a cancellation is sent, cancelled when it has been
 	// acknowledged.
 	cancelSent, cancelled bool
-	tasks                 int
+	// crashes is set if the tasks crash the runners that start them.
+	crashes bool
+	tasks   int
 	// prefix is the path prefix of the job's queue.
 	prefix string
 }
@@ -239,6 +241,13 @@
 		state := c.finalState(id, deadline)
 		switch {
 		case job.cancelSent && state == "cancelled", job.cancelled && state == "complete":
+		case state == "failed" && c.mayHaveFailed(id, job):
+			report.GivenUp++
+			if !job.crashes {
+				report.Innocent++
+			}
+		case job.crashes && state == "complete":
+			report.Problems = append(report.Problems, fmt.Sprintf("MIXED: job %s crashes every runner but is reported complete", id))
 		case !job.cancelled && state == "complete":
 			report.Complete++
 			c.checkComplete(&report, id, job)
--- a/internal/soak/cluster.go
+++ b/internal/soak/cluster.go
@@ -80,6 +80,7 @@
 	c.fleet = fakewire.NewFleet(c.log, accepted)
 	c.fleet.SetCPULimit(workspaceMaxCPUMilli)
 	c.fleet.SetEvacuationBound(evacuationBound)
+	c.fleet.SetCapacityBound(capacityNotice + runnerHeartbeat)
 	logAddress, err := c.serve(c.log)
 	if err != nil {
 		return nil, err
@@ -181,9 +182,11 @@
 [upstream]
 evacuation_limit = %q
 starts_without_record = %v
+capacity_notice = %q
+heartbeat = %q
 [shutdown]
 balancer_delay = "500ms"
-`, e.name, i%3, e.callers, e.ready, ports[2], p.address(), evacuationBound, c.opts.StartsWithoutRecord)
+`, e.name, i%3, e.callers, e.ready, ports[2], p.address(), evacuationBound, c.opts.StartsWithoutRecord, capacityNotice, runnerHeartbeat)
 	if err := os.WriteFile(e.settings, []byte(text), 0o600); err != nil {
 		return err
 	}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -39,6 +39,10 @@
 	// Uneven makes one of three runners slow and submits tasks that take several times as
 	// long as declared, so that runs are moved to faster runners.
 	Uneven bool
+	// CrashingTasks submits jobs whose tasks crash the runners that start them.
+	CrashingTasks bool
+	// ChangingCapacities makes runners shrink and grow.
+	ChangingCapacities bool
 }
 
 // Report is the outcome of a run.
@@ -51,6 +55,9 @@
 	Complete int
 	// Evacuations counts the evacuations of one or two failure domains.
 	Evacuations int
+	// GivenUp counts the jobs that failed because runners crashed under their tasks, Innocent
+	// those among them whose tasks did not crash them.
+	GivenUp, Innocent int
 	// Resumed counts the runs that were started from a checkpoint.
 	Resumed int
 	// Problems describes each violated guarantee.
@@ -95,6 +102,12 @@
 		if opts.Uneven {
 			late.Go(func() { callers.runLate(stop) })
 		}
+		if opts.CrashingTasks {
+			late.Go(func() { callers.runCrashing(stop) })
+		}
+		if opts.ChangingCapacities {
+			late.Go(func() { c.resizeRunners(stop, start) })
+		}
 		callers.run(stop)
 	}()
 	evacuations := make(chan int, 1)
@@ -108,6 +121,7 @@
 	<-done
 	evacuated := <-evacuations
 	c.clearFaults()
+	c.restoreCapacities()
 	problems := callers.checkConfiguration()
 	report := callers.verify(settleTimeout)
 	report.Seed, report.Dir, report.Evacuations, report.Resumed = opts.Seed, c.dir, evacuated, c.fleet.Resumed()
@@ -243,5 +257,5 @@
 	if len(r.Problems) > 0 {
 		outcome = fmt.Sprintf("%d problems: %s; logs in %s", len(r.Problems), strings.Join(r.Problems[:min(len(r.Problems), 5)], "; "), r.Dir)
 	}
-	return fmt.Sprintf("seed %d: accepted %d, rejected %d, unknown %d, complete %d, evacuations %d: %s", r.Seed, r.Accepted, r.Rejected, r.Unknown, r.Complete, r.Evacuations, outcome)
+	return fmt.Sprintf("seed %d: accepted %d, rejected %d, unknown %d, complete %d, given up %d (innocent %d), evacuations %d: %s", r.Seed, r.Accepted, r.Rejected, r.Unknown, r.Complete, r.GivenUp, r.Innocent, r.Evacuations, outcome)
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -32,7 +32,9 @@
 		// withoutRecord switches the setting starts_without_record on.
 		withoutRecord bool
 		uneven        bool
-		duration      time.Duration
+		// crashing and resizing switch the trouble with tasks and capacities on.
+		crashing, resizing bool
+		duration           time.Duration
 	}{
 		{name: "no faults", seed: 1, noFaults: true, duration: 3 * time.Second},
 		{name: "random faults", seed: 2, duration: 8 * time.Second},
@@ -53,6 +55,8 @@
 		// Runs are moved from slow runners to fast ones.
 		{name: "moves without faults", seed: 5001, noFaults: true, uneven: true, duration: 15 * time.Second},
 		{name: "moves with random faults", seed: 5002, uneven: true, duration: 15 * time.Second},
+		{name: "crashing tasks without faults", seed: 6001, noFaults: true, crashing: true, duration: 12 * time.Second},
+		{name: "crashing tasks and changing capacities with random faults", seed: 6002, crashing: true, resizing: true, duration: 15 * time.Second},
 	}
 	binary := buildProgram(t)
 	for _, c := range cases {
@@ -61,7 +65,7 @@
 			is := is.New(t)
 			report, err := Run(Options{
 				Seed: c.seed, Duration: c.duration, Entries: 5, Runners: 12, Program: binary, Dir: t.TempDir(), NoFaults: c.noFaults,
-				StartsWithoutRecord: c.withoutRecord, Uneven: c.uneven,
+				StartsWithoutRecord: c.withoutRecord, Uneven: c.uneven, CrashingTasks: c.crashing, ChangingCapacities: c.resizing,
 			})
 			is.NoErr(err)
 			t.Log(report)
@@ -70,6 +74,7 @@
 			}
 			is.True(report.Complete > 30) // of 25 a second
 			is.True(!c.uneven || report.Resumed > 0)
+			is.True(!c.crashing || report.GivenUp > 0)
 		})
 	}
 }
