Give up tasks that crash VMs in the product's own interface

Cause: the state machine counts retries of a job, up to five, but a standing task that crashes each VM is restarted without end, and a batch job costs six VMs before it is answered. Class of fault: as in the scheduler, a failure that leaves no report is retried without bound. Change: the decision comes from package crashes; a VM that restarts, or is removed without having announced it, counts as crashed, one whose lease expired only once its next incarnation shows it. A suspected task is started on the smallest VM without tasks, if one is free, which gets no others for the time of the trial; a gang is not tried alone. The job is answered as failed with the number of VMs.

--- a/internal/state/machine/accounts.go
+++ b/internal/state/machine/accounts.go
@@ -131,6 +131,7 @@
 // release drops an attempt whose end is confirmed and frees what it committed.
 func (m *Machine) release(a *attempt) {
 	m.freeResources(a)
+	m.endTrial(a)
 	delete(m.attempts, a.id)
 	m.earlyEnds.add(Ended{Task: a.id}, true)
 	last := len(a.up.attempts) - 1
--- a/internal/state/machine/adopt.go
+++ b/internal/state/machine/adopt.go
@@ -5,6 +5,7 @@
 
 	"github.com/samphirerail/samphirerail/internal/state"
 	"github.com/samphirerail/samphirerail/internal/state/cell"
+	"github.com/samphirerail/samphirerail/internal/state/crashes"
 )
 
 // upstreamFenced puts an upstream into use with exactly the tasks that its worker
@@ -20,6 +21,7 @@
 	m.updateCapacity(u, ev)
 	u.fenced = true
 	u.unreachable = false
+	u.lapsed = nil
 	u.faulted = false
 	orphans := m.adopt(u, ev.Tasks)
 	m.recomputeFree(u)
@@ -42,6 +44,7 @@
 	}
 	u.fenced = false
 	u.leaving = false
+	m.noteCrash(u, crashes.Confirmed)
 	m.refreshReadiness(u)
 	m.markAllLost(u)
 }
--- a/internal/state/machine/machine.go
+++ b/internal/state/machine/machine.go
@@ -7,6 +7,7 @@
 
 	"github.com/samphirerail/samphirerail/internal/state"
 	"github.com/samphirerail/samphirerail/internal/state/cell"
+	"github.com/samphirerail/samphirerail/internal/state/crashes"
 	"github.com/samphirerail/samphirerail/internal/state/queue"
 )
 
@@ -49,6 +50,8 @@
 	// gangsToRetry lists gangs whose reserved upstreams have gained free capacity.
 	gangsToRetry []*job
 	earlyEnds    earlyEnds
+	// outages remembers when upstreams stopped responding.
+	outages crashes.Outages
 	// urgent lists urgent jobs to check for preemption after placement.
 	urgent   []*job
 	resigned bool
@@ -148,6 +151,8 @@
 			m.gangWaitExceeded(t.job)
 		case timerReservation:
 			m.reservationExpired(t.job)
+		case timerTrial:
+			m.endTrial(t.attempt)
 		case timerPreempt:
 			t.job.recheckScheduled = false
 			m.urgent = append(m.urgent, t.job)
--- a/internal/state/machine/model.go
+++ b/internal/state/machine/model.go
@@ -6,6 +6,7 @@
 	"strings"
 
 	"github.com/samphirerail/samphirerail/internal/state"
+	"github.com/samphirerail/samphirerail/internal/state/crashes"
 	"github.com/samphirerail/samphirerail/internal/state/queue"
 )
 
@@ -32,6 +33,8 @@
 	output  []byte
 	// avoid is the upstream on which the last attempt failed.
 	avoid state.VMID
+	// crashes is what is held against the task because upstreams crashed under it.
+	crashes crashes.Record
 }
 
 // deferredResult is the result of a job that is answered only after the end of all its
@@ -203,4 +206,11 @@
 	reservedFor *job
 	attempts    []*attempt
 	health      health
+	// unreachableSince is when the upstream stopped responding.
+	unreachableSince state.Time
+	// lapsed holds the tasks whose lease expired there, until the incarnation that responds next
+	// shows whether the upstream has crashed.
+	lapsed []lostTask
+	// trial is the attempt that has the upstream for itself; nil when there is none.
+	trial *attempt
 }
--- a/internal/state/machine/place.go
+++ b/internal/state/machine/place.go
@@ -53,6 +53,11 @@
 // siblings.
 func (m *Machine) placeOne(j *job, siblings []state.VMID) {
 	index := j.pending[0]
+	if m.startAlone(j, index) {
+		j.pending = j.pending[1:]
+		m.placed(j)
+		return
+	}
 	req := cell.Request{Service: j.spec.Service, Each: j.amount, Spread: len(siblings) > 0, Placed: siblings}
 	if vm := j.tasks[index].avoid; vm != "" {
 		req.Avoid = []state.VMID{vm}
@@ -98,7 +103,7 @@
 		}
 	}
 	n := len(j.pending)
-	if n > 1 && m.allows(m.team(j.spec.Team), j.amount.Scale(int64(n))) {
+	if n > 1 && !j.suspected() && m.allows(m.team(j.spec.Team), j.amount.Scale(int64(n))) {
 		req := cell.Request{Service: j.spec.Service, Each: j.amount, Spread: true, Placed: siblings}
 		if vms, ok := m.cell.PickMany(req, n); ok {
 			m.startAll(j, vms)
--- a/internal/state/machine/timers.go
+++ b/internal/state/machine/timers.go
@@ -18,6 +18,7 @@
 	timerGangWait
 	timerReservation
 	timerPreempt
+	timerTrial
 )
 
 // timer triggers work at a given time.
--- a/internal/state/machine/upstream.go
+++ b/internal/state/machine/upstream.go
@@ -5,6 +5,7 @@
 
 	"github.com/samphirerail/samphirerail/internal/state"
 	"github.com/samphirerail/samphirerail/internal/state/cell"
+	"github.com/samphirerail/samphirerail/internal/state/crashes"
 )
 
 // maxPastIncarnations is how many earlier incarnations of a VM are kept.
@@ -17,7 +18,7 @@
 		return cell.Unfenced
 	case u.leaving:
 		return cell.Leaving
-	case u.unreachable || u.faulted || u.reservedFor != nil:
+	case u.unreachable || u.faulted || u.reservedFor != nil || u.trial != nil:
 		return cell.Unavailable
 	case u.health.ejected && !u.health.mayProbe:
 		return cell.Ejected
@@ -95,8 +96,9 @@
 }
 
 func (m *Machine) upstreamUnreachable(vm state.VMID) {
-	if u, ok := m.upstreams[vm]; ok {
-		u.unreachable = true
+	if u, ok := m.upstreams[vm]; ok && !u.unreachable {
+		u.unreachable, u.unreachableSince = true, m.now
+		m.outages.Note(string(vm), u.place(), m.now)
 		m.refreshReadiness(u)
 	}
 }
@@ -154,6 +156,7 @@
 	}
 	u.fenced = false
 	m.refreshReadiness(u)
+	u.lapsed = m.lostTasks(u)
 	m.markAllLost(u)
 }
 
@@ -162,6 +165,9 @@
 	if !ok {
 		return
 	}
+	if !u.leaving {
+		m.noteCrash(u, crashes.Presumed)
+	}
 	u.leaving = true
 	m.refreshReadiness(u)
 	m.markAllLost(u)
@@ -213,7 +219,10 @@
 func (m *Machine) handleLost(a *attempt) {
 	j := a.job
 	switch {
-	case j.deferred != nil || j.gangRestart:
+	case j.deferred != nil:
+	case j.tasks[a.index].crashes.Verdict() == crashes.GiveUp:
+		m.giveUp(j, a.index)
+	case j.gangRestart:
 	case !j.restartable():
 		m.finish(j, state.JobUnknown, refusalOutcomeUnknown("the upstream "+string(a.up.vm)+" was lost with a task of the job"))
 	case m.resigned:
