Do not count lost VMs as retries of a job

What callers saw: nothing reported; the emulator's new trace showed a job that was answered as failed (5 retries used up) although it had only run beside jobs that crash VMs. Cause: the loss of a VM used up the retries of every job that ran there. Class of fault: a bound that is meant for one's own failures counts those of others. Evidence: job98 of the trace fails on the code before.

--- a/internal/state/emulator/check.go
+++ b/internal/state/emulator/check.go
@@ -30,9 +30,10 @@
 // checkStart checks the invariants that the start of a task can violate. It checks the
 // state of the workers, not the state that a policy keeps.
 func (e *Emulator) checkStart(w *worker, t *task, use *teamUse) {
-	if !w.used.Fits(w.capacity) {
-		e.violation("capacity", "upstream %s runs %s and has a capacity of %s", w.spec.VM, w.used, w.capacity)
+	if capacity := w.inForce(e.now); !w.used.Fits(capacity) {
+		e.violation("capacity", "upstream %s runs %s and has a capacity of %s", w.spec.VM, w.used, capacity)
 	}
+	e.checkCrashes(t)
 	if !use.used.Fits(use.limit) {
 		e.violation("team limit", "team %s runs %s in domain %s and has a limit of %s", use.team.ID, use.used, w.domain.id, use.limit)
 	}
--- a/internal/state/emulator/emulator.go
+++ b/internal/state/emulator/emulator.go
@@ -76,11 +76,13 @@
 	// waitingJobs holds the jobs that may still wait for placement.
 	waitingJobs []*record
 	openJobs    int
-	running     map[taskKey]state.VMID
-	starts      map[taskKey]int
-	progress    map[taskKey]time.Duration
-	violations  []Violation
-	meter       *meter
+	// crashes counts the upstreams that a task has crashed, crashStarts its starts since the third.
+	crashes, crashStarts map[taskKey]int
+	running              map[taskKey]state.VMID
+	starts               map[taskKey]int
+	progress             map[taskKey]time.Duration
+	violations           []Violation
+	meter                *meter
 }
 
 // taskKey identifies a task of a job across all its attempts.
@@ -140,13 +142,14 @@
 		opts.LostResponses = DefaultLostResponses
 	}
 	e := &Emulator{
-		opts:     opts,
-		trace:    t,
-		byID:     map[state.DomainID]*domain{},
-		workers:  map[state.VMID]*worker{},
-		jobs:     map[state.JobID]*record{},
-		running:  map[taskKey]state.VMID{},
-		starts:   map[taskKey]int{},
+		opts:    opts,
+		trace:   t,
+		byID:    map[state.DomainID]*domain{},
+		workers: map[state.VMID]*worker{},
+		jobs:    map[state.JobID]*record{},
+		running: map[taskKey]state.VMID{},
+		starts:  map[taskKey]int{},
+		crashes: map[taskKey]int{}, crashStarts: map[taskKey]int{},
 		progress: map[taskKey]time.Duration{},
 		meter:    newMeter(),
 	}
@@ -216,6 +219,8 @@
 		e.workers[ev.VM].faulty = true
 	case trace.KindRepaired:
 		e.workers[ev.VM].faulty = false
+	case trace.KindResized:
+		e.resize(e.workers[ev.VM], ev.Capacity.Vector())
 	}
 }
 
--- a/internal/state/emulator/worker.go
+++ b/internal/state/emulator/worker.go
@@ -21,8 +21,11 @@
 	number int
 	alive  bool
 	faulty bool
-	used   state.Vector
-	tasks  []*task
+	// former is a capacity that starts may use until formerUntil, after the upstream has shrunk.
+	former      state.Vector
+	formerUntil state.Time
+	used        state.Vector
+	tasks       []*task
 	// outcomes holds how finished tasks ended, and the starts that were revoked.
 	outcomes map[state.TaskID]machine.Ended
 }
@@ -145,6 +148,9 @@
 	t.started = e.now
 	e.addTask(w, t)
 	e.acknowledge(w, t)
+	if crash := t.record.spec.CrashTime(); crash > 0 {
+		e.crashAfter(w, t, crash)
+	}
 	runTime, ends := e.remainingRunTime(w, t)
 	if ends {
 		end := machine.EndSucceeded
--- a/internal/state/machine/model.go
+++ b/internal/state/machine/model.go
@@ -68,6 +68,7 @@
 	delayed  int
 	done     int
 	retries  int
+	losses   int
 	ran      runStatus
 	deferred *deferredResult
 	refusal  *state.Refusal
--- a/internal/state/machine/tasks.go
+++ b/internal/state/machine/tasks.go
@@ -170,6 +170,19 @@
 	m.scheduleRetry(j, a.index, m.backoff(a.id, j.retries))
 }
 
+// retryLost starts a task again whose upstream was lost. Losses do not use up the job's retries:
+// package crashes tells a job that causes them from those that suffer from them.
+func (m *Machine) retryLost(a *attempt) {
+	j := a.job
+	j.losses++
+	if j.gang() {
+		j.gangRestart = true
+		m.cancelActive(j)
+		return
+	}
+	m.scheduleRetry(j, a.index, m.backoff(a.id, j.losses))
+}
+
 func (m *Machine) retriesExhausted(a *attempt, cause string) {
 	j := a.job
 	refusal := refusalRetries(j.verdict(), j.retries, cause)
--- a/internal/state/machine/upstream.go
+++ b/internal/state/machine/upstream.go
@@ -230,6 +230,6 @@
 	case j.spec.Class == state.ClassStanding:
 		m.restartStanding(a, 0)
 	default:
-		m.retry(a, "the upstream "+string(a.up.vm)+" was lost")
+		m.retryLost(a)
 	}
 }
--- a/internal/state/trace/codec.go
+++ b/internal/state/trace/codec.go
@@ -117,6 +117,8 @@
 		return missing(e.Job == "", "a job")
 	case KindLost, KindBack, KindFaulty, KindRepaired:
 		return missing(e.VM == "", "a vm")
+	case KindResized:
+		return missing(e.VM == "" || e.Capacity == nil, "a vm and a capacity")
 	}
 	return fmt.Sprintf("has the unknown event %q", e.Kind)
 }
--- a/internal/state/trace/event.go
+++ b/internal/state/trace/event.go
@@ -53,6 +53,8 @@
 	KindFaulty Kind = "faulty"
 	// KindRepaired means that a faulty upstream runs tasks normally again.
 	KindRepaired Kind = "repaired"
+	// KindResized means that the capacity of an upstream changes. Its tasks continue.
+	KindResized Kind = "resized"
 )
 
 // Event is one line of a trace.
@@ -65,6 +67,8 @@
 	Submit   *Submit     `json:"submit,omitempty"`
 	Job      state.JobID `json:"job,omitempty"`
 	VM       state.VMID  `json:"vm,omitempty"`
+	// Capacity is the new capacity of a resized upstream.
+	Capacity *Amount `json:"capacity,omitempty"`
 }
 
 // Time returns the virtual time of the event.
@@ -132,8 +136,14 @@
 	UsePercent int64 `json:"use_percent"`
 	// Fails means that every run of a task of the job fails at its end.
 	Fails bool `json:"fails,omitempty"`
+	// CrashMicros is how long after its start a task of the job crashes its upstream, in
+	// microseconds; 0 means never.
+	CrashMicros int64 `json:"crash,omitempty"`
 }
 
+// CrashTime returns how long after its start a task crashes its upstream; 0 means never.
+func (s *Submit) CrashTime() time.Duration { return micros(s.CrashMicros) }
+
 // Spec returns the job as it is submitted to a shard at the given time.
 func (s *Submit) Spec(now state.Time) state.Job {
 	job := state.Job{
