Give up tasks that are blamed for several crashes without a trial

Cause: no upstream of the service became free of long-running work within the 3 s that a suspected task waits, so that each further start had company and proved nothing; a crash that the new owner could not have seen counted as shared, because all upstreams that it failed to reach at the takeover seemed lost at once. Class of fault: a bound that holds only if the remedy can be applied. Evidence: the log of the task: four certain crashes 11 and 12 ms after the start, each with all the blame, verdict isolate. Change: the blame adds up; a task with 250 percent from three certain crashes is given up. A task that three upstreams crashed under, for whatever cause, waits on for an upstream of its own while the number of trials is the limit. Upstreams without contact to this owner are not lost together.

--- a/internal/state/crashes/crashes.go
+++ b/internal/state/crashes/crashes.go
@@ -17,8 +17,12 @@
 	// leastCertain is the least number of crashes under a task that is given up.
 	leastCertain = 2
 	// mostAlone is the number of crashes without a shared cause after which a task is given up
-	// if it was alone at the newest one, and most that after which it is given up in any case.
+	// if it was alone at the newest one, and most that after which it is given up in any case;
+	// with leastCertain certain ones, those with a shared cause count for the latter.
 	mostAlone, most = 4, 5
+	// A task is given up without a trial after fewestBlamed certain crashes in which its shares of
+	// the blame add up to givenUpBlame percent: hardly another job had just begun on any of them.
+	fewestBlamed, givenUpBlame = 3, 250
 	// A task has survived once a run has lasted survivalFactor times as long as the longest one
 	// that ended with a crash. The bounds are those of a trial, and of the time until the record
 	// of a task without an end is cleared.
@@ -97,7 +101,7 @@
 	// Certain counts the crashes at which the task certainly was on the upstream, Uncertain
 	// those at which it may have been there, and Shared those that may have a shared cause.
 	Certain, Uncertain, Shared int
-	// Blame is the sum of the task's shares of the blame in percent, at most 100.
+	// Blame is the sum of the task's shares of the blame in percent.
 	Blame int
 	// Alone says that only runs of the task's job were on the upstream that crashed last, and
 	// that the crash had no shared cause.
@@ -119,7 +123,7 @@
 	default:
 		r.Uncertain++
 	}
-	r.Blame = min(100, r.Blame+i.Blame)
+	r.Blame += i.Blame
 	r.Alone = i.Alone
 	r.Age = max(r.Age, i.Age)
 }
@@ -145,7 +149,11 @@
 func (r *Record) Verdict() Verdict {
 	count := r.Certain + r.Uncertain
 	switch {
-	case count >= most, r.Alone && (r.Certain >= leastCertain || count >= mostAlone):
+	case count >= most, count+r.Shared >= most && r.Certain >= leastCertain:
+		return GiveUp
+	case r.Alone && (r.Certain >= leastCertain || count >= mostAlone):
+		return GiveUp
+	case r.Certain >= fewestBlamed && r.Blame >= givenUpBlame:
 		return GiveUp
 	case count+r.Shared >= isolateCount || r.Blame >= isolateBlame:
 		return Isolate
@@ -155,7 +163,7 @@
 
 // MustBeAlone reports whether the task is not started beside other work any more: one more crash
 // there would cost that work and prove nothing.
-func (r *Record) MustBeAlone() bool { return r.Certain+r.Uncertain >= mostAlone-1 }
+func (r *Record) MustBeAlone() bool { return r.Certain+r.Uncertain+r.Shared >= mostAlone-1 }
 
 // TrialTime returns how long a run of the task must last alone until other work may join it.
 func (r *Record) TrialTime() time.Duration {
--- a/internal/state/crashes/crashes_test.go
+++ b/internal/state/crashes/crashes_test.go
@@ -71,6 +71,9 @@
 		{name: "four with causes of their own", crashes: []Involvement{uncertain, uncertain, uncertain, uncertain}, want: Isolate},
 		{name: "shared cause, once", crashes: []Involvement{shared}, want: Free},
 		{name: "shared cause, many times", crashes: []Involvement{shared, shared, shared, shared, shared, shared}, want: Isolate},
+		{name: "three times most of the blame", crashes: []Involvement{blamed, blamed, blamed}, want: GiveUp},
+		{name: "three times some of the blame", crashes: []Involvement{certain, certain, certain}, want: Isolate},
+		{name: "five, some with a shared cause", crashes: []Involvement{shared, certain, shared, shared, certain}, want: GiveUp},
 		{name: "five", crashes: []Involvement{uncertain, uncertain, certain, certain, certain}, want: GiveUp},
 	}
 	for _, c := range cases {
--- a/internal/state/scheduler/runs.go
+++ b/internal/state/scheduler/runs.go
@@ -318,7 +318,9 @@
 func (s *Scheduler) MarkUnreachable(now state.Time, id workload.UpstreamID) {
 	if u := s.upstreams[id]; u != nil && !u.unreachable {
 		u.unreachable, u.unreachableSince = true, now
-		s.outages.Note(string(id), u.place(), now)
+		if u.polled { // otherwise this owner never had contact
+			s.outages.Note(string(id), u.place(), now)
+		}
 	}
 }
 
