Count the time of a trial from the start of the run

What callers saw: nothing; found while the change was read again. Cause: a trial lasted from the placement of the task, so that where a ticket takes a second, the upstream was open to other work when the start was sent. Class of fault: a time limit that begins before what it limits. Evidence: by the code; the regression test's new case with slow advice passes on the code before, too, because nothing else came to that upstream. Change: an upstream is on trial while a run of the job waits for its start or has not lasted for the time of the trial. The constants of package crashes have full names. Measured: the regression test passes, its eleven cases with 2 or 3 crashes.

--- a/internal/state/crashes/crashes.go
+++ b/internal/state/crashes/crashes.go
@@ -16,10 +16,10 @@
 	isolateBlame, isolateCount = 50, 2
 	// leastCertain is the least number of crashes under a task that is given up.
 	leastCertain = 2
-	// mostAlone is the number of crashes without a shared cause after which a task is given up
-	// if it was alone at the newest one, and most that after which it is given up in any case;
+	// mostCrashesAlone is the number of crashes without a shared cause after which a task is given up
+	// if it was alone at the newest one, and mostCrashes that after which it is given up in any case;
 	// with leastCertain certain ones, those with a shared cause count for the latter.
-	mostAlone, most = 4, 5
+	mostCrashesAlone, mostCrashes = 4, 5
 	// A task is given up without a trial after fewestBlamed certain crashes in which its shares of
 	// the blame add up to givenUpBlame percent: hardly another job had just begun on any of them.
 	fewestBlamed, givenUpBlame = 3, 250
@@ -149,9 +149,9 @@
 func (r *Record) Verdict() Verdict {
 	count := r.Certain + r.Uncertain
 	switch {
-	case count >= most, count+r.Shared >= most && r.Certain >= leastCertain:
+	case count >= mostCrashes, count+r.Shared >= mostCrashes && r.Certain >= leastCertain:
 		return GiveUp
-	case r.Alone && (r.Certain >= leastCertain || count >= mostAlone):
+	case r.Alone && (r.Certain >= leastCertain || count >= mostCrashesAlone):
 		return GiveUp
 	case r.Certain >= fewestBlamed && r.Blame >= givenUpBlame:
 		return GiveUp
@@ -163,7 +163,7 @@
 
 // MustBeAlone reports whether the task is not started beside other work any more: one more crash
 // there would cost that work and prove nothing.
-func (r *Record) MustBeAlone() bool { return r.Certain+r.Uncertain+r.Shared >= mostAlone-1 }
+func (r *Record) MustBeAlone() bool { return r.Certain+r.Uncertain+r.Shared >= mostCrashesAlone-1 }
 
 // TrialTime returns how long a run of the task must last alone until other work may join it.
 func (r *Record) TrialTime() time.Duration {
--- a/internal/state/scheduler/crash_test.go
+++ b/internal/state/scheduler/crash_test.go
@@ -24,7 +24,7 @@
 		// once it has noted a crash.
 		takeOvers   state.Time
 		afterLosses bool
-		advice      bool
+		advice      *workload.Advice
 		// occupied puts a long-running task on each upstream, so that none becomes free.
 		occupied bool
 	}{
@@ -33,7 +33,8 @@
 		{name: "one of many tasks", step: tasksOf(30, cores(2), 500), after: 10 * time.Millisecond},
 		{name: "member of a gang", step: workload.Step{Count: 4, Each: cores(8), EstimateMS: 500, Gang: true}, after: 10 * time.Millisecond},
 		{name: "long-running", step: workload.Step{Count: 2, Each: cores(1), LongRunning: true}, after: 100 * time.Millisecond},
-		{name: "with advice", step: tasksOf(4, cores(1), 500), after: 10 * time.Millisecond, advice: true},
+		{name: "with advice", step: tasksOf(4, cores(1), 500), after: 10 * time.Millisecond, advice: &workload.Advice{DecisionMS: 11, PerUpstreamMS: 0.15, ValidMS: 1500}},
+		{name: "with slow advice", step: tasksOf(4, cores(1), 500), after: 10 * time.Millisecond, advice: &workload.Advice{DecisionMS: 1300, PerUpstreamMS: 8, ValidMS: 3000}},
 		{name: "owners killed in turn", step: tasksOf(1, cores(1), 500), after: 10 * time.Millisecond, takeOvers: 7 * time.Second},
 		{name: "no upstream becomes free", step: tasksOf(1, cores(1), 500), after: 10 * time.Millisecond, occupied: true},
 		{name: "gang, no upstream becomes free", step: workload.Step{Count: 3, Each: cores(8), EstimateMS: 500, Gang: true}, after: 10 * time.Millisecond, occupied: true},
@@ -43,9 +44,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
 			sim := newSimulation(t, oneQueue(func(q *workload.Queue, _ *workload.Workspace) {
-				if c.advice {
-					q.Advice = &workload.Advice{DecisionMS: 11, PerUpstreamMS: 0.15, ValidMS: 1500}
-				}
+				q.Advice = c.advice
 			}))
 			sim.add(12, largeUpstream)
 			crashes := sim.crashOn(func(id workload.TaskID) (state.Time, bool) {
--- a/internal/state/scheduler/trials.go
+++ b/internal/state/scheduler/trials.go
@@ -20,10 +20,9 @@
 type trial struct {
 	job       *job
 	upstreams []*upstream
-	// begun is set once a task was placed there. The trial ends at until, or when no run of the
-	// job is left.
+	// begun is set once a task was placed there. The trial ends when each run of the job there has
+	// ended or has lasted long enough.
 	begun bool
-	until state.Time
 }
 
 // Trial is the decision to try the suspected tasks of a job on an upstream of their own.
@@ -50,7 +49,7 @@
 		return true
 	}
 	if tr.begun {
-		return now >= tr.until || !slices.ContainsFunc(tr.upstreams, func(u *upstream) bool { return u.runsOf(tr.job) > 0 })
+		return !slices.ContainsFunc(tr.upstreams, func(u *upstream) bool { return u.tries(now, tr.job) })
 	}
 	return !s.usable(now, tr.upstreams[0])
 }
@@ -65,6 +64,17 @@
 	}
 }
 
+// tries reports whether a run of a job on the upstream waits for its start or has not lasted for
+// the time of a trial.
+func (u *upstream) tries(now state.Time, j *job) bool {
+	for _, r := range u.runs {
+		if r.task.step.job == j && (r.startedAt == 0 || now-r.startedAt < r.task.crashes.TrialTime()) {
+			return true
+		}
+	}
+	return false
+}
+
 // runsOf counts the runs of a job on the upstream.
 func (u *upstream) runsOf(j *job) (n int) {
 	for _, r := range u.runs {
@@ -156,16 +166,13 @@
 			break
 		}
 		p.assign(t, u, s.nextRun(t.lastRun))
-		tr.begin(p.now, t)
+		tr.begin()
 	}
 	return true
 }
 
 // begin notes that a task was placed on the trial's upstream.
-func (tr *trial) begin(now state.Time, t *task) {
-	tr.begun, tr.until = true, max(tr.until, now+t.crashes.TrialTime())
-	tr.job.suspectedAt = 0
-}
+func (tr *trial) begin() { tr.begun, tr.job.suspectedAt = true, 0 }
 
 // endSuspicion lets the waiting suspected tasks of a job be placed like others until a further
 // crash.
@@ -277,6 +284,6 @@
 				p.s.addTrial(tr, u.member)
 			}
 		}
-		tr.begin(p.now, t)
 	}
+	tr.begin()
 }
