Keep one loop for the further submissions of the soak

Cause: the submissions of crashing jobs repeated the loop of the late ones. Change: one function with the interval and what makes a job; the order of the random numbers stays, so that seeds play the same jobs.

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -94,24 +94,33 @@
 )
 
 // runLate submits jobs with tasks that resume from checkpoints and take much longer than
-// declared, until stop is closed, and then waits for the calls in flight. On a slow runner
-// they end too late, on a fast one in time.
+// declared. On a slow runner they end too late, on a fast one in time.
 func (c *callers) runLate(stop chan struct{}) {
-	r := rand.New(rand.NewPCG(c.opts.Seed, 4))
+	c.submitRegularly(stop, lateInterval, lateStream, func(*rand.Rand) (*sentJob, []byte) {
+		spec := fakewire.Spec{RunMS: lateRunMS, ActualMS: lateFactor * lateRunMS, CPU: 300, Checkpoints: true}
+		return &sentJob{tasks: 1, prefix: fakewire.PatientPrefix}, fakewire.Job(spec, spec.CPU, 1, false)
+	})
+}
+
+// Streams of random numbers of the further submissions, which leave that of the others alone.
+const lateStream, crashingStream = 4, 5
+
+// submitRegularly submits a job that next makes after each interval, until stop is closed, and
+// then waits for the calls in flight.
+func (c *callers) submitRegularly(stop chan struct{}, interval time.Duration, stream uint64, next func(r *rand.Rand) (*sentJob, []byte)) {
+	r := rand.New(rand.NewPCG(c.opts.Seed, stream))
 	var group sync.WaitGroup
 	defer group.Wait()
 	for {
 		select {
 		case <-stop:
 			return
-		case <-time.After(lateInterval):
+		case <-time.After(interval):
 		}
 		id := fmt.Sprintf("%016x", r.Uint64())
-		spec := fakewire.Spec{RunMS: lateRunMS, ActualMS: lateFactor * lateRunMS, CPU: 300, Checkpoints: true}
-		body := fakewire.Job(spec, spec.CPU, 1, false)
+		job, body := next(r)
 		firstEntry := r.IntN(len(c.cluster.entries))
 		c.mu.Lock()
-		job := &sentJob{tasks: 1, prefix: fakewire.PatientPrefix}
 		c.jobs[id] = job
 		c.mu.Unlock()
 		group.Go(func() { c.submit(id, job, body, firstEntry, false) })
--- a/internal/soak/trouble.go
+++ b/internal/soak/trouble.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"sync"
 	"time"
 
 	"github.com/samphirerail/samphirerail/platform/fakewire"
@@ -18,29 +17,13 @@
 	fewestCrashes = 2
 )
 
-// runCrashing submits jobs whose tasks crash their runners, until stop is closed, and then waits
-// for the calls in flight.
+// runCrashing submits jobs whose tasks crash their runners.
 func (c *callers) runCrashing(stop chan struct{}) {
-	r := rand.New(rand.NewPCG(c.opts.Seed, 5))
-	var group sync.WaitGroup
-	defer group.Wait()
-	for {
-		select {
-		case <-stop:
-			return
-		case <-time.After(crashInterval):
-		}
-		id := fmt.Sprintf("%016x", r.Uint64())
+	c.submitRegularly(stop, crashInterval, crashingStream, func(r *rand.Rand) (*sentJob, []byte) {
 		width := 1 + r.IntN(2)
 		spec := fakewire.Spec{RunMS: 800, CPU: 500, CrashMS: int64(1 + r.IntN(500))}
-		body := fakewire.Job(spec, spec.CPU, width, r.IntN(4) == 0)
-		firstEntry := r.IntN(len(c.cluster.entries))
-		c.mu.Lock()
-		job := &sentJob{tasks: width, prefix: fakewire.Prefix, crashes: true}
-		c.jobs[id] = job
-		c.mu.Unlock()
-		group.Go(func() { c.submit(id, job, body, firstEntry, false) })
-	}
+		return &sentJob{tasks: width, prefix: fakewire.Prefix, crashes: true}, fakewire.Job(spec, spec.CPU, width, r.IntN(4) == 0)
+	})
 }
 
 // mayHaveFailed reports whether enough runners crashed under a task of a job, in either of its
