Release a run of a gang once

Cause: when an upstream restarts, or its runs are declared lost, all its runs are released in turn; the release of a member of a gang stops the others, which releases those that were not sent yet, and the loop then released them again. The quota of the workspace was credited twice. Class of fault: an iteration over a copy of what each step may change. Evidence: the new test leaves -4000m for a gang of three tasks of 2 cores that were planned on one upstream; the runs exceeded the maximum by up to that. Change: release does nothing for a run that is not among its task's runs any more.

--- a/internal/state/scheduler/runs.go
+++ b/internal/state/scheduler/runs.go
@@ -38,8 +38,13 @@
 	s.used[w] = s.used[w].Add(st.spec.Each)
 }
 
-// release returns the capacity of a run. ended says that the upstream reported its end.
+// release returns the capacity of a run. ended says that the upstream reported its end. It does
+// nothing for a run that was released before: one of a gang may be released with another.
 func (s *Scheduler) release(now state.Time, r *run, ended bool) {
+	i := slices.Index(r.task.runs, r)
+	if i < 0 {
+		return
+	}
 	u, st := s.upstreams[r.Upstream], r.task.step
 	if u != nil && u.runs[r.Task] == r {
 		delete(u.runs, r.Task)
@@ -61,9 +66,7 @@
 	w := st.job.spec.Workspace
 	s.used[w] = s.used[w].Sub(st.spec.Each)
 	st.job.countUrgent(state.Vector{}.Sub(st.spec.Demand()))
-	if i := slices.Index(r.task.runs, r); i >= 0 {
-		r.task.runs = slices.Delete(r.task.runs, i, i+1)
-	}
+	r.task.runs = slices.Delete(r.task.runs, i, i+1)
 	if r.phase != awaitingTicket {
 		s.markDirty(st.job)
 	}
