Begin a trial once and let it wait for runs of some seconds

A suspected task waited 3 s for an upstream of its own, less than the runs of the batch queue last, and was placed in company. And a trial counted as begun with the reservation: where no ticket could be had, it was released and begun anew with each plan, every few milliseconds, and the wait of the task with it. Class of fault: a state is entered by the intention and not by the act. The new test counts one trial each plan on the code before. Change: a trial begins when a start was sent, keeps its upstream until then, and the wait ends with it; a task with two crashes that ends waits 8 s. Measured: the test passes; the regression test as before.

--- a/internal/state/scheduler/crash_test.go
+++ b/internal/state/scheduler/crash_test.go
@@ -266,3 +266,26 @@
 		})
 	}
 }
+
+// TestTrialIsNotBegunAgainWithoutTickets guards against trials that begin anew with each plan while no ticket can be had.
+func TestTrialIsNotBegunAgainWithoutTickets(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation(t, oneQueue(func(q *workload.Queue, _ *workload.Workspace) {
+		q.Advice = &workload.Advice{DecisionMS: 11, PerUpstreamMS: 0.15, ValidMS: 1500}
+	}))
+	sim.allowed = func(workload.StepID, workload.UpstreamID) bool { return true }
+	sim.add(4, largeUpstream)
+	sim.crashOn(func(id workload.TaskID) (state.Time, bool) { return 10 * time.Millisecond, true })
+	sim.submit(&workload.Job{ID: jobID(1), Steps: []workload.Step{tasksOf(1, cores(1), 500)}})
+	sim.advance(3 * time.Second)
+	sim.s.SetAdvisors(nil)
+	trials := 0
+	for range 1000 {
+		trials += len(sim.s.Plan(sim.now).Trials)
+		sim.advance(5 * time.Millisecond)
+	}
+	is.True(trials <= 1)
+	task := sim.s.jobs[jobID(1)].steps[0][0].tasks[0]
+	is.True(!task.crashes.Empty())
+	is.True(!task.isolated) // it does not wait for ever
+}
--- a/internal/state/scheduler/trials.go
+++ b/internal/state/scheduler/trials.go
@@ -11,18 +11,24 @@
 	"github.com/samphirerail/samphirerail/internal/state/workload"
 )
 
-// maxTrialWait is how long a suspected task waits for an upstream of its own. After that it is
-// placed like any other, so that it is not held back where no upstream becomes free. A task that
-// must be alone waits on while the number of trials is what it waits for.
-const maxTrialWait = 3 * time.Second
+// A suspected task waits for an upstream of its own for maxTrialWait, or longTrialWait if the next
+// crash could be the third and the task is not long-running. After that it is placed like any
+// other, so that it is not held back where no upstream becomes free. A task that must be alone
+// waits on while the number of trials is what it waits for.
+const (
+	maxTrialWait  = 3 * time.Second
+	longTrialWait = 8 * time.Second
+)
 
 // trial reserves upstreams for the suspected tasks of one job: one upstream, or those of a gang.
 type trial struct {
 	job       *job
 	upstreams []*upstream
-	// begun is set once a task was placed there. The trial ends when each run of the job there has
+	// begun is set once a start was sent there. The trial ends when each run of the job there has
 	// ended or has lasted long enough.
 	begun bool
+	// gang is set for the trial of a gang, which is placed at once.
+	gang bool
 }
 
 // Trial is the decision to try the suspected tasks of a job on an upstream of their own.
@@ -38,6 +44,9 @@
 // refreshTrials ends the trials that are decided, have lost their upstream or were of no use.
 func (s *Scheduler) refreshTrials(now state.Time) {
 	for _, tr := range s.trials {
+		if !tr.begun && slices.ContainsFunc(tr.upstreams, func(u *upstream) bool { return u.hasStarted(tr.job) }) {
+			tr.begun, tr.job.suspectedAt = true, 0
+		}
 		if s.trialOver(now, tr) {
 			s.endTrial(tr)
 		}
@@ -48,10 +57,10 @@
 	if s.jobs[tr.job.id] != tr.job || tr.job.phase.Final() {
 		return true
 	}
-	if tr.begun {
+	if tr.begun || tr.gang {
 		return !slices.ContainsFunc(tr.upstreams, func(u *upstream) bool { return u.tries(now, tr.job) })
 	}
-	return !s.usable(now, tr.upstreams[0])
+	return !s.usable(now, tr.upstreams[0]) || !tr.job.waitsForTrial()
 }
 
 func (s *Scheduler) endTrial(tr *trial) {
@@ -75,6 +84,40 @@
 	return false
 }
 
+// hasStarted reports whether the start of a run of a job was sent to the upstream.
+func (u *upstream) hasStarted(j *job) bool {
+	for _, r := range u.runs {
+		if r.task.step.job == j && r.startedAt > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// waitsForTrial reports whether a task of the job is to be tried alone and has not been started.
+func (j *job) waitsForTrial() bool {
+	for _, steps := range j.steps {
+		for _, st := range steps {
+			for _, t := range st.tasks {
+				if t.isolated && !t.done && (len(t.runs) == 0 || t.runs[0].startedAt == 0) {
+					return true
+				}
+			}
+		}
+	}
+	return false
+}
+
+// trialWait returns how long suspected tasks wait for an upstream of their own.
+func trialWait(suspects []*task) time.Duration {
+	for _, t := range suspects {
+		if c := &t.crashes; c.Certain+c.Uncertain+c.Shared >= 2 && !t.step.spec.LongRunning {
+			return longTrialWait
+		}
+	}
+	return maxTrialWait
+}
+
 // runsOf counts the runs of a job on the upstream.
 func (u *upstream) runsOf(j *job) (n int) {
 	for _, r := range u.runs {
@@ -140,7 +183,7 @@
 	}
 	trials, limit, mayBegin := p.mayBegin()
 	crowded := tr == nil && !mayBegin && slices.ContainsFunc(suspects, func(t *task) bool { return t.crashes.MustBeAlone() })
-	if p.now-j.suspectedAt >= maxTrialWait && !crowded {
+	if p.now-j.suspectedAt >= trialWait(suspects) && !crowded {
 		j.endSuspicion()
 		if tr != nil && !tr.begun {
 			s.endTrial(tr)
@@ -166,14 +209,10 @@
 			break
 		}
 		p.assign(t, u, s.nextRun(t.lastRun))
-		tr.begin()
 	}
 	return true
 }
 
-// begin notes that a task was placed on the trial's upstream.
-func (tr *trial) begin() { tr.begun, tr.job.suspectedAt = true, 0 }
-
 // endSuspicion lets the waiting suspected tasks of a job be placed like others until a further
 // crash.
 func (j *job) endSuspicion() {
@@ -277,7 +316,7 @@
 	if !st.isolatedGang() {
 		return
 	}
-	tr := &trial{job: st.job}
+	tr := &trial{job: st.job, gang: true}
 	for _, t := range st.tasks {
 		for _, r := range t.runs {
 			if u := p.s.upstreams[r.Upstream]; u.trial == nil && u.member != nil {
@@ -285,5 +324,4 @@
 			}
 		}
 	}
-	tr.begin()
 }
