Count crashes of runs that had just begun, whatever else was lost

Cause: where three upstreams of a service are always lost within 100 ms, each crash counted as one with a shared cause, which bounds nothing. Class of fault: an exception for the innocent that the guilty can meet at any time. Change: a shared cause explains a crash only for runs that had not just begun; for the others it is presumed. Tasks that crash their upstreams later than 250 ms after the start, in such numbers, stay unbounded.

--- a/internal/state/crashes/crashes.go
+++ b/internal/state/crashes/crashes.go
@@ -40,6 +40,9 @@
 	Certain bool
 }
 
+// justBegun reports whether the start of the run may be the cause of the crash.
+func (p *Presence) justBegun() bool { return p.Age >= 0 && p.Age <= startAge }
+
 // Evidence is what is known of a crash.
 type Evidence uint8
 
@@ -70,12 +73,13 @@
 
 // Assess returns the involvement of each run that was on an upstream when it crashed. For a
 // confirmed crash the jobs whose runs had just begun have equal shares of the blame; if none had,
-// all have.
+// all have. A shared cause explains the crash for runs only that had not just begun: many tasks
+// that crash their upstreams at once look like one cause, too.
 func Assess(present []Presence, evidence Evidence) []Involvement {
 	jobs, begun := map[string]struct{}{}, map[string]struct{}{}
 	for _, p := range present {
 		jobs[p.Job] = struct{}{}
-		if p.Age >= 0 && p.Age <= startAge {
+		if p.justBegun() {
 			begun[p.Job] = struct{}{}
 		}
 	}
@@ -86,7 +90,7 @@
 	out := make([]Involvement, len(present))
 	for i, p := range present {
 		out[i] = Involvement{
-			Certain: p.Certain && evidence == Confirmed, Shared: evidence == Shared, Alone: evidence != Shared && len(jobs) == 1, Age: p.Age,
+			Certain: p.Certain && evidence == Confirmed, Shared: evidence == Shared && !p.justBegun(), Alone: evidence != Shared && len(jobs) == 1, Age: p.Age,
 		}
 		if _, ok := blamed[p.Job]; ok && evidence == Confirmed {
 			out[i].Blame = 100 / len(blamed)
--- a/internal/state/crashes/crashes_test.go
+++ b/internal/state/crashes/crashes_test.go
@@ -33,8 +33,8 @@
 			want: []Involvement{{Certain: true, Blame: 100, Alone: true, Age: 10 * ms}, {Certain: true, Blame: 100, Alone: true, Age: 900 * ms}},
 		},
 		{
-			name: "lost with others", present: []Presence{{"a", 10 * ms, true}}, evidence: Shared,
-			want: []Involvement{{Shared: true, Age: 10 * ms}},
+			name: "lost with others", present: []Presence{{"a", 10 * ms, true}, {"b", 900 * ms, true}, {"c", -1, false}}, evidence: Shared,
+			want: []Involvement{{Age: 10 * ms}, {Shared: true, Age: 900 * ms}, {Shared: true, Age: -1}},
 		},
 		{
 			name: "gone", present: []Presence{{"a", 10 * ms, true}}, evidence: Presumed,
--- a/internal/state/scheduler/crash_test.go
+++ b/internal/state/scheduler/crash_test.go
@@ -289,3 +289,19 @@
 	is.True(!task.crashes.Empty())
 	is.True(!task.isolated) // it does not wait for ever
 }
+
+// TestManyCrashingJobsAtOnceAreGivenUp guards against crashes that are all taken for a shared cause.
+func TestManyCrashingJobsAtOnceAreGivenUp(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation(t, oneQueue(nil))
+	sim.add(40, largeUpstream)
+	crashes := sim.crashOn(func(workload.TaskID) (state.Time, bool) { return 10 * time.Millisecond, true })
+	for i := range 200 {
+		sim.submit(&workload.Job{ID: jobID(i), Steps: []workload.Step{tasksOf(1, cores(20), 500)}})
+	}
+	sim.advance(3 * time.Minute)
+	for i := range 200 {
+		is.Equal(sim.phaseOf(jobID(i)), ledger.Failed)
+	}
+	t.Logf("%d crashes by 200 jobs", crashes.count)
+}
