Count lone tasks that have just begun as alone when others crash too

Cause: the queue floods the service with such tasks, ten trials crash their upstreams at once, and each crash counts as one with a cause shared with the others. Such a crash did not count as one in which the task was alone, and those of runs with unknown age, taken over from a former owner, counted for nothing. Change: a run of the only job on an upstream that has just begun is alone whatever else was lost, and then crashes with shared causes count towards the fifth. Both tests fail without the change.

--- a/internal/state/crashes/crashes.go
+++ b/internal/state/crashes/crashes.go
@@ -18,7 +18,8 @@
 	leastCertain = 2
 	// mostCrashesAlone is the number of crashes without a shared cause after which a task is given up
 	// if it was alone at the newest one, and mostCrashes that after which it is given up in any case;
-	// with leastCertain certain ones, those with a shared cause count for the latter.
+	// with leastCertain certain ones, or if it was alone at the newest one, those with a shared cause
+	// count for the latter.
 	mostCrashesAlone, mostCrashes = 4, 5
 	// A task is given up without a trial after fewestBlamed certain crashes in which its shares of
 	// the blame add up to givenUpBlame percent: hardly another job had just begun on any of them.
@@ -66,7 +67,8 @@
 	Certain, Shared bool
 	// Blame is the probability in percent that the run's job is the cause.
 	Blame int
-	// Alone says that all runs on the upstream belonged to one job.
+	// Alone says that all runs on the upstream belonged to one job, and that a shared cause does
+	// not explain the crash.
 	Alone bool
 	Age   time.Duration
 }
@@ -90,7 +92,8 @@
 	out := make([]Involvement, len(present))
 	for i, p := range present {
 		out[i] = Involvement{
-			Certain: p.Certain && evidence == Confirmed, Shared: evidence == Shared && !p.justBegun(), Alone: evidence != Shared && len(jobs) == 1, Age: p.Age,
+			Certain: p.Certain && evidence == Confirmed, Shared: evidence == Shared && !p.justBegun(), Age: p.Age,
+			Alone: len(jobs) == 1 && (evidence != Shared || p.justBegun()),
 		}
 		if _, ok := blamed[p.Job]; ok && evidence == Confirmed {
 			out[i].Blame = 100 / len(blamed)
@@ -108,7 +111,7 @@
 	// Blame is the sum of the task's shares of the blame in percent.
 	Blame int
 	// Alone says that only runs of the task's job were on the upstream that crashed last, and
-	// that the crash had no shared cause.
+	// that a shared cause does not explain the crash.
 	Alone bool
 	// Age is the longest age of a run at a crash.
 	Age time.Duration
@@ -153,7 +156,7 @@
 func (r *Record) Verdict() Verdict {
 	count := r.Certain + r.Uncertain
 	switch {
-	case count >= mostCrashes, count+r.Shared >= mostCrashes && r.Certain >= leastCertain:
+	case count >= mostCrashes, count+r.Shared >= mostCrashes && (r.Certain >= leastCertain || r.Alone):
 		return GiveUp
 	case r.Alone && (r.Certain >= leastCertain || count >= mostCrashesAlone):
 		return GiveUp
--- a/internal/state/crashes/crashes_test.go
+++ b/internal/state/crashes/crashes_test.go
@@ -36,6 +36,10 @@
 			name: "lost with others", present: []Presence{{"a", 10 * ms, true}, {"b", 900 * ms, true}, {"c", -1, false}}, evidence: Shared,
 			want: []Involvement{{Age: 10 * ms}, {Shared: true, Age: 900 * ms}, {Shared: true, Age: -1}},
 		},
+		{
+			name: "only one job, just begun, lost with other upstreams", present: []Presence{{"a", 10 * ms, true}, {"a", 900 * ms, true}}, evidence: Shared,
+			want: []Involvement{{Alone: true, Age: 10 * ms}, {Shared: true, Age: 900 * ms}},
+		},
 		{
 			name: "gone", present: []Presence{{"a", 10 * ms, true}}, evidence: Presumed,
 			want: []Involvement{{Alone: true, Age: 10 * ms}},
@@ -87,6 +91,27 @@
 	}
 }
 
+// A new owner does not know the age of runs that it takes over.
+func TestTaskIsGivenUpByItsFifthCrashAmongManyOthers(t *testing.T) {
+	beside := []Presence{{"a", 12 * ms, true}, {"b", 20 * ms, true}, {"c", 400 * ms, true}}
+	takenOver := []Presence{{"a", -1, false}}
+	alone := []Presence{{"a", 14 * ms, true}}
+	for name, crashes := range map[string][][]Presence{
+		"one takeover":  {beside, beside, takenOver, alone, alone},
+		"two takeovers": {beside, takenOver, takenOver, alone, alone},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var r Record
+			for _, present := range crashes {
+				is.True(r.Verdict() != GiveUp)
+				r.Add(Assess(present, Shared)[0])
+			}
+			is.Equal(r.Verdict(), GiveUp)
+		})
+	}
+}
+
 func TestSharedOutages(t *testing.T) {
 	type loss struct {
 		upstream, rack string
