Do not stop runs that would queue behind a backlog

Cause: a run counted as one with slack if it could still be in time after the stop alone. The time until it gets capacity again was left out. In plain overload that is short; after a takeover or a silent log a backlog waits, and stopped work misses its objective behind it. Change: preemption.Waits estimates that time for work of the same priority, gangs apart, from how long such work has been waiting. It needs no history, so a new owner has it at once. The scheduler test fails without the change.

--- a/internal/state/scheduler/headroom.go
+++ b/internal/state/scheduler/headroom.go
@@ -26,6 +26,8 @@
 	waiting state.Vector
 	// capacity is that of the usable upstreams, as of the newest pool.
 	capacity state.Vector
+	// waits estimates how long stopped work would wait for capacity.
+	waits preemption.Waits
 	// usual and forecast are the estimates of the demand of such jobs.
 	usual, forecast state.Vector
 	// unplaced holds the steps of this plan for which runs may be stopped.
--- a/internal/state/scheduler/model.go
+++ b/internal/state/scheduler/model.go
@@ -252,6 +252,8 @@
 	passedOver   bool
 	// promoted is set while the step goes first in its priority after a long wait.
 	promoted bool
+	// waitsSince is when tasks of the step began to wait for capacity; 0 while none does.
+	waitsSince state.Time
 	// perUpstream counts the runs of the step on each upstream.
 	perUpstream map[workload.UpstreamID]int
 	// preempted is set once a task of the step was preempted; for a long-running step, until
--- a/internal/state/scheduler/preempt.go
+++ b/internal/state/scheduler/preempt.go
@@ -65,6 +65,9 @@
 		return
 	}
 	waiting, _ := st.countWaiting()
+	if !next.rank.background() {
+		c.noteWait(now, st, q, waiting)
+	}
 	if st.spec.LongRunning {
 		st.preempted = st.preempted && waiting > 0
 		return
@@ -87,6 +90,24 @@
 	}
 }
 
+// noteWait notes how long the waiting tasks of a step have been waiting.
+func (c *contention) noteWait(now state.Time, st *step, q *workload.Queue, waiting int) {
+	switch {
+	case waiting == 0:
+		st.waitsSince = 0
+		return
+	case st.waitsSince == 0 && st.started:
+		st.waitsSince = now
+	case st.waitsSince == 0:
+		st.waitsSince = st.job.arrived // known also to a new owner
+	}
+	c.waits.Note(st.kind(q.Priority), st.spec.Each.CPUMilli*int64(waiting), now-st.waitsSince)
+}
+
+func (st *step) kind(priority int) preemption.Kind {
+	return preemption.Kind{Priority: priority, Gang: st.spec.Gang}
+}
+
 // withinMaximumTasks returns how many of the waiting tasks the workspace's quota allows.
 func (s *Scheduler) withinMaximumTasks(st *step, waiting int) int {
 	name, each := st.job.spec.Workspace, st.spec.Each
@@ -125,6 +146,7 @@
 	forecast := c.forecast
 	steps := c.unplaced
 	c.waiting, c.unplaced = state.Vector{}, nil
+	c.waits.EndRound()
 	if now < c.searchAt || (len(steps) == 0 && forecast == c.used) {
 		return
 	}
--- a/internal/state/scheduler/preempt_test.go
+++ b/internal/state/scheduler/preempt_test.go
@@ -321,3 +321,21 @@
 	is.True(resumed >= 4)
 	is.True(p.jobs[jobID(2)].ended-p.jobs[jobID(2)].at <= 2500*time.Millisecond)
 }
+
+// TestWorkThatWouldWaitBehindBacklogIsNotPreempted guards against a victim whose slack is enough
+// for the stop, but not for the queue that it would return to.
+func TestWorkThatWouldWaitBehindBacklogIsNotPreempted(t *testing.T) {
+	for _, backlog := range []int{0, 6} {
+		is := is.New(t)
+		p := newPreemptSim(t, 1, 4, func(c *workload.Config) { c.Queues[2].Stretch, c.Queues[2].TargetMS = 2, 2000 })
+		for i := range 1 + backlog {
+			p.submitTo("batch", 1+i, saved(1, cores(4), 8000))
+		}
+		p.advance(5 * time.Second)
+		p.submitTo("middle", 100, tasksOf(1, cores(4), 400))
+		p.advance(100 * time.Millisecond)
+		is.Equal(len(p.stops), 1-min(1, backlog))
+		p.advance(20 * time.Second)
+		is.True(p.jobs[jobID(1)].ended-p.jobs[jobID(1)].at <= 18*time.Second) // the objective of the victim
+	}
+}
--- a/internal/state/scheduler/victims.go
+++ b/internal/state/scheduler/victims.go
@@ -98,7 +98,8 @@
 		takes := rest + d.Lost + resumeTime + vs.after
 		d.Slack = math.MaxInt64
 		if !vs.noDue {
-			if d.Slack = vs.due - v.now - v.c.stopTime.Longest() - takes; d.Slack < v.c.margin(takes) {
+			waits := v.c.stopTime.Longest() + v.c.waits.Expected(st.kind(vs.priority))
+			if d.Slack = vs.due - v.now - waits - takes; d.Slack < v.c.margin(takes) {
 				return
 			}
 		}
