Stop placing on a failure domain once it stops answering

What callers saw: after the cut of a failure domain, quick jobs submitted in the next 2.3 s were 5 s late. Their tasks had been started on upstreams of the cut domain. Cause: an upstream counted as unreachable only once its long poll had failed, up to 2.3 s after the cut. A start that had no answer meanwhile cannot be repeated elsewhere before the lease of the upstream has ended. Change: package reachability judges from the answers to commands and polls whether a domain still answers: three upstreams without an answer and no later answer of the domain. The owner then withholds work from all its upstreams until they are polled. A single upstream that left a command unanswered is withheld until its next poll, and recorded starts on such upstreams are placed elsewhere instead of being sent.

--- a/internal/coordination/dispatch/commands.go
+++ b/internal/coordination/dispatch/commands.go
@@ -114,6 +114,11 @@
 	}
 	o.post(func() {
 		o.startsInFlight--
+		if err != nil {
+			o.noteNoAnswer(command.Upstream, o.at(began))
+		} else {
+			o.noteAnswer(command.Upstream)
+		}
 		o.sched.StartResult(o.now(), command.Run, outcome)
 		if outcome == scheduler.Unconfirmed {
 			l.requestPoll()
--- a/internal/coordination/dispatch/fakeplatform_test.go
+++ b/internal/coordination/dispatch/fakeplatform_test.go
@@ -101,7 +101,13 @@
 		},
 	}
 	p.records[port.TopicOperators] = []ledger.Record{{Key: "config", Value: []byte("1")}}
-	for i := range fakeUpstreams {
+	p.addUpstreams(fakeUpstreams)
+	return p
+}
+
+// addUpstreams registers n more upstreams. It must be called before the first entry starts.
+func (p *fakePlatform) addUpstreams(n int) {
+	for i := len(p.upstreams); n > 0; i, n = i+1, n-1 {
 		id := workload.UpstreamID(fmt.Sprintf("u%02d", i))
 		p.upstreams[id] = &fakeUpstream{
 			reg:  workload.Upstream{ID: id, Service: "s", Address: string(id), StartedUnixMS: 1, Capacity: state.Vector{CPUMilli: 8000, MemoryMB: 64000}},
@@ -109,7 +115,6 @@
 		}
 		p.records[port.TopicUpstreams] = append(p.records[port.TopicUpstreams], ledger.Record{Key: string(id), Value: []byte("1"), Offset: int64(i)})
 	}
-	return p
 }
 
 // Config implements port.Decoder.
@@ -178,9 +183,14 @@
 
 // submit records a job of sequential steps with a number of tasks each.
 func (p *fakePlatform) submit(e *fakeEntry, n, steps, tasks int, ms int64) error {
+	return p.submitSpread(e, n, steps, tasks, ms, 0)
+}
+
+// submitSpread is submit with a maximum number of tasks of a step on one upstream.
+func (p *fakePlatform) submitSpread(e *fakeEntry, n, steps, tasks int, ms int64, maxPerUpstream int) error {
 	job := &workload.Job{ID: workload.JobID(fmt.Sprintf("%016x", n)), Queue: "q", Workspace: "w", SubmittedUnixMS: time.Now().UnixMilli()}
 	for i := range steps {
-		st := workload.Step{Count: tasks, Each: state.Vector{CPUMilli: 1000, MemoryMB: 1}, EstimateMS: ms}
+		st := workload.Step{Count: tasks, Each: state.Vector{CPUMilli: 1000, MemoryMB: 1}, EstimateMS: ms, MaxPerUpstream: maxPerUpstream}
 		if i > 0 {
 			st.After = []int{i - 1}
 		}
--- a/internal/coordination/dispatch/owner.go
+++ b/internal/coordination/dispatch/owner.go
@@ -19,6 +19,7 @@
 	"github.com/samphirerail/samphirerail/internal/coordination/replica"
 	"github.com/samphirerail/samphirerail/internal/state"
 	"github.com/samphirerail/samphirerail/internal/state/ledger"
+	"github.com/samphirerail/samphirerail/internal/state/reachability"
 	"github.com/samphirerail/samphirerail/internal/state/runtimes"
 	"github.com/samphirerail/samphirerail/internal/state/scheduler"
 	"github.com/samphirerail/samphirerail/internal/state/workload"
@@ -107,6 +108,8 @@
 	// startsInFlight counts the start commands that wait for a response.
 	startsInFlight int
 
+	// domains knows which failure domains have stopped answering.
+	domains     reachability.Domains
 	evacuations evacuationState
 	// held holds the starts that wait for newer reads of evacuations or capacities.
 	held heldStarts
@@ -171,6 +174,8 @@
 	losses        lossMetrics
 	capacity      capacityMetrics
 	learned       metrics.Gauge
+	// silentDomains counts how often a failure domain stopped answering.
+	silentDomains metrics.Counter
 	factors       metrics.Histogram
 }
 
@@ -450,6 +455,7 @@
 		o.logger.Info("run ended", "task", e.Task, "run", e.Run, "upstream", id, "how", e.Cause)
 	}
 	o.metrics.ends.Inc(int64(len(report.Ended)))
+	o.noteAnswer(id)
 	o.sched.ApplyReport(o.now(), id, report)
 	if newestEnd > 0 {
 		o.acks = append(o.acks, ack{l, incarnation, newestEnd})
--- a/internal/state/scheduler/model.go
+++ b/internal/state/scheduler/model.go
@@ -318,7 +318,9 @@
 	unreachable bool
 	// unreachableSince is when the calls began to fail.
 	unreachableSince state.Time
-	used             state.Vector
+	// suspected is set from an unanswered command until the next successful poll.
+	suspected bool
+	used      state.Vector
 	// bestEffortCPU is the processor share requested by best-effort (Fills) runs, in
 	// thousandths of a core.
 	bestEffortCPU int64
--- a/internal/state/scheduler/pool.go
+++ b/internal/state/scheduler/pool.go
@@ -49,7 +49,7 @@
 
 // usable reports whether tasks may be placed on an upstream.
 func (s *Scheduler) usable(now state.Time, u *upstream) bool {
-	return u.listed && u.polled && !u.unreachable && !u.Draining && !s.isEvacuated(u) && !u.coldPaused(now) && u.health.recentFaults(now) < avoidFaults
+	return u.listed && u.polled && !u.unreachable && !u.suspected && !u.Draining && !s.isEvacuated(u) && !u.coldPaused(now) && u.health.recentFaults(now) < avoidFaults
 }
 
 // pool returns the usable upstreams of a service.
--- a/internal/state/scheduler/report.go
+++ b/internal/state/scheduler/report.go
@@ -90,7 +90,7 @@
 	if u == nil {
 		return
 	}
-	u.polled, u.unreachable = true, false
+	u.polled, u.unreachable, u.suspected = true, false, false
 	for i := range report.Ended {
 		s.applyEnded(now, u, &report.Ended[i])
 	}
--- a/internal/state/scheduler/runs.go
+++ b/internal/state/scheduler/runs.go
@@ -149,13 +149,14 @@
 // MarkSent records that a planned start is about to be sent: the log holds it by now, or
 // the upstream is one on which a new owner looks for runs that the log does not show.
 // It returns false if the run is no longer wanted, its ticket has expired, the upstream's domain
-// is evacuated or its runs exceed its capacity; the start must not be sent then.
+// is evacuated, its runs exceed its capacity or it does not answer; the start must not be sent
+// then.
 func (s *Scheduler) MarkSent(now state.Time, id Run) bool {
 	r := s.find(id)
 	if r == nil || r.phase != planned {
 		return false
 	}
-	if u := s.upstreams[id.Upstream]; s.isEvacuated(u) || !u.withinCapacity() || (r.ticketUntil > 0 && now >= r.ticketUntil) {
+	if u := s.upstreams[id.Upstream]; u.unreachable || u.suspected || s.isEvacuated(u) || !u.withinCapacity() || (r.ticketUntil > 0 && now >= r.ticketUntil) {
 		s.release(now, r, false)
 		return false
 	}
@@ -179,6 +180,7 @@
 		}
 		s.markBegun(r.task.step.job)
 	case Unconfirmed:
+		u.suspected = true
 		u.health.fault(now, 1)
 		s.trackUnconfirmedStart(now, id)
 		if r.phase == starting {
@@ -327,6 +329,14 @@
 	}
 }
 
+// Suspect withholds new work from an upstream that left a command unanswered, until it is
+// polled successfully.
+func (s *Scheduler) Suspect(id workload.UpstreamID) {
+	if u := s.upstreams[id]; u != nil {
+		u.suspected = true
+	}
+}
+
 // ReleaseRuns releases all runs on an upstream, because the cause shows that none can exist
 // any more.
 func (s *Scheduler) ReleaseRuns(now state.Time, id workload.UpstreamID, cause LossCause) {
