Give up advice requests early and pause the advisors of a silent domain

What callers saw: quick jobs submitted in the first second after the cut of a failure domain started together one second after it. Cause: an advice request through an entry of the cut domain was waited for its expected time and a second more (84 such requests in one cut). Change: the margin follows the times that earlier requests took beyond what was expected (mean and four mean deviations, as TCP's retransmission timer; 0.1 to 1 s). While a domain is silent its entries get no advice requests.

--- a/internal/coordination/dispatch/owner.go
+++ b/internal/coordination/dispatch/owner.go
@@ -85,7 +85,11 @@
 	// contactAt is when the newest successful append began; see contact.
 	contactAt atomic.Int64
 	// advisorAddresses holds the addresses of the other entries that send advice requests.
-	advisorAddresses    map[string]string
+	advisorAddresses map[string]string
+	// advisorDomains holds the failure domains of these entries.
+	advisorDomains map[string]state.DomainID
+	// adviceMargin estimates how much longer than expected an advice request takes.
+	adviceMargin        reachability.Timeout
 	advisorsRefreshedAt time.Time
 	// activeLinks is the number of upstreams with runs, for the poll loops.
 	activeLinks atomic.Int64
@@ -197,7 +201,8 @@
 		ownerDeps: p, epoch: claim.Epoch, claim: claim, base: time.Now(),
 		submitted: map[workload.JobID]struct{}{}, addedJobs: map[workload.JobID]struct{}{}, final: map[workload.JobID]finalPhase{},
 		links: map[workload.UpstreamID]*link{}, signal: make(chan struct{}, 1), seq: 1,
-		expired: map[workload.UpstreamID]struct{}{}, unknownEnds: map[workload.UpstreamID]*unknownEnds{},
+		adviceMargin: reachability.Timeout{Min: minAdviceMargin, Max: maxAdviceMargin},
+		expired:      map[workload.UpstreamID]struct{}{}, unknownEnds: map[workload.UpstreamID]*unknownEnds{},
 	}
 	o.ctx, o.cancel = context.WithCancel(ctx)
 	o.runTimes, o.runTimesAt = p.loadRunTimes(), o.base
--- a/internal/coordination/dispatch/silentdomains.go
+++ b/internal/coordination/dispatch/silentdomains.go
@@ -29,6 +29,7 @@
 			suspected++
 		}
 	}
+	o.pauseAdvisors(reg.Domain)
 	o.metrics.silentDomains.Inc(1)
 	o.logger.Warn("failure domain does not answer; its upstreams get no work until they are polled", "domain", reg.Domain, "upstream", id, "upstreams", suspected, "unanswered_ms", (o.now() - sentAt).Milliseconds())
 }
--- a/internal/state/reachability/reachability.go
+++ b/internal/state/reachability/reachability.go
@@ -82,8 +82,12 @@
 	return true
 }
 
-// Silent reports whether a domain is silent.
-func (d *Domains) Silent(id state.DomainID) bool {
-	dom := d.domains[id]
-	return dom != nil && dom.silent
+// AllSilent returns the silent domains.
+func (d *Domains) AllSilent() (out []state.DomainID) {
+	for id, dom := range d.domains {
+		if dom.silent {
+			out = append(out, id)
+		}
+	}
+	return out
 }
--- a/internal/state/reachability/reachability_test.go
+++ b/internal/state/reachability/reachability_test.go
@@ -73,11 +73,11 @@
 		id := workload.UpstreamID(fmt.Sprint(i))
 		is.Equal(d.Unanswered(timeout, 0, "d", id), i == 2)
 	}
-	is.True(d.Silent("d"))
+	is.Equal(d.AllSilent(), []state.DomainID{"d"})
 	is.True(!d.Answered(answer, "d")) // was on its way at the cut
-	is.True(d.Silent("d"))
+	is.Equal(d.AllSilent(), []state.DomainID{"d"})
 	is.True(d.Answered(time.Second, "d"))
-	is.True(!d.Silent("d"))
+	is.Equal(len(d.AllSilent()), 0)
 }
 
 func TestOneCrashedUpstreamMakesNoDomainSilent(t *testing.T) {
--- a/internal/state/scheduler/advisors.go
+++ b/internal/state/scheduler/advisors.go
@@ -162,6 +162,16 @@
 	return max(1, min(p.idle(now)/parallelShare, n/minParallelUpstreams))
 }
 
+// pause withholds requests from an advisor for advisorPause.
+func (p *advisorPool) pause(now state.Time, name string) {
+	if a := p.find(name); a != nil {
+		a.pausedUntil = now + advisorPause
+	}
+}
+
+// PauseAdvisor withholds advice requests from an entry that does not answer.
+func (s *Scheduler) PauseAdvisor(now state.Time, name string) { s.advisors.pause(now, name) }
+
 // finish records the end of a request. A failed one pauses its advisor.
 func (p *advisorPool) finish(now state.Time, req *AdviceRequest, failed bool) {
 	a := p.find(req.Advisor)
--- a/internal/state/scheduler/advisors_test.go
+++ b/internal/state/scheduler/advisors_test.go
@@ -88,3 +88,17 @@
 	p.finish(now+advisorPause, quick, true)
 	is.True(p.assign(now+advisorPause, adviceRequest(5, 0, 1), false)) // all are paused, so any is better than none
 }
+
+func TestPausedAdvisorGetsNoRequests(t *testing.T) {
+	is := is.New(t)
+	var p advisorPool
+	p.set([]string{"a", "b"})
+	p.pause(0, "a")
+	for range 3 {
+		req := &AdviceRequest{Advice: workload.Advice{DecisionMS: 20}}
+		is.True(p.assign(1, req, false))
+		is.Equal(req.Advisor, "b")
+		p.finish(2, req, false)
+	}
+	is.Equal(p.choose(advisorPause, false, false).name, "a")
+}
