Place a submitted job beside the append that records it

What callers saw: with a log that takes 240 ms an append, quick jobs took 357 ms until they were accepted and 430 ms more until the first start of each step. Cause: the scheduler learned of a job when the log held it; only then advice was requested and the first starts were planned, which wait for another append. Change: an admitted job is added to the scheduler at once. Its starts are recorded by the append that holds the job or a later one, in the order of the owner's sequence numbers, and are sent when that is recorded, so none is sent for a job that the log does not hold. Queries do not know the job before. If the term ends first, the scheduler's state ends with it. With starts without record such a job is excluded. TestRecordedStartIsWithdrawn submitted its second job synchronously, behind a gate that holds the append of starts; that append may hold the job as well now, so it submits beside (its checks are unchanged; it hung for 10 minutes before).

--- a/internal/coordination/dispatch/evacuation_test.go
+++ b/internal/coordination/dispatch/evacuation_test.go
@@ -212,6 +212,14 @@
 	return e.manager.Record(context.Background(), record)
 }
 
+// submit submits a job like job, without waiting for the append that records it. The result
+// arrives on the channel.
+func (e *evacuationSystem) submit(id workload.JobID, tasks int, gang bool) <-chan error {
+	result := make(chan error, 1)
+	go func() { result <- e.job(id, tasks, gang) }()
+	return result
+}
+
 // pause makes the owner appear as paused for a time, with the response to a read of the
 // operators' topic in its buffers.
 func (e *evacuationSystem) pause(d time.Duration) {
@@ -306,11 +314,12 @@
 			e.NoErr(e.job(firstJob, tasks, gang))
 			e.await("the first job is complete", e.completed(firstJob))
 			e.log.states.close()
-			e.NoErr(e.job(secondJob, tasks, gang))
+			submitted := e.submit(secondJob, tasks, gang)
 			e.await("the starts wait for their append", func() bool { return e.log.states.waiting.Load() > 0 })
 			e.fleet.Evacuate("z1")
 			e.await("the request was read", func() bool { set, _ := e.replica.Evacuation(); return set.Len() == 1 })
 			e.log.states.open()
+			e.NoErr(<-submitted)
 			e.await("the starts are withdrawn", func() bool { return strings.Contains(e.out.String(), "start withdrawn") })
 			if gang {
 				time.Sleep(500 * time.Millisecond)
--- a/internal/coordination/dispatch/flush.go
+++ b/internal/coordination/dispatch/flush.go
@@ -164,7 +164,6 @@
 		switch {
 		case r.job != nil:
 			delete(o.submitted, r.job.ID)
-			o.addNewJob(r.job, &ledger.JobState{}, false)
 		case r.cancel != "":
 			o.sched.Cancel(o.now(), r.cancel)
 			o.logger.Info("job cancelled", "job", r.cancel)
@@ -177,7 +176,8 @@
 // control loop. A job that an earlier call has submitted is not refused, although the log
 // does not hold it yet: the earlier call's record will make it run.
 func (o *owner) addRequest(r request) {
-	if r.job != nil && o.hasJob(r.job.ID) {
+	_, waiting := o.submitted[r.jobID()]
+	if r.job != nil && !waiting && o.hasJob(r.job.ID) {
 		r.done <- nil
 		return
 	}
@@ -185,7 +185,6 @@
 		r.done <- port.ErrNotOwner
 		return
 	}
-	_, waiting := o.submitted[r.jobID()]
 	if r.job != nil && !waiting {
 		if retryAfter, refused := o.refuseEvacuated(r.job); refused {
 			r.done <- &port.RefusedError{Reason: "only upstreams of evacuated failure domains could run the job", RetryAfter: retryAfter}
@@ -196,10 +195,13 @@
 			return
 		}
 	}
-	if r.job != nil {
+	o.requests = append(o.requests, r)
+	if r.job != nil && !waiting {
+		// The placement begins beside the append. Its starts are recorded by the same
+		// append or a later one, so none is sent before the log holds the job.
 		o.submitted[r.job.ID] = struct{}{}
+		o.addNewJob(r.job, &ledger.JobState{}, false)
 	}
-	o.requests = append(o.requests, r)
 }
 
 // hasJob reports whether a job was accepted before.
@@ -208,13 +210,16 @@
 	return ok
 }
 
-// phase returns the newest recorded phase of a job, and whether the job is known.
+// phase returns the newest recorded phase of a job, and whether the job is known. A job that
+// the log does not hold yet is not.
 func (o *owner) phase(id workload.JobID) (ledger.Phase, bool) {
 	if f, ok := o.final[id]; ok {
 		return f.phase, true
 	}
-	if p, ok := o.sched.Phase(id); ok {
-		return p, true
+	if _, unrecorded := o.submitted[id]; !unrecorded {
+		if p, ok := o.sched.Phase(id); ok {
+			return p, true
+		}
 	}
 	if row, ok := o.replica.Row(id); ok && row.Job != nil {
 		return row.Phase(), true
--- a/internal/coordination/dispatch/owner.go
+++ b/internal/coordination/dispatch/owner.go
@@ -127,7 +127,8 @@
 
 	// requests are callers' records that wait for the next append.
 	requests []request
-	// submitted holds the submitted jobs that the log does not hold yet.
+	// submitted holds the submitted jobs that the log does not hold yet, as far as this
+	// entry knows; the scheduler knows them.
 	submitted map[workload.JobID]struct{}
 	// addedJobs holds the jobs that were added to the scheduler in this term, so that
 	// none is added again when the replica reads it or a repeated request is recorded.
--- a/internal/coordination/dispatch/unrecorded.go
+++ b/internal/coordination/dispatch/unrecorded.go
@@ -232,7 +232,8 @@
 			usable[id] = o.mayStartOn(id)
 		}
 		ok, gang := o.sched.MayStartUnrecorded(waiting[i].Run)
-		allowed[i] = ok && usable[id]
+		_, unrecordedJob := o.submitted[waiting[i].Task.Job]
+		allowed[i] = ok && usable[id] && !unrecordedJob
 		if gang && !allowed[i] {
 			broken[waiting[i].Task.StepID()] = true
 		}
