Place the tasks of a job in one failure domain where there is room

What callers saw: when a failure domain was cut, callers of all three domains were late. Cause: a job of ten tasks over three domains nearly always has one in the cut domain, which cannot be started again before its lease ends; 12 of 17 jobs on their way were hit. Change: a job has a home domain, the one with the most room when its first step is placed; upstreams elsewhere cost as much more as half a run time. Long-running tasks, steps with data on a rack and single tasks have none.

--- a/internal/state/scheduler/advice.go
+++ b/internal/state/scheduler/advice.go
@@ -123,7 +123,7 @@
 		if _, known := st.tickets[m.u.ID]; known || !st.allows(m.u) || !demand.Fits(withSlots(m.u.Capacity)) {
 			continue
 		}
-		c := candidate{u: m.u, cost: m.cost + p.speed.cost(m) + st.dataCost(m.u)}
+		c := candidate{u: m.u, cost: m.cost + p.speed.cost(m) + st.dataCost(m.u) + st.homeCost(m.u)}
 		if !m.reserved && !p.speed.tooSlow(m) {
 			c.free = withSlots(m.u.free())
 		}
--- a/internal/state/scheduler/model.go
+++ b/internal/state/scheduler/model.go
@@ -229,6 +229,8 @@
 	index      int
 	spec       *workload.Step
 	tasks      []*task
+	// home is the home domain of the job if the step is to be placed there.
+	home state.DomainID
 	// left counts the tasks that are not complete.
 	left int
 	// started is set once a task of the step was started.
@@ -284,9 +286,11 @@
 	// endedBeforeTakeover marks a job that is kept only because runs of it are still
 	// being stopped. Nothing is recorded about it.
 	endedBeforeTakeover bool
-	arrived             state.Time
-	dueBy               state.Time
-	overShare           bool
+	// home is the failure domain in which the tasks are placed where there is room.
+	home      state.DomainID
+	arrived   state.Time
+	dueBy     state.Time
+	overShare bool
 	// inherited marks a job that was recorded before this owner's claim. Former owners may
 	// have started its tasks.
 	inherited bool
--- a/internal/state/scheduler/place.go
+++ b/internal/state/scheduler/place.go
@@ -193,7 +193,7 @@
 	r := &run{Run: Run{t.id(), number, u.ID}, task: t, phase: awaitingTicket, since: p.now, pace: 100}
 	p.s.reserve(u, r)
 	p.s.noteColdStart(p.now, u)
-	p.pool.notePlaced(p.step.spec.Demand(), p.s.freedSeq)
+	p.pool.notePlaced(u, p.step.spec.Demand(), p.s.freedSeq)
 	if p.step.spec.Gang {
 		return
 	}
--- a/internal/state/scheduler/plan.go
+++ b/internal/state/scheduler/plan.go
@@ -62,6 +62,7 @@
 	pl := s.pool(now, q.Service)
 	st.priority = q.Priority
 	p := placement{s: s, now: now, step: st, queue: q, pool: pl, background: background, yields: s.leavesHeadroom(now, st, q, background), plan: plan, speed: s.speedPolicy(now, st, pl)}
+	p.chooseHome()
 	if p.placeSuspects() || waiting == 0 {
 		s.waiting.Capacity += waiting
 		p.requestTickets()
@@ -181,7 +182,7 @@
 // cost returns the placement cost of an upstream for a step, without its health; lower
 // is better.
 func (st *step) cost(u *upstream) float64 {
-	cost := st.dataCost(u)
+	cost := st.dataCost(u) + st.homeCost(u)
 	switch {
 	case st.spec.Fills:
 		if u.serving > 0 {
--- a/internal/state/scheduler/pool.go
+++ b/internal/state/scheduler/pool.go
@@ -20,6 +20,8 @@
 	placements int
 	// capacity and used are the sums over the members.
 	capacity, used state.Vector
+	// domains holds the room in each failure domain.
+	domains []domainRoom
 	// reservations counts the gangs that wait for reserved upstreams.
 	reservations int
 	// fastest and slowest bound the speed factors of most members.
@@ -67,6 +69,7 @@
 			s.noteFreed(u)
 		}
 		pl.capacity, pl.used = pl.capacity.Add(u.Capacity), pl.used.Add(u.used)
+		pl.addRoom(u)
 		pl.members = append(pl.members, member{
 			u: u, index: len(pl.members), cost: float64(int(u.health.cost(now)/costStep))*costStep + u.coldCostAt(now),
 			speed: u.speed(), slowness: u.health.currentSlowness(now),
@@ -81,8 +84,11 @@
 }
 
 // notePlaced updates the pool after the placement of a task.
-func (p *pool) notePlaced(demand state.Vector, freedSeq uint64) {
+func (p *pool) notePlaced(u *upstream, demand state.Vector, freedSeq uint64) {
 	p.used = p.used.Add(demand)
+	if r := p.room(u.Domain); r != nil {
+		r.used = r.used.Add(demand)
+	}
 	if p.placements++; p.placements >= maxFreePlacements {
 		p.updateMaxFree(freedSeq)
 	}
