Wait for commands as long as before, and longer for advice

Change: starts and stops wait 150 ms again. Advice requests wait at least 0.3 s beyond their expected time, and one without a response raises the limit.

--- a/internal/coordination/dispatch/advisors.go
+++ b/internal/coordination/dispatch/advisors.go
@@ -14,7 +14,7 @@
 const (
 	// minAdviceMargin and maxAdviceMargin bound what is added to the expected duration of an
 	// advice request until it counts as unanswered.
-	minAdviceMargin, maxAdviceMargin = 100 * time.Millisecond, time.Second
+	minAdviceMargin, maxAdviceMargin = 300 * time.Millisecond, time.Second
 	// advisorRefreshInterval is the minimum time between two updates of the advisors from
 	// the registered entries.
 	advisorRefreshInterval = 200 * time.Millisecond
@@ -60,9 +60,8 @@
 		o.post(func() {
 			if err != nil {
 				o.metrics.adviceFailures.Inc(1)
-			} else {
-				o.adviceMargin.Observe(took - a.Expected)
 			}
+			o.adviceMargin.Observe(took - a.Expected) // one without a response would have taken longer
 			o.pendingStarts = append(o.pendingStarts, o.sched.ApplyAdvice(o.now(), a, tickets.Good, o.at(until), err != nil)...)
 		})
 	})
--- a/internal/coordination/dispatch/commands.go
+++ b/internal/coordination/dispatch/commands.go
@@ -21,8 +21,7 @@
 		if stop.Preemption != nil {
 			o.notePreemption(&stop)
 		}
-		limit := o.commandTime.Limit()
-		o.spawn(func() { o.stop(stop, limit) })
+		o.spawn(func() { o.stop(stop) })
 	}
 	o.logDomainMoves(plan.DomainMoves)
 	for _, pace := range plan.Paces {
@@ -64,9 +63,8 @@
 		lease, renew := o.startLease()
 		command := port.StartCommand{Start: start, Epoch: o.epoch, DeadlineMS: l.deadline(now, lease)}
 		o.startsInFlight++
-		limit := o.commandTime.Limit()
 		o.spawn(func() {
-			o.start(target, l, command, limit)
+			o.start(target, l, command)
 			if renew {
 				l.requestPoll()
 			}
@@ -81,9 +79,8 @@
 	o.sched.StartResult(o.now(), start.Run, scheduler.Refused)
 }
 
-// start sends one start command, waits for its response for up to limit, and reports its
-// outcome to the control loop.
-func (o *owner) start(target port.Target, l *link, command port.StartCommand, limit time.Duration) {
+// start sends one start command and reports its outcome to the control loop.
+func (o *owner) start(target port.Target, l *link, command port.StartCommand) {
 	if !o.mayAct() {
 		o.post(func() {
 			o.startsInFlight--
@@ -91,7 +88,7 @@
 		})
 		return
 	}
-	ctx, cancel := context.WithTimeout(o.ctx, limit)
+	ctx, cancel := context.WithTimeout(o.ctx, commandTimeout)
 	defer cancel()
 	began := time.Now()
 	reply, err := o.upstreams.Start(ctx, target, command)
@@ -120,7 +117,6 @@
 		if err != nil {
 			o.noteNoAnswer(command.Upstream, o.at(began))
 		} else {
-			o.commandTime.Observe(took)
 			o.noteAnswer(command.Upstream)
 		}
 		o.sched.StartResult(o.now(), command.Run, outcome)
@@ -131,9 +127,8 @@
 	l.wake()
 }
 
-// stop sends one stop command, waits for its response for up to limit, and passes its result
-// to the control loop.
-func (o *owner) stop(stop scheduler.Stop, limit time.Duration) {
+// stop sends one stop command and passes its result to the control loop.
+func (o *owner) stop(stop scheduler.Stop) {
 	run := stop.Run
 	target, ok := o.target(run.Upstream)
 	if !ok {
@@ -143,7 +138,7 @@
 		o.post(func() { o.sched.StopResult(o.now(), run, false) })
 		return
 	}
-	ctx, cancel := context.WithTimeout(o.ctx, limit)
+	ctx, cancel := context.WithTimeout(o.ctx, commandTimeout)
 	defer cancel()
 	reply, err := o.upstreams.Stop(ctx, target, run, o.epoch)
 	acknowledged := err == nil && reply.Outcome == scheduler.Accepted
--- a/internal/coordination/dispatch/owner.go
+++ b/internal/coordination/dispatch/owner.go
@@ -113,10 +113,9 @@
 	startsInFlight int
 
 	// domains knows which failure domains have stopped answering, losses whether single calls
-	// to upstreams are lost, and commandTime how long a command takes.
-	domains     reachability.Domains
-	losses      reachability.Losses
-	commandTime reachability.Timeout
+	// to upstreams are lost.
+	domains reachability.Domains
+	losses  reachability.Losses
 	// lossy is set while calls to upstreams are lost.
 	lossy       atomic.Bool
 	evacuations evacuationState
@@ -210,7 +209,6 @@
 		submitted: map[workload.JobID]struct{}{}, addedJobs: map[workload.JobID]struct{}{}, final: map[workload.JobID]finalPhase{},
 		links: map[workload.UpstreamID]*link{}, signal: make(chan struct{}, 1), seq: 1,
 		adviceMargin: reachability.Timeout{Min: minAdviceMargin, Max: maxAdviceMargin},
-		commandTime:  reachability.Timeout{Min: minCommandTimeout, Max: commandTimeout},
 		expired:      map[workload.UpstreamID]struct{}{}, unknownEnds: map[workload.UpstreamID]*unknownEnds{},
 	}
 	o.ctx, o.cancel = context.WithCancel(ctx)
--- a/internal/coordination/dispatch/poller.go
+++ b/internal/coordination/dispatch/poller.go
@@ -27,11 +27,9 @@
 	// slowPollTimeout replaces pollTimeout in every other poll after a failed one, so that
 	// an upstream that responds after up to 1.5 s keeps its lease of 5 s.
 	slowPollTimeout = 2500 * time.Millisecond
-	// commandTimeout bounds a command to an upstream, and minCommandTimeout what the
-	// responses to earlier commands may lower that to. A lost command delays its whole job,
-	// and a response takes a few milliseconds, or some tens on a busy owner.
-	commandTimeout    = 150 * time.Millisecond
-	minCommandTimeout = 40 * time.Millisecond
+	// commandTimeout bounds a command to an upstream. A lost command delays its whole
+	// job, and a response takes a few milliseconds, or some tens on a busy owner.
+	commandTimeout = 150 * time.Millisecond
 	// lossyPollWait and lossyPollTimeout replace pollWait and pollTimeout while calls to
 	// upstreams are lost: until a lost poll has timed out, the owner does not learn of the
 	// run ends. After maxLostPolls lost ones in a row the upstream counts as not reached.
