--- a/internal/coordination/dispatch/link.go
+++ b/internal/coordination/dispatch/link.go
@@ -110,6 +110,32 @@
 	return deadline
 }
 
+// pollTimes returns how long the next poll may be held open, and how long its response may take
+// beyond that. short says that both are kept short because calls to upstreams are lost. The
+// caller holds the lock.
+func (l *link) pollTimes(held time.Duration, lossy bool) (wait, timeout time.Duration, short bool) {
+	switch {
+	case lossy && l.failures == 0 && l.lostPolls < maxLostPolls:
+		return min(held, lossyPollWait), lossyPollTimeout, true
+	case l.failures%2 == 1:
+		return held, slowPollTimeout, false
+	}
+	return held, pollTimeout, false
+}
+
+// recordPoll records a successful poll, which acknowledged the run ends up to a number unless
+// it was sent to verify the incarnation. It reports whether polls failed before.
+func (l *link) recordPoll(now time.Time, acknowledged int64, verify bool) (recovered bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	recovered = l.failures > 0
+	l.failures, l.lostPolls, l.answered, l.polledAt = 0, 0, true, now
+	if !verify {
+		l.acknowledged, l.acknowledgedAt = acknowledged, now
+	}
+	return recovered
+}
+
 // acknowledge records that the log holds the run ends of an incarnation up to number.
 func (l *link) acknowledge(incarnation int, number int64) {
 	l.mu.Lock()
--- a/internal/coordination/dispatch/poller.go
+++ b/internal/coordination/dispatch/poller.go
@@ -174,14 +174,7 @@
 // it acknowledges no run ends, because the upstream may be a new incarnation.
 func (o *owner) pollOnce(ctx context.Context, id workload.UpstreamID, l *link, wait time.Duration, verify bool) pollResult {
 	l.mu.Lock()
-	timeout := pollTimeout
-	lossy := o.lossy.Load() && l.failures == 0 && l.lostPolls < maxLostPolls
-	switch {
-	case lossy:
-		wait, timeout = min(wait, lossyPollWait), lossyPollTimeout
-	case l.failures%2 == 1:
-		timeout = slowPollTimeout
-	}
+	wait, timeout, short := l.pollTimes(wait, o.lossy.Load())
 	callCtx, cancel := context.WithTimeout(ctx, wait+timeout)
 	defer cancel()
 	l.pollRequested, l.unbroken = false, !verify
@@ -210,12 +203,8 @@
 		return pollInterrupted
 	}
 	now := time.Now()
-	if errors.Is(err, context.DeadlineExceeded) && lossy {
-		l.mu.Lock()
-		l.lostPolls++
-		l.mu.Unlock()
-		o.logger.Info("poll lost; repeated at once", "upstream", id, "wait_ms", wait.Milliseconds())
-		o.post(func() { o.noteLostPoll(id, o.at(sentAt)+wait) })
+	if errors.Is(err, context.DeadlineExceeded) && short {
+		o.recordLostPoll(id, l, sentAt.Add(wait))
 		return pollLost
 	}
 	if err != nil || reply.OtherIncarnation || reply.Outcome != scheduler.Accepted {
@@ -238,19 +227,22 @@
 	if !o.postReport(id, l, &report, sentAt, incarnation) {
 		return pollFailed
 	}
-	l.mu.Lock()
-	recovered := l.failures > 0
-	l.failures, l.lostPolls, l.answered, l.polledAt = 0, 0, true, now
-	if !verify {
-		l.acknowledged, l.acknowledgedAt = command.LastRecorded, now
-	}
-	l.mu.Unlock()
-	if recovered {
+	if l.recordPoll(now, command.LastRecorded, verify) {
 		o.logger.Info("upstream reachable again", "upstream", id)
 	}
 	return pollSucceeded
 }
 
+// recordLostPoll records that a short poll had no answer, which was due at the given time.
+func (o *owner) recordLostPoll(id workload.UpstreamID, l *link, due time.Time) {
+	l.mu.Lock()
+	l.lostPolls++
+	n := l.lostPolls
+	l.mu.Unlock()
+	o.logger.Info("poll lost; repeated at once", "upstream", id, "lost_in_a_row", n)
+	o.post(func() { o.noteLostPoll(id, o.at(due)) })
+}
+
 // hasRestarted detects a restart of the upstream since its registration.
 func (o *owner) hasRestarted(id workload.UpstreamID, l *link, report *port.RunReport, startedUnixMS int64, now time.Time) bool {
 	restarted := l.updateClock(report.ClockMS, now)
--- a/internal/state/reachability/losses_test.go
+++ b/internal/state/reachability/losses_test.go
@@ -6,7 +6,6 @@
 
 	"github.com/matryer/is"
 
-	"github.com/samphirerail/samphirerail/internal/state"
 	"github.com/samphirerail/samphirerail/internal/state/reachability"
 )
 
@@ -14,7 +13,7 @@
 	tests := []struct {
 		name string
 		// every is the interval between two lost calls; one call is made each millisecond.
-		every state.Time
+		every time.Duration
 		lossy bool
 	}{
 		{"one of 16", 16 * time.Millisecond, true},
@@ -26,7 +25,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
 			var l reachability.Losses
-			now := state.Time(time.Millisecond)
+			now := time.Millisecond
 			for ; now < 3*time.Second; now += time.Millisecond {
 				l.Note(now, now%tt.every != 0)
 			}
