--- a/internal/coordination/dispatch/owner.go
+++ b/internal/coordination/dispatch/owner.go
@@ -112,8 +112,8 @@
 	// startsInFlight counts the start commands that wait for a response.
 	startsInFlight int
 
-	// domains knows which failure domains have stopped answering, losses whether single calls
-	// to upstreams are lost.
+	// domains knows which failure domains have stopped answering, and losses whether single
+	// calls to upstreams are lost.
 	domains reachability.Domains
 	losses  reachability.Losses
 	// lossy is set while calls to upstreams are lost.
