--- a/internal/coordination/dispatch/flush.go
+++ b/internal/coordination/dispatch/flush.go
@@ -197,8 +197,8 @@
 	}
 	o.requests = append(o.requests, r)
 	if r.job != nil && !waiting {
-		// The placement begins beside the append. Its starts are recorded by the same
-		// append or a later one, so none is sent before the log holds the job.
+		// Placing the job need not wait for the append that records it: the starts are recorded
+		// by the same append or a later one, so none is sent before the log holds the job.
 		o.submitted[r.job.ID] = struct{}{}
 		o.addNewJob(r.job, &ledger.JobState{}, false)
 	}
--- a/internal/coordination/dispatch/owner.go
+++ b/internal/coordination/dispatch/owner.go
@@ -12,7 +12,6 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
-	metrics "github.com/rcrowley/go-metrics"
 
 	"github.com/samphirerail/samphirerail/internal/coordination/bootclock"
 	"github.com/samphirerail/samphirerail/internal/coordination/port"
@@ -167,29 +166,6 @@
 	startsWithoutRecord bool
 }
 
-type ownerMetrics struct {
-	starts, ends, appends, appendFails, adviceCalls, adviceFailures metrics.Counter
-	startLatency, planTime                                          metrics.Histogram
-	jobs, runs, ready, unreachable                                  metrics.Gauge
-	evacuation                                                      evacuationMetrics
-	refused                                                         refusalCounters
-	forecastError                                                   metrics.Histogram
-	preemption                                                      preemptionMetrics
-	unrecorded                                                      unrecordedMetrics
-	// moves and copies count the moved runs and the copies of late tasks, learned the upstreams
-	// with a learned speed; factors are those of the fastest and the slowest upstream of each
-	// kind, in percent.
-	moves, copies metrics.Counter
-	losses        lossMetrics
-	capacity      capacityMetrics
-	learned       metrics.Gauge
-	// silentDomains counts how often a failure domain stopped answering.
-	silentDomains metrics.Counter
-	// lostPolls counts the polls without a response while calls to upstreams were lost.
-	lostPolls metrics.Counter
-	factors   metrics.Histogram
-}
-
 // Peers makes calls to other entries.
 type Peers interface {
 	// Owning asks another entry whether it owns the placement.
--- a/internal/state/reachability/losses.go
+++ b/internal/state/reachability/losses.go
@@ -10,8 +10,8 @@
 const (
 	// lossHalfLife is the half-life of the counts of answered and unanswered calls.
 	lossHalfLife = time.Second
-	// leastLost is the count of unanswered calls, and lossyShare their share of all, from which
-	// calls count as being lost.
+	// Calls to upstreams count as being lost from leastLost recent ones without an answer, if
+	// these are at least lossyShare of all recent calls.
 	leastLost, lossyShare = 2, 0.01
 )
 
