Show that a late start at a runner's next life runs a task twice

Cause: a start without an answer counts as settled once the runner has acknowledged a stop of it, and the task is started elsewhere; the runner's next life knows nothing of the stop.

--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -4,4 +4,4 @@
 set -uo pipefail
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.." || exit 2
-exec target/review/standin keys "$here/record.txt"
+exec target/review/standin sibling "$here/record.txt"
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -18,6 +18,8 @@
 
 // recorder writes record.txt and knows what was accepted and run.
 type recorder struct {
+	// twice counts the starts of a task while another run of it is at work.
+	twice int
 	mu    sync.Mutex
 	out   *os.File
 	began time.Time
@@ -59,6 +61,10 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.starts[job(task)]++
+	if other := r.at[task]; other != "" && other != runner {
+		r.twice++
+		fmt.Fprintf(r.out, "%8.3f TWICE: %s is started on %s and is at work on %s\n", time.Since(r.began).Seconds(), task, runner, other)
+	}
 	r.at[task] = runner
 	r.write("run %s start %s run %d", runner, task, run)
 }
@@ -69,7 +75,9 @@
 	if how == "done" {
 		r.done[job(task)]++
 	}
-	delete(r.at, task)
+	if r.at[task] == runner {
+		delete(r.at, task)
+	}
 	r.last[task] = time.Now()
 	r.write("run %s end %s run %d %s", runner, task, run, how)
 }
@@ -387,7 +395,7 @@
 	if len(os.Args) != 3 {
 		fatal("usage: standin CASE RECORD")
 	}
-	cases := map[string]func(rec *recorder, trouble bool) bool{"schedule": schedule, "wide": wide, "sibling": sibling, "keys": keys}
+	cases := map[string]func(rec *recorder, trouble bool) bool{"schedule": schedule, "wide": wide, "sibling": sibling, "keys": keys, "reborn": reborn}
 	run, ok := cases[os.Args[1]]
 	if !ok {
 		fatal("no case %q", os.Args[1])
