--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -97,13 +97,13 @@
 	}
 	time.Sleep(answerTime)
 	switch r.URL.Path {
-	case "/-/log-append":
+	case wire.Append:
 		s.serveAppend(w, r)
-	case "/-/log-read":
+	case wire.Read:
 		s.serveRead(w, r)
-	case "/-/log-newest":
+	case wire.Newest:
 		s.serveNewest(w, r)
-	case "/-/log-trim":
+	case wire.Trim:
 		reply(w, 200, map[string]any{})
 	default:
 		w.WriteHeader(404)
