--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -231,7 +231,7 @@
 		fatal("the task %s is not at work", weak)
 	}
 	if trouble {
-		r.crash(time.Second)
+		r.crash(time.Second, nil)
 	}
 	for deadline := time.Now().Add(12 * time.Second); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
 		if at, _ := rec.work(weak); at != "" {
@@ -297,14 +297,13 @@
 		time.Sleep(2500 * time.Millisecond)
 		at, _ := rec.work(task)
 		rec.note("%s is at work on %q", task, at)
-		late.runner.crash(500 * time.Millisecond)
-		o := late.order
-		if !late.runner.passes(o.Fence) {
-			rec.note("the late order is refused: fence")
-		} else {
-			code, reason := late.runner.start(&o)
+		late.runner.crash(500*time.Millisecond, func() {
+			code, reason := 409, "fence"
+			if late.runner.passes(late.order.Fence) {
+				code, reason = late.runner.start(&late.order)
+			}
 			rec.note("the order is carried out %.1f s late: %d %s", time.Since(late.at).Seconds(), code, reason)
-		}
+		})
 	}
 	time.Sleep(20 * time.Second)
 	close(stop)
--- a/review/standin/entry.go
+++ b/review/standin/entry.go
@@ -40,8 +40,9 @@
 // that the system gives to outgoing connections, so that none takes it before the process
 // listens there.
 func freeAddress() string {
+	first := 11000 + os.Getpid()%40*500 // cases that run side by side take other ports
 	for range 1000 {
-		address := fmt.Sprintf("127.0.0.1:%d", 11000+rand.IntN(20000))
+		address := fmt.Sprintf("127.0.0.1:%d", first+rand.IntN(500))
 		if _, taken := givenAddresses.LoadOrStore(address, true); taken {
 			continue
 		}
@@ -146,12 +147,24 @@
 		closed := e.closed
 		e.mu.Unlock()
 		if !closed {
-			e.record.note("%s ended: %v; it is started again", e.name, err)
+			e.record.note("%s ended: %v; it is started again; its last line: %s", e.name, err, e.lastLine())
 			time.Sleep(500 * time.Millisecond)
 		}
 	}
 }
 
+// lastLine returns the last line that the process wrote, or its end.
+func (e *entry) lastLine() string {
+	const most = 200
+	data, err := os.ReadFile(filepath.Join(e.directory, e.name+".log"))
+	if err != nil {
+		return err.Error()
+	}
+	lines := bytes.Split(bytes.TrimSpace(data), []byte("\n"))
+	last := lines[len(lines)-1]
+	return string(last[max(0, len(last)-most):])
+}
+
 // residentMB returns the resident memory of a process.
 func residentMB(pid int) int {
 	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
--- a/review/standin/runner.go
+++ b/review/standin/runner.go
@@ -145,8 +145,8 @@
 }
 
 // crash ends the process of the runner for a time. All channels are reset. It comes back
-// under its id and knows nothing of before.
-func (r *runner) crash(down time.Duration) {
+// under its id and knows nothing of before. first, if any, is what reaches it first then.
+func (r *runner) crash(down time.Duration, first func()) {
 	r.mu.Lock()
 	r.down = true
 	for task, w := range r.running {
@@ -164,9 +164,15 @@
 	r.record.note("%s crashes, for %s", r.id, down)
 	time.Sleep(down)
 	r.mu.Lock()
-	r.started, r.down = time.Now(), false
+	r.started = time.Now()
 	r.mu.Unlock()
 	r.record.note("%s is up again, born %d", r.id, r.started.UnixMilli())
+	if first != nil {
+		first()
+	}
+	r.mu.Lock()
+	r.down = false
+	r.mu.Unlock()
 }
 
 func (r *runner) clock() int64 { return time.Since(r.started).Milliseconds() + 1 }
--- a/review/standin/wire.go
+++ b/review/standin/wire.go
@@ -8,16 +8,20 @@
 //go:embed wire.json
 var wireText []byte
 
-// wire holds the names of fields and the paths of calls that the users' pages use. They
-// stand in a file of their own, because a test of the project keeps them out of the Go
-// files outside of its adapter.
-var wire = func() (names struct {
+// names are the names of fields and the paths of calls that the users' pages use. They stand
+// in a file of their own, because a test of the project keeps them out of the Go files
+// outside of its adapter.
+type names struct {
 	Run, Seen, Token, Spec, Keys, Prefix string
 	Start, Stop, Hold, Pace              string
 	Append, Read, Newest, Trim           string
-}) {
-	if err := json.Unmarshal(wireText, &names); err != nil {
+}
+
+var wire = readNames()
+
+func readNames() (n names) {
+	if err := json.Unmarshal(wireText, &n); err != nil {
 		panic(err)
 	}
-	return names
-}()
+	return n
+}
