--- a/internal/state/scheduler/losses.go
+++ b/internal/state/scheduler/losses.go
@@ -119,7 +119,7 @@
 			l.task.crashes.Add(involvement)
 			s.markDirty(l.task.step.job)
 			verdict := l.task.crashes.Verdict()
-			l.task.isolated = verdict == crashes.Isolate
+			l.task.isolated, l.task.suspectedAt = verdict == crashes.Isolate, 0
 			if verdict == crashes.GiveUp {
 				giveUp = append(giveUp, l.task)
 			}
--- a/internal/state/scheduler/model.go
+++ b/internal/state/scheduler/model.go
@@ -211,6 +211,8 @@
 	// is set while it is to be tried alone.
 	crashes  crashes.Record
 	isolated bool
+	// suspectedAt is when the task began to wait for an upstream of its own; 0 if it does not.
+	suspectedAt state.Time
 }
 
 func (t *task) id() workload.TaskID {
@@ -304,9 +306,6 @@
 	firstStart state.Time
 	// claimant holds the accounts and turns of the job; nil until it is looked up.
 	claimant *claimant
-	// suspectedAt is when a suspected task of the job began to wait for an upstream of its own;
-	// 0 if none does.
-	suspectedAt state.Time
 	// following holds, for each step, the declared run time of the longest chain of steps
 	// that follow it; nil until it is needed.
 	following []time.Duration
--- a/internal/state/scheduler/plan.go
+++ b/internal/state/scheduler/plan.go
@@ -47,7 +47,7 @@
 	if st.spec.Gang && unconfirmed == 0 && s.stopIncompleteGang(now, st) {
 		return
 	}
-	suspected := unconfirmed == 0 && len(st.suspects()) > 0
+	suspected := !s.heldBack(st) && len(st.suspects()) > 0
 	if waiting == 0 && !suspected {
 		if unconfirmed == 0 {
 			delete(s.ready, st)
@@ -63,8 +63,7 @@
 	st.priority = q.Priority
 	p := placement{s: s, now: now, step: st, queue: q, pool: pl, background: background, yields: s.leavesHeadroom(now, st, q, background), plan: plan, speed: s.speedPolicy(now, st, pl)}
 	p.chooseHome()
-	if p.placeSuspects() || waiting == 0 {
-		s.waiting.Capacity += waiting
+	if waiting += p.placeSuspects(); waiting == 0 {
 		p.requestTickets()
 		return
 	}
--- a/internal/state/scheduler/runs.go
+++ b/internal/state/scheduler/runs.go
@@ -161,6 +161,7 @@
 		return false
 	}
 	r.phase, r.since, r.startedAt = starting, now, now
+	r.task.suspectedAt = 0
 	r.measure.begin(now, r)
 	return true
 }
--- a/internal/state/scheduler/trials.go
+++ b/internal/state/scheduler/trials.go
@@ -14,7 +14,7 @@
 // A suspected task waits for an upstream of its own for maxTrialWait, or longTrialWait if the next
 // crash could be the third and the task is not long-running. After that it is placed like any
 // other, so that it is not held back where no upstream becomes free. A task that must be alone
-// waits on while the number of trials is what it waits for.
+// and is not long-running waits on while the number of trials is what it waits for.
 const (
 	maxTrialWait  = 3 * time.Second
 	longTrialWait = 8 * time.Second
@@ -45,7 +45,7 @@
 func (s *Scheduler) refreshTrials(now state.Time) {
 	for _, tr := range s.trials {
 		if !tr.begun && slices.ContainsFunc(tr.upstreams, func(u *upstream) bool { return u.hasStarted(tr.job) }) {
-			tr.begun, tr.job.suspectedAt = true, 0
+			tr.begun = true
 		}
 		if s.trialOver(now, tr) {
 			s.endTrial(tr)
@@ -108,16 +108,25 @@
 	return false
 }
 
-// trialWait returns how long suspected tasks wait for an upstream of their own.
-func trialWait(suspects []*task) time.Duration {
-	for _, t := range suspects {
-		if c := &t.crashes; c.Certain+c.Uncertain+c.Shared >= 2 && !t.step.spec.LongRunning {
-			return longTrialWait
-		}
+// trialWait returns how long a suspected task waits for an upstream of its own.
+func (t *task) trialWait() time.Duration {
+	if c := &t.crashes; c.Certain+c.Uncertain+c.Shared >= 2 && !t.step.spec.LongRunning {
+		return longTrialWait
 	}
 	return maxTrialWait
 }
 
+// waitedAlone returns how long a suspected task has waited for an upstream of its own.
+func (t *task) waitedAlone(now state.Time) time.Duration {
+	if t.suspectedAt == 0 {
+		t.suspectedAt = now
+	}
+	return now - t.suspectedAt
+}
+
+// endSuspicion lets a suspected task be placed like others until a further crash.
+func (t *task) endSuspicion() { t.isolated, t.suspectedAt = false, 0 }
+
 // runsOf counts the runs of a job on the upstream.
 func (u *upstream) runsOf(j *job) (n int) {
 	for _, r := range u.runs {
@@ -169,40 +178,36 @@
 }
 
 // placeSuspects places the suspected tasks of a step on an upstream without other runs, or
-// reserves one until its runs have ended. While a job is tried, its other tasks wait, so that
-// one job brings down one upstream at a time. It reports whether they have to.
-func (p *placement) placeSuspects() (othersWait bool) {
+// reserves one until its runs have ended. The other tasks of the job do not wait for that. It
+// returns the number of tasks that have waited for long enough to be placed like others.
+func (p *placement) placeSuspects() (released int) {
 	s, j := p.s, p.step.job
 	suspects := p.step.suspects()
-	tr := s.trials[j.id]
 	if len(suspects) == 0 {
-		return tr != nil
-	}
-	if j.suspectedAt == 0 {
-		j.suspectedAt = p.now
+		return 0
 	}
+	tr := s.trials[j.id]
 	trials, limit, mayBegin := p.mayBegin()
-	crowded := tr == nil && !mayBegin && slices.ContainsFunc(suspects, func(t *task) bool { return t.crashes.MustBeAlone() })
-	if p.now-j.suspectedAt >= trialWait(suspects) && !crowded {
-		j.endSuspicion()
-		if tr != nil && !tr.begun {
-			s.endTrial(tr)
+	suspects = slices.DeleteFunc(suspects, func(t *task) bool {
+		crowded := tr == nil && !mayBegin && !p.step.spec.LongRunning && t.crashes.MustBeAlone()
+		if t.waitedAlone(p.now) < t.trialWait() || crowded {
+			return false
 		}
-		return false
+		t.endSuspicion()
+		released++
+		return true
+	})
+	if tr == nil && mayBegin && len(suspects) > 0 {
+		tr = p.beginTrial(suspects, trials, limit)
 	}
 	if tr == nil {
-		if mayBegin {
-			tr = p.beginTrial(suspects, trials, limit)
-		}
-		if tr == nil {
-			s.waiting.Capacity += len(suspects)
-			return true
-		}
+		s.waiting.Capacity += len(suspects)
+		return released
 	}
 	u := tr.upstreams[0]
 	if len(u.runs) > u.runsOf(j) {
 		s.waiting.Capacity += len(suspects)
-		return true
+		return released
 	}
 	for _, t := range suspects {
 		if !s.usable(p.now, u) || !p.mayRunOn(u) || p.step.freePlaces(u, 1) == 0 || !s.withinMaximum(j.spec.Workspace, p.step.spec.Each) {
@@ -210,20 +215,7 @@
 		}
 		p.assign(t, u, s.nextRun(t.lastRun))
 	}
-	return true
-}
-
-// endSuspicion lets the waiting suspected tasks of a job be placed like others until a further
-// crash.
-func (j *job) endSuspicion() {
-	j.suspectedAt = 0
-	for _, steps := range j.steps {
-		for _, st := range steps {
-			for _, t := range st.tasks {
-				t.isolated = t.isolated && len(t.runs) > 0
-			}
-		}
-	}
+	return released
 }
 
 // mayRunOn reports whether the label and the advice allow the step on an upstream.
@@ -299,12 +291,10 @@
 	if !p.step.isolatedGang() {
 		return candidates
 	}
-	j := p.step.job
-	if j.suspectedAt == 0 {
-		j.suspectedAt = p.now
-	}
-	if p.now-j.suspectedAt >= maxTrialWait {
-		j.endSuspicion()
+	if p.step.tasks[0].waitedAlone(p.now) >= maxTrialWait {
+		for _, t := range p.step.tasks {
+			t.endSuspicion()
+		}
 		return candidates
 	}
 	return slices.DeleteFunc(candidates, func(c candidate) bool { return len(c.u.runs) > 0 })
--- /dev/null
+++ b/internal/state/scheduler/trials_test.go
@@ -0,0 +1,55 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/samphirerail/samphirerail/internal/state"
+	"github.com/samphirerail/samphirerail/internal/state/workload"
+)
+
+// TestTrialDelaysNoOtherTaskOfTheJob guards against tasks that wait while another one of their job is tried alone.
+func TestTrialDelaysNoOtherTaskOfTheJob(t *testing.T) {
+	cases := []struct {
+		name string
+		// failEvery is the time after which the suspected task fails by itself, 0 for never.
+		failEvery state.Time
+	}{{name: "the suspect runs on"}, {name: "the suspect fails again and again", failEvery: 2 * time.Second}}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			sim := newSimulation(t, oneQueue(nil))
+			sim.add(8, largeUpstream)
+			crashes := sim.crashOn(func(workload.TaskID) (state.Time, bool) { return 0, false })
+			sim.submit(&workload.Job{ID: jobID(1), Steps: []workload.Step{{Count: 2, Each: cores(1), LongRunning: true, MaxPerUpstream: 1}}})
+			sim.advance(5 * time.Second)
+			suspect, other := workload.TaskID{Job: jobID(1)}, workload.TaskID{Job: jobID(1), Index: 1}
+			holder := func(id workload.TaskID) *simUpstream {
+				for _, u := range sim.upstreams {
+					if u.running[id] != nil {
+						return u
+					}
+				}
+				return nil
+			}
+			crashes.crash(holder(suspect))
+			sim.advance(3500 * time.Millisecond)
+			is.True(holder(suspect) != nil) // on trial
+			for range 10 {
+				u := holder(other)
+				is.True(u != nil)
+				sim.end(u, other, EndFailed)
+				for waited := state.Time(0); waited < time.Second; waited += 100 * time.Millisecond {
+					sim.advance(100 * time.Millisecond)
+				}
+				is.True(holder(other) != nil) // no trial holds it back
+				if u := holder(suspect); u != nil && c.failEvery > 0 {
+					sim.end(u, suspect, EndFailed)
+					sim.advance(c.failEvery)
+				}
+			}
+		})
+	}
+}
