Give a job up only for crashes that were seen, not for lost contact

Cause: the owner counted an upstream as crashed under its tasks whenever contact to it was lost: leases expired while it was off the list (a cut), a process that began behind a cut, a run that the log shows after a takeover and that the upstream lacks. Four such losses gave a job up (certain=0 uncertain=4). The class: absence of an answer taken for evidence of an end.

Ruled out: ends counted as attempts (lasting tasks have none, and no run had failed), and entries that read the phase wrongly (the owner logs that it gives the job up).

TestLostContactFailsNoJob fails in all 8 cases on the code before, TestSilentUpstreamIsNoCrash in the 2 new ones of cuts. One of its former cases expected a crash for an upstream that fell silent and left the list; that was the fault, and it expects none now. The rows of TestAssess and TestVerdict follow: losses with another possible cause never give up; a start that was not answered counts only right before a confirmed crash. TestTaskIsGivenUpByItsFifthCrashAmongManyOthers asks for the verdict by the fifth crash, and no longer for none before it: two of these crashes are certain earlier now.

Change: a crash is counted only if the upstream closed or refused the connection while the registrations were read, so that a leave would be known, and another process answers in its place. Losses that may have another cause (a shared outage, nothing in its place) isolate, but no number of them gives up. Takeovers count nothing. Counts of former releases are read as such losses. The lines of lost runs say how contact was lost.

--- a/internal/coordination/dispatch/losses.go
+++ b/internal/coordination/dispatch/losses.go
@@ -27,8 +27,12 @@
 	o.metrics.losses.runs.Inc(int64(len(losses)))
 	for i := range losses {
 		l := &losses[i]
-		o.logger.Warn("run lost", "task", l.Task, "run", l.Number, "upstream", l.Upstream, "cause", l.Cause, "listed", l.Listed,
-			"draining", l.Draining, "accepted", l.Accepted, "age_ms", l.Age.Milliseconds(), "jobs", l.Jobs, "crash", l.Crash, "evidence", l.Evidence,
+		evidence := "none"
+		if l.Crash {
+			evidence = l.Evidence.String()
+		}
+		o.logger.Warn("run lost", "task", l.Task, "run", l.Number, "upstream", l.Upstream, "cause", l.Cause, "closed", l.Closed,
+			"listed", l.Listed, "draining", l.Draining, "accepted", l.Accepted, "age_ms", l.Age.Milliseconds(), "jobs", l.Jobs, "crash", l.Crash, "evidence", evidence,
 			"certain", l.Crashes.Certain, "uncertain", l.Crashes.Uncertain, "shared", l.Crashes.Shared, "blame_percent", l.Crashes.Blame, "verdict", l.Verdict, "epoch", o.epoch)
 	}
 	o.metrics.losses.givenUp.Inc(int64(len(givenUp)))
--- a/internal/coordination/dispatch/owner.go
+++ b/internal/coordination/dispatch/owner.go
@@ -450,21 +450,24 @@
 	}
 }
 
-// handlePollFailure processes a failed poll. leasesExpired says that the leases granted
-// by this owner have expired; replaced says that another upstream responds at the
-// address, which is only reused after the former one has ended.
-func (o *owner) handlePollFailure(id workload.UpstreamID, l *link, leasesExpired, replaced bool) {
+// handlePollFailure processes a failed poll.
+func (o *owner) handlePollFailure(id workload.UpstreamID, l *link, f pollFailure) {
 	if o.links[id] != l {
 		return
 	}
-	o.sched.MarkUnreachable(o.now(), id)
+	// An upstream that leaves closes its connections, too, and announces it in its registration.
+	if f.closed && o.clock()-o.registrationsAt < outageTime {
+		o.sched.MarkClosed(o.now(), id)
+	} else {
+		o.sched.MarkUnreachable(o.now(), id)
+	}
 	any, _ := o.sched.HasRuns(id)
-	if replaced || (any && leasesExpired && o.now() > o.sched.UnconfirmedUntil()) {
+	if f.replaced || (any && f.leasesExpired && o.now() > o.sched.UnconfirmedUntil()) {
 		if any {
-			o.logger.Warn("runs declared lost", "upstream", id, "lapsed", leasesExpired, "replaced", replaced)
+			o.logger.Warn("runs declared lost", "upstream", id, "lapsed", f.leasesExpired, "replaced", f.replaced)
 		}
 		cause := scheduler.LossExpired
-		if replaced {
+		if f.replaced {
 			cause = scheduler.LossRestarted
 		}
 		o.sched.ReleaseRuns(o.now(), id, cause)
--- a/internal/coordination/dispatch/poller.go
+++ b/internal/coordination/dispatch/poller.go
@@ -292,6 +292,17 @@
 	return true
 }
 
+// pollFailure is what a failed poll shows.
+type pollFailure struct {
+	// leasesExpired says that the leases granted by this owner have expired.
+	leasesExpired bool
+	// replaced says that another upstream responds at the address, which is only reused after
+	// the former one has ended.
+	replaced bool
+	// closed says that the connection was closed or refused.
+	closed bool
+}
+
 // recordPollFailure counts a failed poll and reports it to the control loop.
 func (o *owner) recordPollFailure(id workload.UpstreamID, l *link, reply port.Reply, err error) {
 	l.mu.Lock()
@@ -303,10 +314,11 @@
 	if first {
 		o.logger.Warn("upstream poll failed", "upstream", id, "outcome", reply.Outcome, "reason", reply.Reason, "other_life", reply.OtherIncarnation, "error", err)
 	}
+	failure := pollFailure{leasesExpired: leasesExpired, replaced: reply.OtherIncarnation, closed: reply.NotListening || port.ConnectionClosed(err)}
 	o.post(func() {
 		if reply.NotListening && o.links[id] == l {
 			o.sched.SettleUpstream(id)
 		}
-		o.handlePollFailure(id, l, leasesExpired, reply.OtherIncarnation)
+		o.handlePollFailure(id, l, failure)
 	})
 }
--- a/internal/coordination/port/port.go
+++ b/internal/coordination/port/port.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"syscall"
 	"time"
 
@@ -167,6 +168,17 @@
 // address of the other side.
 func ConnectionRefused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
 
+// ConnectionClosed reports whether a call failed because the other side closed the connection or
+// refused it, as the system of a process does that has ended. A silent network shows neither.
+func ConnectionClosed(err error) bool {
+	for _, closed := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.ECONNREFUSED, syscall.EPIPE} {
+		if errors.Is(err, closed) {
+			return true
+		}
+	}
+	return false
+}
+
 // ConflictError means that the log does not end at the offset that the append required.
 // End is the offset at which it ends.
 type ConflictError struct{ End int64 }
--- a/internal/state/crashes/crashes.go
+++ b/internal/state/crashes/crashes.go
@@ -16,10 +16,9 @@
 	isolateBlame, isolateCount = 50, 2
 	// leastCertain is the least number of crashes under a task that is given up.
 	leastCertain = 2
-	// mostCrashesAlone is the number of crashes without a shared cause after which a task is given up
-	// if it was alone at the newest one, and mostCrashes that after which it is given up in any case;
-	// with leastCertain certain ones, or if it was alone at the newest one, those with a shared cause
-	// count for the latter.
+	// mostCrashesAlone is the number of crashes after which a task is given up if it was alone at
+	// the newest one, and mostCrashes that after which it is given up in any case if leastCertain
+	// of them are certain. Those that may have another cause do not count.
 	mostCrashesAlone, mostCrashes = 4, 5
 	// A task is given up without a trial after fewestBlamed certain crashes in which its shares of
 	// the blame add up to givenUpBlame percent: hardly another job had just begun on any of them.
@@ -47,11 +46,13 @@
 // Evidence is what is known of a crash.
 type Evidence uint8
 
-// Kinds of evidence.
+// Kinds of evidence. Silence is none: an upstream that does not answer may go on with its runs, or
+// may have ended long after its last answer.
 const (
-	// Confirmed: another process answers in place of the upstream's.
+	// Confirmed: the upstream closed its connections, and another process answers in its place.
 	Confirmed Evidence = iota
-	// Presumed: the upstream is gone. It may have been cut off instead, or have left.
+	// Presumed: it closed its connections, and nothing has answered in its place. A network that
+	// rejects connections looks the same.
 	Presumed
 	// Shared: other upstreams were lost with it, so that the cause may be one that they share.
 	Shared
@@ -63,20 +64,21 @@
 // Involvement is what one crash says about one of the runs.
 type Involvement struct {
 	// Certain says that the upstream certainly crashed while the run was there, Shared that the
-	// cause may be one that other upstreams share.
+	// upstream may be lost for another cause.
 	Certain, Shared bool
 	// Blame is the probability in percent that the run's job is the cause.
 	Blame int
-	// Alone says that all runs on the upstream belonged to one job, and that a shared cause does
-	// not explain the crash.
+	// Alone says that all runs on the upstream belonged to one job, and that no other cause
+	// explains the crash.
 	Alone bool
 	Age   time.Duration
 }
 
 // Assess returns the involvement of each run that was on an upstream when it crashed. For a
 // confirmed crash the jobs whose runs had just begun have equal shares of the blame; if none had,
-// all have. A shared cause explains the crash for runs only that had not just begun: many tasks
-// that crash their upstreams at once look like one cause, too.
+// all have. A shared cause does not explain the crash for runs that had just begun: many tasks
+// that crash their upstreams at once look like one cause, too. A run that is not known to have
+// begun counts only if its start was sent right before the crash.
 func Assess(present []Presence, evidence Evidence) []Involvement {
 	jobs, begun := map[string]struct{}{}, map[string]struct{}{}
 	for _, p := range present {
@@ -91,11 +93,10 @@
 	}
 	out := make([]Involvement, len(present))
 	for i, p := range present {
-		out[i] = Involvement{
-			Certain: p.Certain && evidence == Confirmed, Shared: evidence == Shared && !p.justBegun(), Age: p.Age,
-			Alone: len(jobs) == 1 && (evidence != Shared || p.justBegun()),
-		}
-		if _, ok := blamed[p.Job]; ok && evidence == Confirmed {
+		atStart := p.Certain && p.justBegun()
+		otherCause := evidence == Presumed || (evidence == Shared && !atStart) || (!p.Certain && !p.justBegun())
+		out[i] = Involvement{Certain: p.Certain && !otherCause, Shared: otherCause, Alone: len(jobs) == 1 && !otherCause, Age: p.Age}
+		if _, ok := blamed[p.Job]; ok && evidence == Confirmed && !otherCause {
 			out[i].Blame = 100 / len(blamed)
 		}
 	}
@@ -106,12 +107,13 @@
 // upstream has crashed.
 type Record struct {
 	// Certain counts the crashes at which the task certainly was on the upstream, Uncertain
-	// those at which it may have been there, and Shared those that may have a shared cause.
+	// those right after a start that was not answered, and Shared the losses of upstreams that may
+	// have another cause. No number of the latter gives a task up.
 	Certain, Uncertain, Shared int
 	// Blame is the sum of the task's shares of the blame in percent.
 	Blame int
-	// Alone says that only runs of the task's job were on the upstream that crashed last, and
-	// that a shared cause does not explain the crash.
+	// Alone says that only runs of the task's job were on the upstream at the newest certain or
+	// uncertain crash.
 	Alone bool
 	// Age is the longest age of a run at a crash.
 	Age time.Duration
@@ -122,17 +124,18 @@
 
 // Add adds a crash.
 func (r *Record) Add(i Involvement) {
-	switch {
-	case i.Shared:
+	r.Age = max(r.Age, i.Age)
+	if i.Shared {
 		r.Shared++
-	case i.Certain:
+		return
+	}
+	if i.Certain {
 		r.Certain++
-	default:
+	} else {
 		r.Uncertain++
 	}
 	r.Blame += i.Blame
 	r.Alone = i.Alone
-	r.Age = max(r.Age, i.Age)
 }
 
 // Verdict is how a task is treated.
@@ -156,7 +159,7 @@
 func (r *Record) Verdict() Verdict {
 	count := r.Certain + r.Uncertain
 	switch {
-	case count >= mostCrashes, count+r.Shared >= mostCrashes && (r.Certain >= leastCertain || r.Alone):
+	case count >= mostCrashes && r.Certain >= leastCertain:
 		return GiveUp
 	case r.Alone && (r.Certain >= leastCertain || count >= mostCrashesAlone):
 		return GiveUp
@@ -170,7 +173,7 @@
 
 // MustBeAlone reports whether the task is not started beside other work any more: one more crash
 // there would cost that work and prove nothing.
-func (r *Record) MustBeAlone() bool { return r.Certain+r.Uncertain+r.Shared >= mostCrashesAlone-1 }
+func (r *Record) MustBeAlone() bool { return r.Certain+r.Uncertain >= mostCrashesAlone-1 }
 
 // TrialTime returns how long a run of the task must last alone until other work may join it.
 func (r *Record) TrialTime() time.Duration {
--- a/internal/state/ledger/crashes.go
+++ b/internal/state/ledger/crashes.go
@@ -15,6 +15,9 @@
 	BlamePercent            int
 	Alone                   bool
 	AgeMS                   int64
+	// Observed says that the upstreams were seen to end. Former releases, which do not write
+	// it, counted upstreams that were cut off as well.
+	Observed bool
 }
 
 // appendCrashes appends the crashes to a job's encoded state. Entries of a former release
--- a/internal/state/scheduler/losses.go
+++ b/internal/state/scheduler/losses.go
@@ -31,8 +31,8 @@
 	Run
 	Cause LossCause
 	// Draining says that the upstream had announced that it leaves, Listed that it is on the
-	// platform's list.
-	Draining, Listed bool
+	// platform's list, Closed that contact was lost because its process closed the connections.
+	Draining, Listed, Closed bool
 	// Accepted says that the upstream accepted the start or reported the run.
 	Accepted bool
 	// Age is the time from the start to the first failed call to the upstream, negative if not
@@ -76,27 +76,38 @@
 	for _, t := range s.unconfirmed[u.ID] {
 		lost = append(lost, lostRun{t, t.lastRun, false, unknownAge})
 	}
-	// An upstream that is listed and does not answer may go on with its runs.
-	crash := !u.Draining && (cause == LossRestarted || !u.listed)
+	// Only a process that ends closes its connections; what else shows the loss may be a cut.
+	crash := !u.Draining && u.closed && (cause == LossRestarted || !u.listed)
 	evidence := crashes.Confirmed
 	switch {
-	case s.outages.Shared(string(u.ID), u.place(), u.lostContactAt(now)):
-		evidence = crashes.Shared
 	case cause != LossRestarted:
 		evidence = crashes.Presumed
+	case s.outages.Shared(string(u.ID), u.place(), u.lostContactAt(now)):
+		evidence = crashes.Shared
 	}
 	return s.countLosses(lost, Loss{
-		Run: Run{Upstream: u.ID}, Cause: cause, Draining: u.Draining, Listed: u.listed, Crash: crash, Evidence: evidence,
+		Run: Run{Upstream: u.ID}, Cause: cause, Draining: u.Draining, Listed: u.listed, Closed: u.closed, Crash: crash, Evidence: evidence,
 	})
 }
 
-// loseInherited counts tasks that the log shows on an upstream as lost with its crash.
-func (s *Scheduler) loseInherited(id workload.UpstreamID, tasks []*task, listed bool) []*task {
-	lost := make([]lostRun, 0, len(tasks))
+// noteInherited reports tasks that the log shows on an upstream as lost. It is not known how the
+// runs ended, or whether their starts were sent.
+func (s *Scheduler) noteInherited(id workload.UpstreamID, tasks []*task, listed bool) {
 	for _, t := range tasks {
-		lost = append(lost, lostRun{t, t.lastRun, false, unknownAge})
+		s.losses = append(s.losses, Loss{
+			Run: Run{Task: t.id(), Number: t.lastRun, Upstream: id}, Cause: LossInherited, Listed: listed, Age: unknownAge, Jobs: jobsOf(tasks),
+			Crashes: t.crashes, Verdict: t.crashes.Verdict(),
+		})
+	}
+}
+
+// jobsOf counts the jobs of tasks.
+func jobsOf(tasks []*task) int {
+	jobs := map[workload.JobID]struct{}{}
+	for _, t := range tasks {
+		jobs[t.step.job.id] = struct{}{}
 	}
-	return s.countLosses(lost, Loss{Run: Run{Upstream: id}, Cause: LossInherited, Listed: listed, Crash: true, Evidence: crashes.Presumed})
+	return len(jobs)
 }
 
 // countLosses reports the lost runs of an upstream with the next plan and, if it crashed, holds
@@ -158,9 +169,9 @@
 	return crashes.Place{Service: string(u.Service), Rack: u.Rack()}
 }
 
-// loseUnreported counts the tasks as lost that the log shows on an upstream whose first report
-// to this owner lacks them, if the upstream began after their job was submitted.
-func (s *Scheduler) loseUnreported(now state.Time, u *upstream, report *RunReport) {
+// noteUnreported reports the tasks as lost that the log shows on an upstream whose first report
+// to this owner lacks them.
+func (s *Scheduler) noteUnreported(u *upstream, report *RunReport) {
 	reported := map[workload.TaskID]struct{}{}
 	for i := range report.Ended {
 		reported[report.Ended[i].Task] = struct{}{}
@@ -171,9 +182,7 @@
 			lost = append(lost, t)
 		}
 	}
-	if len(lost) > 0 {
-		s.giveUp(now, s.loseInherited(u.ID, lost, true))
-	}
+	s.noteInherited(u.ID, lost, true)
 }
 
 // restoreCrashes applies the recorded crashes of a job's tasks.
@@ -186,6 +195,9 @@
 		t.crashes = crashes.Record{
 			Certain: c.Certain, Uncertain: c.Uncertain, Shared: c.Shared, Blame: c.BlamePercent, Alone: c.Alone, Age: time.Duration(c.AgeMS) * time.Millisecond,
 		}
+		if !c.Observed {
+			t.crashes = crashes.Record{Shared: c.Certain + c.Uncertain + c.Shared, Age: t.crashes.Age}
+		}
 		t.isolated = t.crashes.Verdict() != crashes.Free
 	}
 }
@@ -198,7 +210,7 @@
 				if c := &t.crashes; !c.Empty() && !t.done {
 					out = append(out, ledger.TaskCrashes{
 						Occurrence: k, Step: i, Index: t.index, Certain: c.Certain, Uncertain: c.Uncertain, Shared: c.Shared, BlamePercent: c.Blame, Alone: c.Alone,
-						AgeMS: c.Age.Milliseconds(),
+						AgeMS: c.Age.Milliseconds(), Observed: true,
 					})
 				}
 			}
--- a/internal/state/scheduler/model.go
+++ b/internal/state/scheduler/model.go
@@ -319,8 +319,10 @@
 	polled bool
 	// unreachable is set while calls to the upstream fail.
 	unreachable bool
-	// unreachableSince is when the calls began to fail.
+	// unreachableSince is when the calls began to fail, and closed is set if the upstream's
+	// process closed the connections then.
 	unreachableSince state.Time
+	closed           bool
 	// suspected is set from an unanswered command until the next successful poll.
 	suspected bool
 	used      state.Vector
--- a/internal/state/scheduler/report.go
+++ b/internal/state/scheduler/report.go
@@ -90,7 +90,7 @@
 	if u == nil {
 		return
 	}
-	u.polled, u.unreachable, u.suspected = true, false, false
+	u.polled, u.unreachable, u.closed, u.suspected = true, false, false, false
 	for i := range report.Ended {
 		s.applyEnded(now, u, &report.Ended[i])
 	}
@@ -101,7 +101,7 @@
 		s.applyRunning(now, u, reported, report.Clock)
 	}
 	if !report.Partial {
-		s.loseUnreported(now, u, &report)
+		s.noteUnreported(u, &report)
 	}
 	s.confirmUpstream(id, report.Partial)
 	for _, r := range u.sortedRuns() {
--- a/internal/state/scheduler/runs.go
+++ b/internal/state/scheduler/runs.go
@@ -322,8 +322,17 @@
 
 // MarkUnreachable marks an upstream as unreachable until it is polled successfully.
 func (s *Scheduler) MarkUnreachable(now state.Time, id workload.UpstreamID) {
+	s.loseContact(now, id, false)
+}
+
+// MarkClosed marks an upstream as unreachable that closed or refused connections, as a process
+// does that ends. It has no effect on an upstream that is unreachable already: what ends during
+// a silence may not have been there at its beginning.
+func (s *Scheduler) MarkClosed(now state.Time, id workload.UpstreamID) { s.loseContact(now, id, true) }
+
+func (s *Scheduler) loseContact(now state.Time, id workload.UpstreamID, closed bool) {
 	if u := s.upstreams[id]; u != nil && !u.unreachable {
-		u.unreachable, u.unreachableSince = true, now
+		u.unreachable, u.unreachableSince, u.closed = true, now, closed
 		if u.polled { // otherwise this owner never had contact
 			s.outages.Note(string(id), u.place(), now)
 		}
--- a/internal/state/scheduler/unconfirmed.go
+++ b/internal/state/scheduler/unconfirmed.go
@@ -67,12 +67,10 @@
 	}
 	for id, tasks := range s.unconfirmed {
 		u := s.upstreams[id]
-		var giveUp []*task
 		if u == nil || (!u.listed && !u.Draining) {
-			giveUp = s.loseInherited(id, tasks, false)
+			s.noteInherited(id, tasks, false)
 		}
 		s.clearUnconfirmedOn(id)
-		s.giveUp(now, giveUp)
 		if u != nil && !u.listed && len(u.runs) == 0 {
 			s.dropUpstream(u)
 		}
