Blame no task of the own interface for a VM that was silent or left

What callers would see: a standing job answered as failed after its VMs were cut off, restarted behind a cut, removed from the list or restarted after they had announced that they leave.

Evidence: TestSilentVMIsNoCrash has five new cases; four of them fail on the code before, as the record of the task is not empty (the one of a VM that left with a closed connection, too).

Change: the connection to a worker reports whether the process closed or refused it (at the first failed call), and only then is a new incarnation a crash. The tests of crashing tasks say that their VMs close the connections, as ended processes do.

Measured: tests of machine, emulator, owner and soak pass; crashing tasks are given up after as many VMs as before.

--- a/internal/coordination/owner/upstream.go
+++ b/internal/coordination/owner/upstream.go
@@ -9,6 +9,7 @@
 
 	"github.com/cenkalti/backoff/v5"
 
+	"github.com/samphirerail/samphirerail/internal/coordination/port"
 	"github.com/samphirerail/samphirerail/internal/state"
 	"github.com/samphirerail/samphirerail/internal/state/machine"
 	"github.com/samphirerail/samphirerail/standin/devplatform"
@@ -227,10 +228,11 @@
 		return
 	}
 	u.failures++
-	if u.failures >= unreachableAfter && !u.unreachable {
+	closed := u.failures == 1 && port.ConnectionClosed(err)
+	if (closed || u.failures >= unreachableAfter) && !u.unreachable {
 		u.unreachable = true
-		u.shard.log.Warn("upstream is not responding", "vm", u.info.VM, "address", u.info.Address, "error", err)
-		u.shard.send(machine.UpstreamUnreachable{VM: u.info.VM})
+		u.shard.log.Warn("upstream is not responding", "vm", u.info.VM, "address", u.info.Address, "closed", closed, "error", err)
+		u.shard.send(machine.UpstreamUnreachable{VM: u.info.VM, Closed: closed})
 	}
 }
 
--- a/internal/state/emulator/worker.go
+++ b/internal/state/emulator/worker.go
@@ -87,7 +87,7 @@
 			}
 		}
 	}
-	e.after(unreachableTimeout, ifStillDown(machine.UpstreamUnreachable{VM: w.spec.VM}))
+	e.after(unreachableTimeout, ifStillDown(machine.UpstreamUnreachable{VM: w.spec.VM, Closed: true}))
 	e.after(leaseTime, ifStillDown(machine.LeaseExpired{VM: w.spec.VM}))
 }
 
--- a/internal/state/machine/adopt.go
+++ b/internal/state/machine/adopt.go
@@ -20,7 +20,7 @@
 	}
 	m.updateCapacity(u, ev)
 	u.fenced = true
-	u.unreachable = false
+	u.unreachable, u.closed = false, false
 	u.lapsed = nil
 	u.faulted = false
 	orphans := m.adopt(u, ev.Tasks)
@@ -43,8 +43,8 @@
 		u.pastIncarnations = u.pastIncarnations[1:]
 	}
 	u.fenced = false
-	u.leaving = false
 	m.noteCrash(u, crashes.Confirmed)
+	u.leaving = false
 	m.refreshReadiness(u)
 	m.markAllLost(u)
 }
--- a/internal/state/machine/crash.go
+++ b/internal/state/machine/crash.go
@@ -41,11 +41,14 @@
 }
 
 // noteCrash holds the crash of an upstream against the tasks that were on it, also against
-// those whose lease expired before the crash was noticed. It must be called before the attempts
-// are marked as lost.
+// those whose lease expired before the crash was noticed. An upstream that fell silent may have been
+// cut off, and one that had announced it may have left. It must be called before the attempts are marked as lost.
 func (m *Machine) noteCrash(u *upstream, evidence crashes.Evidence) {
-	lapsed := u.lapsed
-	u.lapsed = nil
+	lapsed, closed := u.lapsed, u.closed
+	u.lapsed, u.closed = nil, false
+	if !closed || u.leaving {
+		return
+	}
 	lost := append(m.lostTasks(u), lapsed...)
 	if m.outages.Shared(string(u.vm), u.place(), u.lostContactAt(m.now)) {
 		evidence = crashes.Shared
--- a/internal/state/machine/crash_test.go
+++ b/internal/state/machine/crash_test.go
@@ -51,10 +51,10 @@
 // TestTaskThatCrashesUpstreamsIsGivenUp guards against one task bringing down upstream after upstream.
 func TestTaskThatCrashesUpstreamsIsGivenUp(t *testing.T) {
 	restarted := func(vm state.VMID, incarnation string) []Event {
-		return []Event{UpstreamUnreachable{VM: vm}, Fenced{VM: vm, Incarnation: incarnation, Capacity: small.Scale(4)}}
+		return []Event{UpstreamUnreachable{VM: vm, Closed: true}, Fenced{VM: vm, Incarnation: incarnation, Capacity: small.Scale(4)}}
 	}
 	late := func(vm state.VMID, incarnation string) []Event {
-		return []Event{UpstreamUnreachable{VM: vm}, LeaseExpired{VM: vm}, Fenced{VM: vm, Incarnation: incarnation, Capacity: small.Scale(4)}}
+		return []Event{UpstreamUnreachable{VM: vm, Closed: true}, LeaseExpired{VM: vm}, Fenced{VM: vm, Incarnation: incarnation, Capacity: small.Scale(4)}}
 	}
 	cases := []struct {
 		name   string
@@ -96,6 +96,11 @@
 		events []Event
 	}{
 		{name: "lease expired, same incarnation", events: []Event{UpstreamUnreachable{VM: "vm0"}, LeaseExpired{VM: "vm0"}, Fenced{VM: "vm0", Incarnation: "1", Capacity: small.Scale(4)}}},
+		{name: "silent, then restarted", events: []Event{UpstreamUnreachable{VM: "vm0"}, Fenced{VM: "vm0", Incarnation: "2", Capacity: small.Scale(4)}}},
+		{name: "silent, lease expired, then restarted", events: []Event{UpstreamUnreachable{VM: "vm0"}, LeaseExpired{VM: "vm0"}, Fenced{VM: "vm0", Incarnation: "2", Capacity: small.Scale(4)}}},
+		{name: "silent, then removed from the list", events: []Event{UpstreamUnreachable{VM: "vm0"}, LeaseExpired{VM: "vm0"}, UpstreamRemoved{VM: "vm0"}}},
+		{name: "removed from the list", events: []Event{UpstreamRemoved{VM: "vm0"}}},
+		{name: "restarted after it announced that it leaves", events: []Event{UpstreamLeaving{VM: "vm0"}, UpstreamUnreachable{VM: "vm0", Closed: true}, Fenced{VM: "vm0", Incarnation: "2", Capacity: small.Scale(4)}}},
 		{name: "left", events: []Event{UpstreamLeaving{VM: "vm0"}, UpstreamRemoved{VM: "vm0"}}},
 	}
 	for _, c := range cases {
--- a/internal/state/machine/event.go
+++ b/internal/state/machine/event.go
@@ -87,7 +87,12 @@
 
 // UpstreamUnreachable reports that a worker is not responding. It gets no new tasks, and
 // the tasks that it runs stay committed. UpstreamReachable reverts this.
-type UpstreamUnreachable struct{ VM state.VMID }
+type UpstreamUnreachable struct {
+	VM state.VMID
+	// Closed says that the worker's process closed or refused the connections, as it does when
+	// it ends; otherwise it is silent and may go on.
+	Closed bool
+}
 
 // UpstreamReachable reports that a worker that was not responding responds again.
 type UpstreamReachable struct{ VM state.VMID }
--- a/internal/state/machine/machine.go
+++ b/internal/state/machine/machine.go
@@ -111,7 +111,7 @@
 	case Fenced:
 		m.upstreamFenced(ev)
 	case UpstreamUnreachable:
-		m.upstreamUnreachable(ev.VM)
+		m.upstreamUnreachable(ev.VM, ev.Closed)
 	case UpstreamReachable:
 		m.upstreamReachable(ev.VM)
 	case LeaseExpired:
--- a/internal/state/machine/model.go
+++ b/internal/state/machine/model.go
@@ -207,8 +207,10 @@
 	reservedFor *job
 	attempts    []*attempt
 	health      health
-	// unreachableSince is when the upstream stopped responding.
+	// unreachableSince is when the upstream stopped responding, and closed is set if its process
+	// closed the connections then.
 	unreachableSince state.Time
+	closed           bool
 	// lapsed holds the tasks whose lease expired there, until the incarnation that responds next
 	// shows whether the upstream has crashed.
 	lapsed []lostTask
--- a/internal/state/machine/upstream.go
+++ b/internal/state/machine/upstream.go
@@ -95,9 +95,9 @@
 	}
 }
 
-func (m *Machine) upstreamUnreachable(vm state.VMID) {
+func (m *Machine) upstreamUnreachable(vm state.VMID, closed bool) {
 	if u, ok := m.upstreams[vm]; ok && !u.unreachable {
-		u.unreachable, u.unreachableSince = true, m.now
+		u.unreachable, u.unreachableSince, u.closed = true, m.now, closed
 		m.outages.Note(string(vm), u.place(), m.now)
 		m.refreshReadiness(u)
 	}
@@ -110,7 +110,7 @@
 	if !ok || !u.unreachable {
 		return
 	}
-	u.unreachable = false
+	u.unreachable, u.closed = false, false
 	m.refreshReadiness(u)
 	for _, a := range u.attempts {
 		switch {
@@ -165,9 +165,7 @@
 	if !ok {
 		return
 	}
-	if !u.leaving {
-		m.noteCrash(u, crashes.Presumed)
-	}
+	m.noteCrash(u, crashes.Presumed)
 	u.leaving = true
 	m.refreshReadiness(u)
 	m.markAllLost(u)
