Compare a task's failed runs with its limit before each start

Cause: the failed runs were compared with max_attempts only when a run ended, with the configuration of that moment.

Evidence: TestAttemptsCountWhileTheQueueIsAway fails in its 3 cases on the code before (single task, gang, owner replaced meanwhile), each with a fourth start of three.

Change: a step is not placed, and a task is not copied, if a task of it has used up its attempts; its job fails then.

--- /dev/null
+++ b/internal/state/scheduler/attempts_test.go
@@ -0,0 +1,54 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/samphirerail/samphirerail/internal/state"
+	"github.com/samphirerail/samphirerail/internal/state/ledger"
+	"github.com/samphirerail/samphirerail/internal/state/workload"
+)
+
+// TestAttemptsCountWhileTheQueueIsAway guards against a further attempt after the last one failed under another configuration.
+func TestAttemptsCountWhileTheQueueIsAway(t *testing.T) {
+	cases := []struct {
+		name     string
+		takeOver bool
+		step     workload.Step
+	}{
+		{name: "queue withdrawn", step: tasksOf(1, cores(1), 500)},
+		{name: "queue withdrawn, owner replaced", takeOver: true, step: tasksOf(1, cores(1), 500)},
+		{name: "queue withdrawn, gang", step: workload.Step{Count: 2, Each: cores(1), EstimateMS: 500, Gang: true}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			const attempts = 3
+			sim := newSimulation(t, oneQueue(func(q *workload.Queue, _ *workload.Workspace) { q.MaxAttempts = attempts }))
+			sim.add(4, largeUpstream)
+			sim.runFails = func(Run) bool { return true }
+			runs := map[int64]bool{}
+			sim.onStart = func(start Start) { runs[start.Number] = true }
+			sim.submit(&workload.Job{ID: jobID(1), Steps: []workload.Step{c.step}})
+			for waited := state.Time(0); len(runs) < attempts && waited < 10*time.Second; waited += 5 * time.Millisecond {
+				sim.advance(5 * time.Millisecond)
+			}
+			before := sim.config
+			without := oneQueue(nil)
+			without.Queues = nil
+			without.Index()
+			sim.s.SetConfig(without)
+			sim.advance(510 * time.Millisecond) // the last attempt fails
+			sim.record()
+			if c.takeOver {
+				sim.takeOver()
+			}
+			sim.s.SetConfig(before)
+			sim.advance(5 * time.Second)
+			is.Equal(len(runs), attempts)
+			is.Equal(sim.phaseOf(jobID(1)), ledger.Failed)
+		})
+	}
+}
--- a/internal/state/scheduler/copies.go
+++ b/internal/state/scheduler/copies.go
@@ -82,7 +82,7 @@
 	}
 	target := s.fastestWithRoom(pl, from, r, nil, 0)
 	q := s.config.Queue(st.job.spec.Queue)
-	if target == nil || q == nil || (q.Advice != nil && st.tickets[target.u.ID].validUntil <= now+ticketMargin) {
+	if target == nil || q == nil || t.attemptsUsed(q) || (q.Advice != nil && st.tickets[target.u.ID].validUntil <= now+ticketMargin) {
 		return false
 	}
 	copyTime := time.Duration(float64(s.expectedRunTime(st, target.u))*target.slowness) + copyDelay
--- a/internal/state/scheduler/plan.go
+++ b/internal/state/scheduler/plan.go
@@ -42,6 +42,9 @@
 	if q == nil || s.jobs[st.job.id] != st.job || st.job.phase.Final() {
 		return
 	}
+	if s.failUsedUp(now, st, q) {
+		return
+	}
 	waiting, unconfirmed := s.countPlaceable(st)
 	s.waiting.Unconfirmed += unconfirmed
 	if st.spec.Gang && unconfirmed == 0 && s.stopIncompleteGang(now, st) {
--- a/internal/state/scheduler/report.go
+++ b/internal/state/scheduler/report.go
@@ -335,12 +335,31 @@
 	u.health.fault(now, weight)
 	t.avoid = u.ID
 	counted.failed = append(slices.Clone(counted.failed), number)
-	q := s.config.Queue(t.step.job.spec.Queue)
-	if !t.done && q != nil && q.MaxAttempts > 0 && len(counted.failed) >= q.MaxAttempts {
+	if q := s.config.Queue(t.step.job.spec.Queue); q != nil && counted.attemptsUsed(q) {
 		s.finish(now, t.step.job, ledger.Failed)
 	}
 }
 
+// attemptsUsed reports whether as many runs of the task, or of its gang, have failed as the queue
+// allows.
+func (t *task) attemptsUsed(q *workload.Queue) bool {
+	if t.step.spec.Gang {
+		t = t.step.tasks[0]
+	}
+	return !t.done && !t.step.spec.LongRunning && q.MaxAttempts > 0 && len(t.failed) >= q.MaxAttempts
+}
+
+// failUsedUp fails the job of a step of which a task may not be started again: its last attempt
+// failed while the configuration lacked the queue, or allowed more attempts. It reports whether
+// it did.
+func (s *Scheduler) failUsedUp(now state.Time, st *step, q *workload.Queue) bool {
+	if !slices.ContainsFunc(st.tasks, func(t *task) bool { return t.attemptsUsed(q) }) {
+		return false
+	}
+	s.finish(now, st.job, ledger.Failed)
+	return true
+}
+
 // task returns a task of a known job, or nil.
 func (s *Scheduler) task(id workload.TaskID) *task {
 	j := s.jobs[id.Job]
