Keep an upstream off the list that restarts after it was removed

What callers would see: starts on an upstream that has left, or whose entry is gone.

Cause: a restart that a poll shows was recorded by registering the upstream again, which lists it, though it was kept only for its runs. Its runs were released first, so the scheduler dropped the upstream and then listed it without knowing it.

Evidence: TestRestartedUpstreamStaysRemoved fails with the former call: the dropped upstream is a candidate for work.

Change: a restart of an upstream that is not listed releases its runs and leaves it off the list.

Measured: tests of the scheduler and of dispatch named after restarts, incarnations and lost contact pass.

--- a/internal/coordination/dispatch/owner.go
+++ b/internal/coordination/dispatch/owner.go
@@ -479,8 +479,8 @@
 // handleRestart processes a restart of an upstream that its registration does not
 // show yet.
 func (o *owner) handleRestart(id workload.UpstreamID, startedUnixMS int64) {
-	if reg, ok := o.sched.Registration(id); ok && reg.StartedUnixMS != startedUnixMS {
-		reg.StartedUnixMS = startedUnixMS
-		o.sched.SetUpstream(o.now(), reg)
+	o.sched.Restart(o.now(), id, startedUnixMS)
+	if l := o.links[id]; l != nil {
+		o.dropLinkIfUnknown(id, l)
 	}
 }
--- a/internal/state/scheduler/lostcontact_test.go
+++ b/internal/state/scheduler/lostcontact_test.go
@@ -142,6 +142,23 @@
 	is.Equal(sim.running(jobID(1)), 1)
 }
 
+// TestRestartedUpstreamStaysRemoved guards against starts on an upstream that has left the list and is polled for its runs.
+func TestRestartedUpstreamStaysRemoved(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation(t, oneQueue(nil))
+	sim.add(1, largeUpstream)
+	sim.submit(&workload.Job{ID: jobID(1), Steps: []workload.Step{{Count: 1, Each: cores(1), LongRunning: true}}})
+	sim.advance(time.Second)
+	u := sim.firstBusy()
+	u.unlisted = true
+	sim.s.RemoveUpstream(u.reg.ID)
+	clear(u.running)
+	sim.s.Restart(sim.now, u.reg.ID, sim.unix())
+	is.Equal(len(sim.s.byService["s"]), 0)
+	sim.advance(time.Second)
+	is.Equal(sim.running(jobID(1)), 0)
+}
+
 // TestSilentUpstreamIsNoCrash guards against blaming tasks for an upstream that is only not reached.
 func TestSilentUpstreamIsNoCrash(t *testing.T) {
 	cases := []struct {
--- a/internal/state/scheduler/runs.go
+++ b/internal/state/scheduler/runs.go
@@ -250,6 +250,22 @@
 	return s.applyCapacity(now, u, before)
 }
 
+// Restart records a new incarnation of an upstream that its registration does not name yet. An
+// upstream that has left the platform's list stays off it.
+func (s *Scheduler) Restart(now state.Time, id workload.UpstreamID, startedUnixMS int64) {
+	u := s.upstreams[id]
+	switch {
+	case u == nil, u.StartedUnixMS == startedUnixMS:
+	case u.listed:
+		reg := u.Upstream
+		reg.StartedUnixMS = startedUnixMS
+		s.SetUpstream(now, reg)
+	default:
+		u.StartedUnixMS = startedUnixMS
+		s.handleNewIncarnation(now, u)
+	}
+}
+
 // handleNewIncarnation releases the runs of an upstream's previous incarnation and
 // revokes the unconfirmed starts.
 func (s *Scheduler) handleNewIncarnation(now state.Time, u *upstream) {
