Refuse a call to /v1 whose Authorization header is repeated

What callers saw: of two Authorization headers the first counted, so a call with a key in force and an unknown one beside it was served. Cause: bearer read the first value of the header only. Evidence: TestOnlyKeysInForceAreServed (12 kinds of credentials, 8 calls) failed for the 8 calls of this kind before; the other 88 cases passed before, an unknown or withdrawn key on an open queue among them. Change: a repeated header is no valid key. The fixture of the tests can be given another authenticator. Result: all cases pass.

--- a/internal/transport/httpapi/auth.go
+++ b/internal/transport/httpapi/auth.go
@@ -56,14 +56,15 @@
 const bearerScheme = "bearer"
 
 // bearer returns the bearer token of a request, or false if the request has no
-// Authorization header. The token is empty if the header has another scheme.
+// Authorization header. The token is empty if the header has another scheme or
+// is repeated.
 func bearer(r *http.Request) (string, bool) {
-	header := r.Header.Get("Authorization")
-	if header == "" {
+	headers := r.Header.Values("Authorization")
+	if len(headers) == 0 || len(headers) == 1 && headers[0] == "" {
 		return "", false
 	}
-	scheme, credentials, _ := strings.Cut(header, " ")
-	if !strings.EqualFold(scheme, bearerScheme) {
+	scheme, credentials, _ := strings.Cut(headers[0], " ")
+	if len(headers) > 1 || !strings.EqualFold(scheme, bearerScheme) {
 		return "", true
 	}
 	return strings.TrimSpace(credentials), true
--- a/internal/transport/httpapi/fake_test.go
+++ b/internal/transport/httpapi/fake_test.go
@@ -212,16 +212,21 @@
 		auth:       &fakeAuth{quota: Quota{SubmitRate: 1000, Burst: 1000}},
 		health:     NewHealth(func() error { return nil }),
 	}
-	f.handler = NewHandler(Config{
+	f.handler = newHandlerWith(f, f.auth)
+	return f
+}
+
+// newHandlerWith returns a handler with the dependencies of a fixture but another authenticator.
+func newHandlerWith(f *fixture, auth Authenticator) http.Handler {
+	return NewHandler(Config{
 		Jobs:       f.jobs,
 		Operations: f.operations,
-		Auth:       f.auth,
+		Auth:       auth,
 		Health:     f.health,
 		Logger:     hclog.NewNullLogger(),
 		Registry:   metrics.NewRegistry(),
 		Tracer:     trace.NewTracerProvider(),
 	})
-	return f
 }
 
 // call describes one API call of a test.
