Log an invalid operators' record once, not with each read of all records

What operators saw: a record that can't be used, such as a request to evacuate that names no domain, left a line at every entry with each burst of changes of the configuration, for as long as it stood. Cause: after a burst all newest records are read again, and each read logged them. Change: a record is logged once for each time that it is written; the line about an unexpected value of an evacuation names key and offset too. Result: one line, and a second one when the record is written again.

--- a/internal/coordination/replica/evacuation.go
+++ b/internal/coordination/replica/evacuation.go
@@ -8,6 +8,7 @@
 	"github.com/samphirerail/samphirerail/internal/coordination/bootclock"
 	"github.com/samphirerail/samphirerail/internal/coordination/port"
 	"github.com/samphirerail/samphirerail/internal/state/evacuation"
+	"github.com/samphirerail/samphirerail/internal/state/ledger"
 )
 
 // Option changes a Replica that New returns.
@@ -87,12 +88,12 @@
 		request, ok, err := r.decoder.Evacuation(record)
 		switch {
 		case err != nil:
-			r.logger.Warn("invalid operators' record ignored", "key", record.Key, "offset", record.Offset, "error", err)
+			r.logOnce(record, "invalid operators' record ignored", "error", err)
 			continue
 		case !ok:
 			continue
 		case request.Unexpected != "":
-			r.logger.Warn("evacuation request has an unexpected value; the domain is evacuated", "domain", request.Domain, "offset", request.Offset, "value", request.Unexpected)
+			r.logOnce(record, "evacuation request has an unexpected value; the domain is evacuated", "domain", request.Domain, "value", request.Unexpected)
 		}
 		requests = append(requests, request)
 	}
@@ -123,6 +124,16 @@
 	r.evacuation.Store(next)
 }
 
+// logOnce logs that an operators' record is not as expected, once for each time that the record
+// was written: it is read again with each read of the newest records.
+func (r *Replica) logOnce(record ledger.Record, message string, args ...any) {
+	if offset, known := r.unexpected[record.Key]; known && offset == record.Offset {
+		return
+	}
+	r.unexpected[record.Key] = record.Offset
+	r.logger.Warn(message, append([]any{"key", record.Key, "offset", record.Offset}, args...)...)
+}
+
 // logEvacuationChange logs how the set of evacuated domains differs from an earlier one.
 func (r *Replica) logEvacuationChange(before evacuation.Set, source string, offset int64) {
 	now := r.evacuations.fold.Set()
--- a/internal/coordination/replica/evacuation_test.go
+++ b/internal/coordination/replica/evacuation_test.go
@@ -279,3 +279,25 @@
 	is.Equal(r.evacuated(), []state.DomainID{"z1"})
 	is.Equal(strings.Count(out.String(), "invalid operators' record ignored"), 1)
 }
+
+// TestInvalidRecordIsLoggedOnce guards against a line for each read of all records, which comes
+// with each burst of changes.
+func TestInvalidRecordIsLoggedOnce(t *testing.T) {
+	log := &operatorsLog{limit: 1}
+	log.put("bad", "x")
+	followOperators(t, log, func(is *is.I, _ *Replica, out *bytes.Buffer) {
+		time.Sleep(settle)
+		for range 10 {
+			for range 5 {
+				log.put("config", "x")
+			}
+			time.Sleep(settle)
+		}
+		synctest.Wait()
+		is.Equal(strings.Count(out.String(), "invalid operators' record ignored"), 1)
+		log.put("bad", "y")
+		time.Sleep(settle)
+		synctest.Wait()
+		is.Equal(strings.Count(out.String(), "invalid operators' record ignored"), 2)
+	})
+}
--- a/internal/coordination/replica/replica.go
+++ b/internal/coordination/replica/replica.go
@@ -79,6 +79,10 @@
 	// located is set once the claim and the registered entries were read.
 	located bool
 
+	// unexpected holds the offsets of the operators' records that were logged as not as
+	// expected. It is used only by the goroutine that follows the operators' topic.
+	unexpected map[string]int64
+
 	config        atomic.Pointer[workload.Config]
 	evacuation    atomic.Pointer[evacuationRead]
 	evacuations   evacuations
@@ -102,6 +106,7 @@
 		log: log, decoder: decoder, logger: logger, startedAt: time.Now(), clock: bootclock.Now,
 		table:           ledger.NewTable(),
 		evacuations:     evacuations{clock: bootclock.Now},
+		unexpected:      map[string]int64{},
 		modeChanged:     make(chan struct{}, 1),
 		reads:           metrics.GetOrRegisterCounter("replica.reads", registry),
 		readFails:       metrics.GetOrRegisterCounter("replica.read_failures", registry),
@@ -440,7 +445,7 @@
 	for _, record := range batch.Records {
 		config, err := r.decoder.Config(record)
 		if err != nil {
-			r.logger.Warn("invalid operators' record ignored", "key", record.Key, "offset", record.Offset, "error", err)
+			r.logOnce(record, "invalid operators' record ignored", "error", err)
 			continue
 		}
 		if config == nil {
