Let the upstream that answers decide on a registration with a later start

What callers would see: TWICE, tasks run a second time after another writer left an entry under the key of a living upstream with a later start time, for example one hour ahead.

Cause: a registration with a later start counted as a new incarnation at once, and all runs there as lost, though the upstream went on answering polls.

Change: while the newest poll of the known incarnation was answered, such a registration only requests a poll that verifies the incarnation and acknowledges no ends; the start in its report decides. An upstream that does not answer is taken to have restarted, as before.

--- a/internal/coordination/dispatch/link.go
+++ b/internal/coordination/dispatch/link.go
@@ -49,6 +49,9 @@
 	// that the upstream cannot have restarted in between.
 	answered, unbroken bool
 	polledAt           time.Time
+	// doubted is set when a registration names a later start than the incarnation that answers
+	// polls: the next one verifies the incarnation.
+	doubted bool
 	// pollRequested asks for a poll at once; cancelPoll cancels the long poll in
 	// progress, if any.
 	pollRequested bool
@@ -130,6 +133,7 @@
 	defer l.mu.Unlock()
 	recovered = l.failures > 0
 	l.failures, l.lostPolls, l.answered, l.polledAt = 0, 0, true, now
+	l.doubted = l.doubted && !verify
 	if !verify {
 		l.acknowledged, l.acknowledgedAt = acknowledged, now
 	}
@@ -155,12 +159,17 @@
 }
 
 // register applies a registration and returns the start time of the newest incarnation that is
-// known, and whether the registration begins a new one.
+// known, and whether the registration begins a new one. While the known incarnation answers polls,
+// its next report decides that, since what runs on it would count as lost.
 func (l *link) register(target port.Target, startedUnixMS int64) (newest int64, restarted bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.target = target
 	restarted = l.startedUnixMS != 0 && startedUnixMS > l.startedUnixMS
+	if restarted && l.answered {
+		l.doubted = true
+		return l.startedUnixMS, false
+	}
 	l.startedUnixMS = max(l.startedUnixMS, startedUnixMS)
 	if restarted {
 		l.resetEnds() // a poll in between would acknowledge ends of the former incarnation
--- a/internal/coordination/dispatch/poller.go
+++ b/internal/coordination/dispatch/poller.go
@@ -59,7 +59,7 @@
 	var polledAt time.Time
 	for ctx.Err() == nil {
 		l.mu.Lock()
-		active, shortWait, removed, pollRequested := l.active, l.close, l.removed, l.pollRequested
+		active, shortWait, removed, pollRequested, doubted := l.active, l.close, l.removed, l.pollRequested, l.doubted
 		unrecorded := l.reported > l.recorded
 		l.mu.Unlock()
 		if removed {
@@ -82,7 +82,7 @@
 			}
 		}
 		// After a gap the upstream may be a new incarnation, which numbers run ends from 1.
-		verify := !incarnationKnown || time.Since(polledAt) > verifyAfter
+		verify := !incarnationKnown || doubted || time.Since(polledAt) > verifyAfter
 		wait := time.Duration(0)
 		l.mu.Lock()
 		if !verify && l.active && !l.pollRequested && l.reported <= l.recorded {
--- a/internal/coordination/dispatch/registrations.go
+++ b/internal/coordination/dispatch/registrations.go
@@ -118,10 +118,14 @@
 		o.links[reg.ID] = l
 	}
 	old, had := o.sched.Registration(reg.ID)
-	var restarted bool
+	named, restarted := reg.StartedUnixMS, false
 	reg.StartedUnixMS, restarted = l.register(port.Target{ID: reg.ID, Address: reg.Address}, reg.StartedUnixMS)
-	if restarted {
+	switch {
+	case restarted:
 		l.wake()
+	case had && named > reg.StartedUnixMS:
+		o.logger.Info("registration names a later start than the upstream that answers; it is polled", "upstream", reg.ID, "born", named, "known", reg.StartedUnixMS)
+		l.requestPoll()
 	}
 	if !had || old.Draining != reg.Draining || restarted {
 		o.logger.Info("upstream registered", "upstream", reg.ID, "service", reg.Service, "address", reg.Address, "draining", reg.Draining, "born", reg.StartedUnixMS)
