Stop a task's run while the next life of an upstream may carry out a late start

Cause: a start without a response was settled once the upstream had acknowledged a stop of it. That holds in the life that answered only; the owner stopped it in the next life after that could have begun it.

Ways weighed (docs/design/late-starts.md): to wait 13 s after each start without a response; to stop it first in the next life, as before; to let the task give way from the moment that the upstream closes its connections. The last is taken.

--- a/internal/coordination/dispatch/owner.go
+++ b/internal/coordination/dispatch/owner.go
@@ -399,6 +399,7 @@
 	activeLinks := int64(0)
 	for id, l := range o.links {
 		active, shortWait := o.sched.HasRuns(id)
+		active = active || o.sched.AwaitsNextLife(id)
 		if active {
 			activeLinks++
 		}
--- a/internal/state/scheduler/plan.go
+++ b/internal/state/scheduler/plan.go
@@ -107,7 +107,7 @@
 		case t.done:
 		case len(t.runs) > 0:
 			gangRuns = true
-		case t.unconfirmedOn != "":
+		case t.unconfirmedOn != "", t.awaitedLives > 0:
 			unconfirmed++
 		case t.isolated && !st.spec.Gang: // see suspects
 		default:
@@ -124,7 +124,7 @@
 func (st *step) waitingTasks() []*task {
 	var out []*task
 	for _, t := range st.tasks {
-		if !t.done && len(t.runs) == 0 && t.unconfirmedOn == "" && (!t.isolated || st.spec.Gang) {
+		if !t.done && len(t.runs) == 0 && t.unconfirmedOn == "" && t.awaitedLives == 0 && (!t.isolated || st.spec.Gang) {
 			out = append(out, t)
 		}
 	}
--- a/internal/state/scheduler/revoke.go
+++ b/internal/state/scheduler/revoke.go
@@ -25,6 +25,9 @@
 	// revokeAt is when the revoking stop is due; 0 while one is in flight or once the
 	// newest incarnation has acknowledged it.
 	revokeAt state.Time
+	// awaitsLife is set while the task gives way to the next life of the upstream, and inNextLife
+	// once that has begun.
+	awaitsLife, inNextLife bool
 }
 
 // trackUnconfirmedStart records that a start had no response. In the current
@@ -40,7 +43,7 @@
 // of an upstream.
 func (s *Scheduler) revokeStarts(now state.Time, id workload.UpstreamID) {
 	for _, l := range s.unconfirmedStarts[id] {
-		l.revokeAt = now
+		l.revokeAt, l.inNextLife = now, true
 	}
 }
 
@@ -51,6 +54,7 @@
 		for run, l := range starts {
 			switch {
 			case now >= l.until:
+				s.endAwaitedLife(run, l)
 				delete(starts, run)
 			case l.revokeAt > 0 && now >= l.revokeAt:
 				l.revokeAt = 0
@@ -65,7 +69,12 @@
 
 // revocationResult applies the result of a stop that revokes an unconfirmed start.
 func (s *Scheduler) revocationResult(now state.Time, id Run, acknowledged bool) {
-	if l := s.unconfirmedStarts[id.Upstream][id]; l != nil && !acknowledged {
+	l := s.unconfirmedStarts[id.Upstream][id]
+	switch {
+	case l == nil:
+	case !acknowledged:
 		l.revokeAt = now + revokeRetry
+	case l.inNextLife:
+		s.endAwaitedLife(id, l)
 	}
 }
--- a/internal/state/scheduler/runs.go
+++ b/internal/state/scheduler/runs.go
@@ -349,6 +349,9 @@
 func (s *Scheduler) loseContact(now state.Time, id workload.UpstreamID, closed bool) {
 	if u := s.upstreams[id]; u != nil && !u.unreachable {
 		u.unreachable, u.unreachableSince, u.closed = true, now, closed
+		if closed {
+			s.yieldToNextLife(now, id)
+		}
 		if u.polled { // otherwise this owner never had contact
 			s.outages.Note(string(id), u.place(), now)
 		}
@@ -376,6 +379,12 @@
 	for _, r := range u.sortedRuns() {
 		s.release(now, r, false)
 	}
+	switch {
+	case cause == LossRestarted: // another upstream answers, which refuses starts for this one
+		s.endAwaitedLives(id)
+	case u.closed:
+		s.yieldToNextLife(now, id)
+	}
 	s.giveUp(now, giveUp)
 	if !u.listed {
 		s.dropUpstream(u)
