Make the soak's late runs start on slow runners, so that some are moved

Late tasks could start on a slow runner in about 3 of the 15 seconds only. - All late tasks were of one class, which the owner learns to take six times as long as declared from the first of them. From then on it keeps them on fast runners, as it should, and no run has to be moved.

Change: each zone has slow and fast runners, and each late job has an image of its own, so that its declaration is always believed and the placement leaves fast runners to others.

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -94,10 +94,14 @@
 )
 
 // runLate submits jobs with tasks that resume from checkpoints and take much longer than
-// declared. On a slow runner they end too late, on a fast one in time.
+// declared. On a slow runner they end too late, on a fast one in time. Each has an image of its
+// own: once an image is known to take longer than declared, its tasks avoid slow runners and none
+// has to be moved.
 func (c *callers) runLate(stop chan struct{}) {
+	n := 0
 	c.submitRegularly(stop, lateInterval, lateStream, func(*rand.Rand) (*sentJob, []byte) {
-		spec := fakewire.Spec{RunMS: lateRunMS, ActualMS: lateFactor * lateRunMS, CPU: 300, Checkpoints: true}
+		n++
+		spec := fakewire.Spec{RunMS: lateRunMS, ActualMS: lateFactor * lateRunMS, CPU: 300, Checkpoints: true, Image: fmt.Sprintf("late-%d", n)}
 		return &sentJob{tasks: 1, prefix: fakewire.PatientPrefix}, fakewire.Job(spec, spec.CPU, 1, false)
 	})
 }
--- a/internal/soak/cluster.go
+++ b/internal/soak/cluster.go
@@ -32,6 +32,10 @@
 // unevenSpeeds are the speeds of the runners with Options.Uneven.
 var unevenSpeeds = []float64{0.55, 1.2, 1.2}
 
+// unevenSpeed returns the speed of the runner with index i. Each zone has slow and fast runners,
+// so that an evacuation leaves both.
+func unevenSpeed(i int) float64 { return unevenSpeeds[(i+i/len(zones))%len(unevenSpeeds)] }
+
 // host is unique to this process, so that soak runs on the same machine never use
 // each other's entries.
 var host = fmt.Sprintf("soak-%d.example", os.Getpid())
@@ -119,7 +123,7 @@
 	}
 	r := c.fleet.AddIn(zones[i%len(zones)], fmt.Sprintf("i-%03d", i), service, listener.Addr().String(), runnerCPUMilli, "a", fmt.Sprintf("r%d", i/4))
 	if c.opts.Uneven {
-		r.SetSpeed(unevenSpeeds[i%len(unevenSpeeds)])
+		r.SetSpeed(unevenSpeed(i))
 	}
 	c.runners = append(c.runners, r)
 	server := &http.Server{Handler: r, ReadHeaderTimeout: time.Minute}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -257,5 +257,5 @@
 	if len(r.Problems) > 0 {
 		outcome = fmt.Sprintf("%d problems: %s; logs in %s", len(r.Problems), strings.Join(r.Problems[:min(len(r.Problems), 5)], "; "), r.Dir)
 	}
-	return fmt.Sprintf("seed %d: accepted %d, rejected %d, unknown %d, complete %d, given up %d (innocent %d), evacuations %d: %s", r.Seed, r.Accepted, r.Rejected, r.Unknown, r.Complete, r.GivenUp, r.Innocent, r.Evacuations, outcome)
+	return fmt.Sprintf("seed %d: accepted %d, rejected %d, unknown %d, complete %d, given up %d (innocent %d), evacuations %d, resumed %d: %s", r.Seed, r.Accepted, r.Rejected, r.Unknown, r.Complete, r.GivenUp, r.Innocent, r.Evacuations, r.Resumed, outcome)
 }
