End the trials of a task that fails by itself on an upstream that survives

Cause: a suspected task stayed suspected after a run that had ended by itself, though its upstream survived that run.

Evidence: TestTaskThatFailsByItselfEndsItsTrials fails without the change: a trial goes on after each of five such ends.

Change: a run that ends as done or failed later than any crash after its start ends the suspicion until a further crash.

Measured: the tests of trials, crashes and lost contact pass.

--- a/internal/state/scheduler/report.go
+++ b/internal/state/scheduler/report.go
@@ -261,6 +261,10 @@
 	if r != nil {
 		s.noteStopped(now, u, r, reported.Cause)
 		r.phase = finished
+		// The upstream has survived a run that ended by itself.
+		if (reported.Cause == EndDone || reported.Cause == EndFailed) && now-r.startedAt > t.crashes.Age {
+			t.endSuspicion()
+		}
 	}
 	switch {
 	case reported.Cause == EndDone && !t.step.spec.LongRunning:
--- a/internal/state/scheduler/trials_test.go
+++ b/internal/state/scheduler/trials_test.go
@@ -10,6 +10,29 @@
 	"github.com/samphirerail/samphirerail/internal/state/workload"
 )
 
+// TestTaskThatFailsByItselfEndsItsTrials guards against a failing task that takes the trials of its workspace for ever.
+func TestTaskThatFailsByItselfEndsItsTrials(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation(t, oneQueue(nil))
+	sim.add(4, largeUpstream)
+	crashes := sim.crashOn(func(workload.TaskID) (state.Time, bool) { return 0, false })
+	task := workload.TaskID{Job: jobID(1)}
+	sim.submit(&workload.Job{ID: jobID(1), Steps: []workload.Step{{Count: 1, Each: cores(1), LongRunning: true}}})
+	sim.advance(time.Second)
+	crashes.crash(sim.firstBusy())
+	trials := 0
+	for range 5 {
+		sim.advance(5 * time.Second)
+		if len(sim.s.trials) > 0 || sim.s.jobs[jobID(1)].steps[0][0].tasks[0].isolated {
+			trials++
+		}
+		sim.end(sim.firstBusy(), task, EndFailed)
+	}
+	is.True(trials <= 1)
+	sim.advance(time.Second)
+	is.Equal(sim.running(jobID(1)), 1)
+}
+
 // TestTrialDelaysNoOtherTaskOfTheJob guards against tasks that wait while another one of their job is tried alone.
 func TestTrialDelaysNoOtherTaskOfTheJob(t *testing.T) {
 	cases := []struct {
