Count closed connections right after a start, and read the registrations up to the loss

The own interface presumes where leases expired first. A start check that finds the attempts used up fails the job only once the configuration is settled. A start whose connection was closed keeps no task waiting for the next life of its upstream.

TestTaskThatCrashesUpstreamsIsGivenUp gains two cases with outages of 8 s, TestLostContactFailsNoJob one of a cut that rejects.

--- a/internal/coordination/dispatch/commands.go
+++ b/internal/coordination/dispatch/commands.go
@@ -121,6 +121,9 @@
 		}
 		o.sched.StartResult(o.now(), command.Run, outcome)
 		if outcome == scheduler.Unconfirmed {
+			if port.ConnectionClosed(err) {
+				o.sched.StartInterrupted(command.Run)
+			}
 			l.requestPoll()
 		}
 	})
--- a/internal/coordination/dispatch/lostcontact_test.go
+++ b/internal/coordination/dispatch/lostcontact_test.go
@@ -21,13 +21,16 @@
 		failures []pollFailure
 		// read is the age of the newest read of the registrations.
 		read time.Duration
-		want bool
+		// readLater says that they are read again between the failures.
+		readLater bool
+		want      bool
 	}{
 		{name: "closed, then replaced", failures: []pollFailure{{closed: true}, {replaced: true}}, want: true},
 		{name: "silent, then replaced", failures: []pollFailure{{}, {replaced: true}}},
 		{name: "silent, then closed and replaced", failures: []pollFailure{{}, {closed: true}, {replaced: true}}},
 		{name: "replaced unnoticed", failures: []pollFailure{{replaced: true}}},
 		{name: "closed while the registrations are not read", failures: []pollFailure{{closed: true}, {replaced: true}}, read: 3 * time.Second},
+		{name: "closed while the registrations are not read, read before it is replaced", failures: []pollFailure{{closed: true}, {replaced: true}}, read: 3 * time.Second, readLater: true, want: true},
 		{name: "silent until the leases expire", failures: []pollFailure{{}, {leasesExpired: true}}},
 	}
 	for _, c := range cases {
@@ -46,7 +49,7 @@
 					sched: scheduler.New(config, scheduler.Options{FirstRun: 1}),
 				}
 				time.Sleep(time.Minute)
-				o.registrationsAt = o.clock() - c.read
+				o.sched.RegistrationsRead(o.now() - c.read)
 				room := state.Vector{CPUMilli: 8000, MemoryMB: 8000}
 				o.sched.SetUpstream(o.now(), workload.Upstream{ID: "u", Service: "s", Capacity: room, StartedUnixMS: 1})
 				o.sched.ApplyReport(o.now(), "u", scheduler.RunReport{SentAt: o.now()})
@@ -59,6 +62,9 @@
 				o.sched.RemoveUpstream("u")
 				for _, f := range c.failures {
 					o.handlePollFailure("u", o.links["u"], f)
+					if c.readLater {
+						o.sched.RegistrationsRead(o.now())
+					}
 				}
 				losses := o.sched.Plan(o.now()).Losses
 				is.Equal(len(losses), 1)
--- a/internal/coordination/dispatch/owner.go
+++ b/internal/coordination/dispatch/owner.go
@@ -198,6 +198,7 @@
 		Lookup:           o.lookup,
 		RunTimes:         o.runTimes,
 		UnconfirmedUntil: logContactTimeout + time.Duration(float64(p.lease)*clockDriftFactor) + commandTimeout,
+		Lease:            time.Duration(float64(p.lease) * clockDriftFactor),
 	})
 	o.appendedAt.Store(int64(o.now()))
 	o.contactAt.Store(int64(o.clock()))
@@ -458,8 +459,7 @@
 	if o.links[id] != l {
 		return
 	}
-	// An upstream that leaves closes its connections, too, and announces it in its registration.
-	if f.closed && o.clock()-o.registrationsAt < outageTime {
+	if f.closed {
 		o.sched.MarkClosed(o.now(), id)
 	} else {
 		o.sched.MarkUnreachable(o.now(), id)
--- a/internal/coordination/dispatch/registrations.go
+++ b/internal/coordination/dispatch/registrations.go
@@ -18,7 +18,7 @@
 		var batch port.Batch
 		var err error
 		full := next < 0
-		sentAt := o.clock()
+		sentAt, readFrom := o.clock(), o.now()
 		if full {
 			batch, err = port.ReadNewest(ctx, o.log, port.TopicUpstreams)
 		} else {
@@ -48,6 +48,7 @@
 			o.applyRegistrations(batch, full)
 			if batch.Next >= batch.End {
 				o.registrationsAt = sentAt
+				o.sched.RegistrationsRead(readFrom)
 			}
 		})
 		if !full {
--- a/internal/state/crashes/crashes.go
+++ b/internal/state/crashes/crashes.go
@@ -11,15 +11,19 @@
 	// startAge is the age up to which a run may have crashed its upstream by its start. Most
 	// tasks that crash an upstream do so within some milliseconds.
 	startAge = 250 * time.Millisecond
+	// answerAge is the age up to which a start without an answer may have begun a run. After that
+	// a poll has shown it.
+	answerAge = time.Second
 	// isolateBlame is the blame in percent from which a task is tried alone, isolateCount the
 	// number of crashes.
 	isolateBlame, isolateCount = 50, 2
 	// leastCertain is the least number of crashes under a task that is given up.
 	leastCertain = 2
 	// mostCrashesAlone is the number of crashes after which a task is given up if it was alone at
-	// the newest one, and mostCrashes that after which it is given up in any case if leastCertain
-	// of them are certain. Those that may have another cause do not count.
-	mostCrashesAlone, mostCrashes = 4, 5
+	// the newest one, and mostCrashes that after which it is given up in any case. Those that may
+	// have another cause count for the latter beside leastCertain certain ones, or beside
+	// leastAlone others if the task was alone at the newest one.
+	mostCrashesAlone, mostCrashes, leastAlone = 4, 5, 3
 	// A task is given up without a trial after fewestBlamed certain crashes in which its shares of
 	// the blame add up to givenUpBlame percent: hardly another job had just begun on any of them.
 	fewestBlamed, givenUpBlame = 3, 250
@@ -43,16 +47,20 @@
 // justBegun reports whether the start of the run may be the cause of the crash.
 func (p *Presence) justBegun() bool { return p.Age >= 0 && p.Age <= startAge }
 
+// mayHaveBegun reports whether the run is known to have begun, or is as likely as not to have.
+func (p *Presence) mayHaveBegun() bool { return p.Certain || (p.Age >= 0 && p.Age <= answerAge) }
+
 // Evidence is what is known of a crash.
 type Evidence uint8
 
 // Kinds of evidence. Silence is none: an upstream that does not answer may go on with its runs, or
 // may have ended long after its last answer.
 const (
-	// Confirmed: the upstream closed its connections, and another process answers in its place.
+	// Confirmed: the upstream closed its connections, and another process answers in its place
+	// before the leases of its runs have expired.
 	Confirmed Evidence = iota
-	// Presumed: it closed its connections, and nothing has answered in its place. A network that
-	// rejects connections looks the same.
+	// Presumed: it closed its connections, and nothing has answered in its place until the leases
+	// had expired. A network that rejects connections looks the same.
 	Presumed
 	// Shared: other upstreams were lost with it, so that the cause may be one that they share.
 	Shared
@@ -76,9 +84,9 @@
 
 // Assess returns the involvement of each run that was on an upstream when it crashed. For a
 // confirmed crash the jobs whose runs had just begun have equal shares of the blame; if none had,
-// all have. A shared cause does not explain the crash for runs that had just begun: many tasks
-// that crash their upstreams at once look like one cause, too. A run that is not known to have
-// begun counts only if its start was sent right before the crash.
+// all have. Another cause does not explain the crash for runs that had just begun, again and again:
+// many tasks that crash their upstreams at once look like one cause, too. A run that is not known
+// to have begun counts only if its start was sent shortly before a confirmed crash.
 func Assess(present []Presence, evidence Evidence) []Involvement {
 	jobs, begun := map[string]struct{}{}, map[string]struct{}{}
 	for _, p := range present {
@@ -93,10 +101,10 @@
 	}
 	out := make([]Involvement, len(present))
 	for i, p := range present {
-		atStart := p.Certain && p.justBegun()
-		otherCause := evidence == Presumed || (evidence == Shared && !atStart) || (!p.Certain && !p.justBegun())
-		out[i] = Involvement{Certain: p.Certain && !otherCause, Shared: otherCause, Alone: len(jobs) == 1 && !otherCause, Age: p.Age}
-		if _, ok := blamed[p.Job]; ok && evidence == Confirmed && !otherCause {
+		confirmed := evidence == Confirmed
+		otherCause := !p.mayHaveBegun() || (!confirmed && (!p.Certain || !p.justBegun()))
+		out[i] = Involvement{Certain: p.Certain && confirmed, Shared: otherCause, Alone: len(jobs) == 1 && !otherCause, Age: p.Age}
+		if _, ok := blamed[p.Job]; ok && confirmed && !otherCause {
 			out[i].Blame = 100 / len(blamed)
 		}
 	}
@@ -107,8 +115,8 @@
 // upstream has crashed.
 type Record struct {
 	// Certain counts the crashes at which the task certainly was on the upstream, Uncertain
-	// those right after a start that was not answered, and Shared the losses of upstreams that may
-	// have another cause. No number of the latter gives a task up.
+	// those right after a start, where the start was not answered or the crash is not confirmed,
+	// and Shared the losses of upstreams that may have another cause.
 	Certain, Uncertain, Shared int
 	// Blame is the sum of the task's shares of the blame in percent.
 	Blame int
@@ -159,7 +167,7 @@
 func (r *Record) Verdict() Verdict {
 	count := r.Certain + r.Uncertain
 	switch {
-	case count >= mostCrashes && r.Certain >= leastCertain:
+	case count >= mostCrashes, count+r.Shared >= mostCrashes && (r.Certain >= leastCertain || (r.Alone && count >= leastAlone)):
 		return GiveUp
 	case r.Alone && (r.Certain >= leastCertain || count >= mostCrashesAlone):
 		return GiveUp
--- a/internal/state/crashes/crashes_test.go
+++ b/internal/state/crashes/crashes_test.go
@@ -34,27 +34,27 @@
 		},
 		{
 			name: "lost with others", present: []Presence{{"a", 10 * ms, true}, {"b", 900 * ms, true}, {"c", -1, false}}, evidence: Shared,
-			want: []Involvement{{Certain: true, Age: 10 * ms}, {Shared: true, Age: 900 * ms}, {Shared: true, Age: -1}},
+			want: []Involvement{{Age: 10 * ms}, {Shared: true, Age: 900 * ms}, {Shared: true, Age: -1}},
 		},
 		{
 			name: "only one job, just begun, lost with other upstreams", present: []Presence{{"a", 10 * ms, true}, {"a", 900 * ms, true}}, evidence: Shared,
-			want: []Involvement{{Certain: true, Alone: true, Age: 10 * ms}, {Shared: true, Age: 900 * ms}},
+			want: []Involvement{{Alone: true, Age: 10 * ms}, {Shared: true, Age: 900 * ms}},
 		},
 		{
 			name: "gone", present: []Presence{{"a", 10 * ms, true}}, evidence: Presumed,
-			want: []Involvement{{Shared: true, Age: 10 * ms}},
+			want: []Involvement{{Alone: true, Age: 10 * ms}},
 		},
 		{
-			name: "start not answered, lost with others", present: []Presence{{"a", 10 * ms, false}}, evidence: Shared,
-			want: []Involvement{{Shared: true, Age: 10 * ms}},
+			name: "gone, long after the start", present: []Presence{{"a", 900 * ms, true}}, evidence: Presumed,
+			want: []Involvement{{Shared: true, Age: 900 * ms}},
 		},
 		{
-			name: "start not answered, much earlier", present: []Presence{{"a", 900 * ms, false}},
-			want: []Involvement{{Shared: true, Age: 900 * ms}},
+			name: "start not answered, lost with others", present: []Presence{{"a", 10 * ms, false}}, evidence: Shared,
+			want: []Involvement{{Shared: true, Age: 10 * ms}},
 		},
 		{
-			name: "taken over from a former owner", present: []Presence{{"a", -1, false}},
-			want: []Involvement{{Shared: true, Age: -1}},
+			name: "start not answered, much earlier", present: []Presence{{"a", 1900 * ms, false}},
+			want: []Involvement{{Shared: true, Age: 1900 * ms}},
 		},
 	}
 	for _, c := range cases {
@@ -89,10 +89,11 @@
 		{name: "shared cause, many times", crashes: []Involvement{shared, shared, shared, shared, shared, shared}, want: Isolate},
 		{name: "three times most of the blame", crashes: []Involvement{blamed, blamed, blamed}, want: GiveUp},
 		{name: "three times some of the blame", crashes: []Involvement{certain, certain, certain}, want: Isolate},
-		{name: "five, some with a shared cause", crashes: []Involvement{shared, certain, shared, shared, certain}, want: Isolate},
+		{name: "five, some with a shared cause", crashes: []Involvement{shared, certain, shared, shared, certain}, want: GiveUp},
 		{name: "shared cause, once alone", crashes: []Involvement{shared, shared, shared, shared, alone}, want: Isolate},
 		{name: "alone, then with a shared cause", crashes: []Involvement{alone, shared, shared, shared, shared}, want: Isolate},
-		{name: "five that are not certain", crashes: []Involvement{uncertain, uncertain, uncertain, uncertain, uncertain}, want: Isolate},
+		{name: "two power losses right after the start", crashes: []Involvement{uncertainAlone, uncertainAlone}, want: Isolate},
+		{name: "five starts without an answer", crashes: []Involvement{uncertain, uncertain, uncertain, uncertain, uncertain}, want: GiveUp},
 		{name: "five", crashes: []Involvement{uncertain, uncertain, certain, certain, certain}, want: GiveUp},
 	}
 	for _, c := range cases {
@@ -118,8 +119,9 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			var r Record
-			for i := 0; i < len(crashes) && r.Verdict() != GiveUp; i++ {
-				r.Add(Assess(crashes[i], Shared)[0])
+			for _, present := range crashes {
+				is.True(r.Verdict() != GiveUp)
+				r.Add(Assess(present, Shared)[0])
 			}
 			is.Equal(r.Verdict(), GiveUp)
 		})
--- a/internal/state/machine/crash.go
+++ b/internal/state/machine/crash.go
@@ -50,7 +50,10 @@
 		return
 	}
 	lost := append(m.lostTasks(u), lapsed...)
-	if m.outages.Shared(string(u.vm), u.place(), u.lostContactAt(m.now)) {
+	switch {
+	case len(lapsed) > 0: // the process may have ended long after the tasks
+		evidence = crashes.Presumed
+	case m.outages.Shared(string(u.vm), u.place(), u.lostContactAt(m.now)):
 		evidence = crashes.Shared
 	}
 	present := make([]crashes.Presence, len(lost))
--- a/internal/state/scheduler/crash_test.go
+++ b/internal/state/scheduler/crash_test.go
@@ -27,6 +27,8 @@
 		advice      *workload.Advice
 		// occupied puts a long-running task on each upstream, so that none becomes free.
 		occupied bool
+		// outage is how long a crashed upstream is away; 0 is the default.
+		outage state.Time
 	}{
 		{name: "at its start", step: tasksOf(1, cores(1), 500), after: 10 * time.Millisecond},
 		{name: "near its end", step: tasksOf(1, cores(1), 3000), after: 2 * time.Second},
@@ -38,6 +40,8 @@
 		{name: "owners killed in turn", step: tasksOf(1, cores(1), 500), after: 10 * time.Millisecond, takeOvers: 7 * time.Second},
 		{name: "no upstream becomes free", step: tasksOf(1, cores(1), 500), after: 10 * time.Millisecond, occupied: true},
 		{name: "gang, no upstream becomes free", step: workload.Step{Count: 3, Each: cores(8), EstimateMS: 500, Gang: true}, after: 10 * time.Millisecond, occupied: true},
+		{name: "away for longer than the leases", step: tasksOf(1, cores(1), 500), after: 10 * time.Millisecond, outage: 8 * time.Second},
+		{name: "long-running, away for longer than the leases", step: workload.Step{Count: 2, Each: cores(1), LongRunning: true}, after: 100 * time.Millisecond, outage: 8 * time.Second},
 		{name: "owners killed after each crash", step: tasksOf(1, cores(1), 500), after: 10 * time.Millisecond, afterLosses: true},
 	}
 	for _, c := range cases {
@@ -54,6 +58,9 @@
 				sim.submit(&workload.Job{ID: jobID(9998), Steps: []workload.Step{{Count: 12, Each: cores(1), LongRunning: true, MaxPerUpstream: 1}}})
 				sim.advance(time.Second)
 			}
+			if c.outage > 0 {
+				crashes.outage = c.outage
+			}
 			if c.afterLosses {
 				crashes.onLoss = func() { sim.takeOver() }
 			}
--- a/internal/state/scheduler/crashsim_test.go
+++ b/internal/state/scheduler/crashsim_test.go
@@ -20,12 +20,14 @@
 	down, mostDown int
 	// count is the number of crashes.
 	count int
+	// outage is how long a crashed upstream is away; beyond its leases these end first.
+	outage state.Time
 	// onLoss is called after the owner has noted and recorded a crash; nil if unused.
 	onLoss func()
 }
 
 const (
-	// crashOutage is how long a crashed upstream is away.
+	// crashOutage is how long a crashed upstream is away by default.
 	crashOutage = 3 * time.Second
 	// allowedStarts is how many times a task may be started after three upstreams have crashed
 	// under it.
@@ -33,7 +35,7 @@
 )
 
 func (sim *simulation) crashOn(fatal func(id workload.TaskID) (after state.Time, crashes bool)) *crashingTasks {
-	c := &crashingTasks{sim: sim, fatal: fatal, under: map[workload.TaskID]int{}, startsAfter: map[workload.TaskID]int{}}
+	c := &crashingTasks{sim: sim, fatal: fatal, under: map[workload.TaskID]int{}, startsAfter: map[workload.TaskID]int{}, outage: crashOutage}
 	sim.onStart = func(start Start) {
 		if c.under[start.Task] >= 3 {
 			c.startsAfter[start.Task]++
@@ -67,7 +69,13 @@
 	c.down++
 	c.mostDown = max(c.mostDown, c.down)
 	sim.at(20*time.Millisecond, func() { sim.s.MarkClosed(sim.now, u.reg.ID) })
-	sim.at(crashOutage, func() {
+	if c.outage > simLease {
+		sim.at(simLease+time.Second, func() {
+			sim.s.RemoveUpstream(u.reg.ID)
+			sim.s.ReleaseRuns(sim.now, u.reg.ID, LossExpired)
+		})
+	}
+	sim.at(c.outage, func() {
 		c.down--
 		next := &simUpstream{reg: u.reg, running: map[workload.TaskID]*simRun{}, revoked: map[workload.TaskID]int64{}}
 		next.reg.ID = workload.UpstreamID(fmt.Sprintf("u%03d", len(sim.upstreams)))
--- a/internal/state/scheduler/latestarts.go
+++ b/internal/state/scheduler/latestarts.go
@@ -16,7 +16,7 @@
 func (s *Scheduler) yieldToNextLife(now state.Time, id workload.UpstreamID) {
 	for start, l := range s.unconfirmedStarts[id] {
 		t := s.task(start.Task)
-		if l.awaitsLife || now >= l.until || t == nil || !t.yields() {
+		if l.awaitsLife || l.undelivered || now >= l.until || t == nil || !t.yields() {
 			continue
 		}
 		l.awaitsLife, l.inNextLife = true, false
@@ -29,6 +29,13 @@
 	}
 }
 
+// StartInterrupted records that the connection of an unconfirmed start was closed before a response.
+func (s *Scheduler) StartInterrupted(start Run) {
+	if l := s.unconfirmedStarts[start.Upstream][start]; l != nil {
+		l.undelivered = true
+	}
+}
+
 // yields reports whether two runs of the task at the same time must be avoided at the cost of a
 // stop.
 func (t *task) yields() bool {
--- a/internal/state/scheduler/losses.go
+++ b/internal/state/scheduler/losses.go
@@ -48,6 +48,9 @@
 	Verdict crashes.Verdict
 }
 
+// leaveNotice is how long before it ends an upstream announces at least that it leaves.
+const leaveNotice = 2 * time.Second
+
 // unknownAge is the age of a run that a former owner started.
 const unknownAge = -1
 
@@ -77,10 +80,11 @@
 		lost = append(lost, lostRun{t, t.lastRun, false, unknownAge})
 	}
 	// Only a process that ends closes its connections; what else shows the loss may be a cut.
-	crash := !u.Draining && u.closed && (cause == LossRestarted || !u.listed)
+	// One that leaves announces it, which must have been readable.
+	crash := u.closed && !u.Draining && s.registrationsRead+leaveNotice >= u.unreachableSince
 	evidence := crashes.Confirmed
 	switch {
-	case cause != LossRestarted:
+	case cause != LossRestarted, s.opts.Lease > 0 && now-u.unreachableSince > s.opts.Lease:
 		evidence = crashes.Presumed
 	case s.outages.Shared(string(u.ID), u.place(), u.lostContactAt(now)):
 		evidence = crashes.Shared
--- a/internal/state/scheduler/lostcontact_test.go
+++ b/internal/state/scheduler/lostcontact_test.go
@@ -64,6 +64,11 @@
 			sim.expire(u)
 			sim.rejoin(u, false)
 		}},
+		{name: "restarted behind a cut that rejects connections, after the leases", lose: func(sim *simulation, u *simUpstream) {
+			sim.lose(u, sim.s.MarkClosed)
+			sim.advance(3 * time.Second)
+			sim.rejoin(u, true)
+		}},
 		{name: "restarted together with others", lose: func(sim *simulation, u *simUpstream) {
 			for _, other := range sim.upstreams {
 				if other != u && other.reg.Rack() == u.reg.Rack() {
@@ -171,7 +176,7 @@
 	}{
 		{name: "leases expired, listed", cause: LossExpired},
 		{name: "leases expired, removed from the list", cause: LossExpired, unlisted: true},
-		{name: "connections closed, leases expired, listed", cause: LossExpired, closed: true},
+		{name: "connections closed, leases expired, listed", cause: LossExpired, closed: true, want: true},
 		{name: "connections closed, leases expired, removed from the list", cause: LossExpired, closed: true, unlisted: true, want: true},
 		{name: "silent, then restarted", cause: LossRestarted},
 		{name: "restarted", cause: LossRestarted, closed: true, want: true},
--- a/internal/state/scheduler/report.go
+++ b/internal/state/scheduler/report.go
@@ -354,14 +354,20 @@
 	return !t.done && !t.step.spec.LongRunning && q.MaxAttempts > 0 && len(t.failed) >= q.MaxAttempts
 }
 
+// configSettled is the age of an owner's term from which its configuration is as new as that by
+// which its predecessor acted.
+const configSettled = 5 * time.Second
+
 // failUsedUp fails the job of a step of which a task may not be started again: its last attempt
 // failed while the configuration lacked the queue, or allowed more attempts. It reports whether
-// it did.
+// there is such a task; nothing of the step is started then.
 func (s *Scheduler) failUsedUp(now state.Time, st *step, q *workload.Queue) bool {
 	if !slices.ContainsFunc(st.tasks, func(t *task) bool { return t.attemptsUsed(q) }) {
 		return false
 	}
-	s.finish(now, st.job, ledger.Failed)
+	if now >= configSettled {
+		s.finish(now, st.job, ledger.Failed)
+	}
 	return true
 }
 
--- a/internal/state/scheduler/revoke.go
+++ b/internal/state/scheduler/revoke.go
@@ -28,6 +28,9 @@
 	// awaitsLife is set while the task gives way to the next life of the upstream, and inNextLife
 	// once that has begun.
 	awaitsLife, inNextLife bool
+	// undelivered says that the upstream closed the connection before a response: what it had
+	// not received by then is not delivered to its next life.
+	undelivered bool
 }
 
 // trackUnconfirmedStart records that a start had no response. In the current
--- a/internal/state/scheduler/runs.go
+++ b/internal/state/scheduler/runs.go
@@ -346,6 +346,11 @@
 // a silence may not have been there at its beginning.
 func (s *Scheduler) MarkClosed(now state.Time, id workload.UpstreamID) { s.loseContact(now, id, true) }
 
+// RegistrationsRead records that the registrations were read up to those of a time.
+func (s *Scheduler) RegistrationsRead(at state.Time) {
+	s.registrationsRead = max(s.registrationsRead, at)
+}
+
 func (s *Scheduler) loseContact(now state.Time, id workload.UpstreamID, closed bool) {
 	if u := s.upstreams[id]; u != nil && !u.unreachable {
 		u.unreachable, u.unreachableSince, u.closed = true, now, closed
--- a/internal/state/scheduler/scheduler.go
+++ b/internal/state/scheduler/scheduler.go
@@ -18,6 +18,9 @@
 	// UnconfirmedUntil is the time from which no run of a previous owner can exist any
 	// more.
 	UnconfirmedUntil state.Time
+	// Lease is the time after the newest answer of an upstream from which none of its runs exists;
+	// 0 if it is not known.
+	Lease state.Time
 	// StartList names the upstreams on which former owners may have started tasks that the
 	// log does not show.
 	StartList StartList
@@ -44,6 +47,8 @@
 	stops     []Stop
 	losses    []Loss
 	givenUp   []GivenUp
+	// registrationsRead is the time up to which the registrations were read.
+	registrationsRead state.Time
 	// outages remembers when contact to upstreams was lost, trials the jobs that are tried alone.
 	outages   crashes.Outages
 	trials    map[workload.JobID]*trial
--- a/internal/state/scheduler/simulation_test.go
+++ b/internal/state/scheduler/simulation_test.go
@@ -117,7 +117,7 @@
 func newSimulation(t testing.TB, config *workload.Config) *simulation {
 	config.Index()
 	sim := &simulation{t: t, config: config, jobs: map[workload.JobID]*simJob{}, rand: rand.New(rand.NewPCG(1, 2)), recorded: map[workload.JobID]ledger.JobState{}, epoch: 1, advisorFreeAt: map[string]state.Time{}}
-	sim.s = New(config, Options{FirstRun: 1, Advisors: advisorNames(manyAdvisors)})
+	sim.s = New(config, Options{FirstRun: 1, Advisors: advisorNames(manyAdvisors), Lease: simLease})
 	sim.now = time.Second
 	sim.runFails = func(Run) bool { return false }
 	sim.slowdown = func(workload.UpstreamID) float64 { return 1 }
@@ -227,6 +227,7 @@
 
 func (sim *simulation) plan() {
 	sim.s.Tick(sim.unix())
+	sim.s.RegistrationsRead(sim.now)
 	p := sim.s.Plan(sim.now)
 	sim.moves += len(p.DomainMoves)
 	sim.recordAndSend(p.Starts)
@@ -278,7 +279,7 @@
 	sim.handOverRunTimes()
 	sim.s = New(sim.config, Options{
 		StartList: sim.log.list(sim.config.Version),
-		FirstRun:  sim.epoch * 10_000, Advisors: advisorNames(manyAdvisors), UnconfirmedUntil: sim.now + 5*time.Second, RunTimes: sim.runTimes,
+		FirstRun:  sim.epoch * 10_000, Advisors: advisorNames(manyAdvisors), UnconfirmedUntil: sim.now + 5*time.Second, Lease: simLease, RunTimes: sim.runTimes,
 		Lookup: func(id workload.JobID) *workload.Job { return sim.jobs[id].spec },
 	})
 	for id, j := range sim.jobs {
