Tell an append that the log refuses for good, and keep callers' appends within its limits

Cause: platform.Log.Append made ErrNotDone of each refusal, also of one that no retry can change; an entry batched up to 256 records of callers whatever their size.

An entry appends as many records as fit platform.record_bytes and platform.request_bytes (new optional settings with the platform's values as defaults; the template does not set them, as the release in production refuses unknown keys), sends the records of a refused batch one by one, and answers the caller of a refused record 429 without Retry-After.

--- a/internal/coordination/intake/batch.go
+++ b/internal/coordination/intake/batch.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"sync"
 	"time"
 
@@ -12,8 +14,7 @@
 const (
 	// batchTimeout bounds one append for callers of this entry.
 	batchTimeout = 2 * time.Second
-	// maxBatch is the maximum number of records in one append; each is at most a few kB
-	// and an append may hold 2 MB.
+	// maxBatch is the maximum number of records in one append.
 	maxBatch = 256
 )
 
@@ -21,6 +22,7 @@
 // a slow log takes few appends per second, whatever their size.
 type batcher struct {
 	log     port.Log
+	limits  ledger.Limits
 	mu      sync.Mutex
 	waiting []*pending
 	running bool
@@ -39,6 +41,9 @@
 	if ctx.Err() != nil {
 		return port.ErrNotDone
 	}
+	if b.limits.Fit([]ledger.Record{record}) == 0 {
+		return &port.RejectedError{Reason: fmt.Sprintf("the record %q has %d bytes, of %d", record.Key, record.Size(), b.limits.RecordBytes)}
+	}
 	p := &pending{record, make(chan error, 1)}
 	b.mu.Lock()
 	b.waiting = append(b.waiting, p)
@@ -76,24 +81,37 @@
 func (b *batcher) run() {
 	for {
 		b.mu.Lock()
-		n := min(len(b.waiting), maxBatch)
-		if n == 0 {
+		if len(b.waiting) == 0 {
 			b.running = false
 			b.mu.Unlock()
 			return
 		}
+		records := make([]ledger.Record, 0, min(len(b.waiting), maxBatch))
+		for _, p := range b.waiting[:cap(records)] {
+			records = append(records, p.record)
+		}
+		n := b.limits.Fit(records) // at least 1, as each record fits by itself
 		current := b.waiting[:n:n]
 		b.waiting = append([]*pending(nil), b.waiting[n:]...)
 		b.mu.Unlock()
-		records := make([]ledger.Record, n)
-		for i, p := range current {
-			records[i] = p.record
-		}
-		ctx, cancel := context.WithTimeout(context.Background(), batchTimeout)
-		_, err := b.log.Append(ctx, port.Append{Topic: port.TopicJobs, Records: records, At: port.AnyOffset})
-		cancel()
-		for _, p := range current {
-			p.done <- err
+		b.send(current, records[:n])
+	}
+}
+
+// send appends the records of callers. If the log refuses them together for good, each is sent by
+// itself, so that one cannot hold up the others.
+func (b *batcher) send(callers []*pending, records []ledger.Record) {
+	ctx, cancel := context.WithTimeout(context.Background(), batchTimeout)
+	_, err := b.log.Append(ctx, port.Append{Topic: port.TopicJobs, Records: records, At: port.AnyOffset})
+	cancel()
+	var rejected *port.RejectedError
+	if len(callers) > 1 && errors.As(err, &rejected) {
+		for i, p := range callers {
+			b.send([]*pending{p}, records[i:i+1])
 		}
+		return
+	}
+	for _, p := range callers {
+		p.done <- err
 	}
 }
--- a/internal/coordination/intake/intake.go
+++ b/internal/coordination/intake/intake.go
@@ -100,7 +100,7 @@
 // New returns an Intake. self is the address at which other entries reach this one.
 func New(log Log, r *replica.Replica, owner Owner, peers Peers, self string, logger hclog.Logger, registry metrics.Registry) *Intake {
 	return &Intake{
-		log: log, batch: &batcher{log: log}, replica: r, owner: owner, peers: peers, self: self, logger: logger,
+		log: log, batch: &batcher{log: log, limits: ledger.Limits{}.WithDefaults()}, replica: r, owner: owner, peers: peers, self: self, logger: logger,
 		accepted: metrics.GetOrRegisterCounter("intake.accepted", registry),
 		rejected: metrics.GetOrRegisterCounter("intake.rejected", registry),
 		unknown:  metrics.GetOrRegisterCounter("intake.unanswered", registry),
@@ -112,6 +112,9 @@
 // must be called before the first request.
 func (in *Intake) SetDomain(d state.DomainID) { in.domain = d }
 
+// SetLimits sets the limits of the log's appends. It must be called before the first request.
+func (in *Intake) SetLimits(l ledger.Limits) { in.batch.limits = l.WithDefaults() }
+
 // Submit accepts a job. Submitting a job with a known ID again succeeds without effect.
 func (in *Intake) Submit(ctx context.Context, job *workload.Job) error {
 	if row, ok := in.replica.Row(job.ID); ok && row.Job != nil {
@@ -128,7 +131,8 @@
 	took := time.Since(began)
 	in.latency.Update(took.Microseconds())
 	var refused *port.RefusedError
-	if (errors.As(err, &refused) || errors.Is(err, port.ErrNotDone)) && in.unconfirmed.has(job.ID, began) {
+	var rejected *port.RejectedError
+	if (errors.As(err, &refused) || errors.As(err, &rejected) || errors.Is(err, port.ErrNotDone)) && in.unconfirmed.has(job.ID, began) {
 		err = unconfirmedError(errRepeated)
 	}
 	switch {
@@ -140,6 +144,10 @@
 		in.rejected.Inc(1)
 		in.logger.Info("job refused", "job", job.ID, "queue", job.Queue, "workspace", job.Workspace, "via", via, "retry_after_ms", refused.RetryAfter.Milliseconds(), "cause", refused.Cause, "reason", refused.Reason)
 		return &NotAcceptedError{Reason: refused.Reason, RetryAfter: refused.RetryAfter, Refused: true}
+	case errors.As(err, &rejected):
+		in.rejected.Inc(1)
+		in.logger.Warn("job refused: the log does not take its record", "job", job.ID, "queue", job.Queue, "workspace", job.Workspace, "via", via, "bytes", record.Size(), "error", err)
+		return &NotAcceptedError{Reason: "the log does not take a job of this size; split it", Refused: true}
 	case errors.Is(err, port.ErrNotDone):
 		in.rejected.Inc(1)
 		in.logger.Warn("job rejected", "job", job.ID, "queue", job.Queue, "workspace", job.Workspace, "via", via, "took_ms", took.Milliseconds(), "error", err)
@@ -168,10 +176,11 @@
 			return via, nil
 		}
 		var refused *port.RefusedError
-		switch {
-		case errors.As(err, &refused) && unconfirmed == nil:
+		var rejected *port.RejectedError
+		switch refusal := errors.As(err, &refused) || errors.As(err, &rejected); {
+		case refusal && unconfirmed == nil:
 			return via, err
-		case refused != nil:
+		case refusal:
 			return via, unconfirmedError(unconfirmed)
 		case !errors.Is(err, port.ErrNotOwner) && !port.NotSent(err):
 			unconfirmed = err
@@ -181,7 +190,10 @@
 			if err == nil {
 				return via, nil
 			}
-			if !errors.Is(err, port.ErrNotDone) {
+			switch {
+			case errors.As(err, &rejected) && unconfirmed == nil:
+				return via, err
+			case !errors.Is(err, port.ErrNotDone):
 				unconfirmed = err
 			}
 		}
--- a/internal/coordination/intake/intake_test.go
+++ b/internal/coordination/intake/intake_test.go
@@ -29,6 +29,9 @@
 	slow        bool
 	unreachable bool
 	delay       time.Duration
+	// limits are those of the log, which refuses larger appends for good; 0 for none.
+	limits   ledger.Limits
+	rejected int
 	// failures is how many appends fail while err is set; negative means all of them.
 	failures int
 }
@@ -45,6 +48,10 @@
 	if l.err != nil && (l.failures < 0 || l.appends <= l.failures) {
 		return 0, l.err
 	}
+	if l.limits.RecordBytes > 0 && l.limits.Fit(a.Records) < len(a.Records) {
+		l.rejected++
+		return 0, &port.RejectedError{Reason: "too large"}
+	}
 	l.records = append(l.records, a.Records...)
 	return int64(len(l.records)), nil
 }
--- a/internal/coordination/port/port.go
+++ b/internal/coordination/port/port.go
@@ -149,6 +149,17 @@
 	return fmt.Sprintf("port: job refused: %s; submit it again after %s", e.Reason, e.RetryAfter)
 }
 
+// RejectedError means that the log refuses an append for what it holds, such as a record that is
+// too large. Nothing was done, and the same append would be refused again.
+type RejectedError struct {
+	// Reason is the log's answer.
+	Reason string
+}
+
+func (e *RejectedError) Error() string {
+	return "port: the log refuses the append for good: " + e.Reason + "; append less, or compare platform.record_bytes and platform.request_bytes with the log's limits"
+}
+
 // RelayedError means that a relaying entry was reached but got no response from the log;
 // the call may have been carried out.
 type RelayedError struct{ Cause string }
--- a/internal/coordination/relay/relay.go
+++ b/internal/coordination/relay/relay.go
@@ -106,7 +106,8 @@
 // isAnswer reports whether an error, or nil, is an answer of the log itself.
 func isAnswer(err error) bool {
 	var conflict *port.ConflictError
-	return err == nil || errors.Is(err, port.ErrFenced) || errors.Is(err, port.ErrExpired) || errors.As(err, &conflict)
+	var rejected *port.RejectedError
+	return err == nil || errors.As(err, &rejected) || errors.Is(err, port.ErrFenced) || errors.Is(err, port.ErrExpired) || errors.As(err, &conflict)
 }
 
 // tryDirectRead reports whether a read is attempted directly.
--- a/internal/coordination/relay/relay_test.go
+++ b/internal/coordination/relay/relay_test.go
@@ -74,7 +74,7 @@
 }
 
 func TestAppendOutcome(t *testing.T) {
-	conflict := &port.ConflictError{End: 3}
+	conflict, rejected := &port.ConflictError{End: 3}, &port.RejectedError{Reason: "too large"}
 	cases := []struct {
 		name         string
 		direct, peer []error
@@ -87,6 +87,8 @@
 		{name: "direct response lost and peers reject", direct: []error{errResponseLost}, peer: []error{port.ErrNotDone}, want: errResponseLost, peerCalls: 2},
 		{name: "peer response lost", direct: []error{port.ErrNotDone}, peer: []error{errResponseLost, port.ErrNotDone}, want: errResponseLost, peerCalls: 2},
 		{name: "conflict is not retried", direct: []error{conflict}, peer: []error{nil}, want: conflict},
+		{name: "append refused for good is not retried", direct: []error{rejected}, peer: []error{nil}, want: rejected},
+		{name: "append refused for good through a peer is not retried", direct: []error{port.ErrNotDone}, peer: []error{rejected, nil}, want: rejected, peerCalls: 1},
 		{name: "fenced append is not retried", direct: []error{port.ErrFenced}, peer: []error{nil}, want: port.ErrFenced},
 	}
 	for _, c := range cases {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -158,6 +158,7 @@
 		StartsWithoutRecord: s.Upstream.StartsWithoutRecord, LearnedRunTimes: s.Placement.LearnedRunTimes, Logger: logger, Registry: registry,
 	})
 	p.intake = intake.New(p.log, p.replica, p.manager, p.peers, id.address, logger, registry)
+	p.intake.SetLimits(s.Platform.Limits())
 	p.intake.SetDomain(state.DomainID(s.Entry.Domain))
 	return p
 }
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -3,6 +3,8 @@
 import (
 	"net/netip"
 	"time"
+
+	"github.com/samphirerail/samphirerail/internal/state/ledger"
 )
 
 // Node holds the settings of an entry on the users' platform.
@@ -48,6 +50,21 @@
 	Log string `toml:"log"`
 	// Advice is the advice service; empty if there is none.
 	Advice string `toml:"advice"`
+	// RecordBytes and RequestBytes are the largest record and the largest append that the log
+	// takes.
+	RecordBytes  int `toml:"record_bytes"`
+	RequestBytes int `toml:"request_bytes"`
+}
+
+// Allowed values of NodePlatform.RecordBytes and RequestBytes.
+const (
+	minLogBytes = 64 << 10
+	maxLogBytes = 64 << 20
+)
+
+// Limits returns the limits of the log's appends.
+func (p *NodePlatform) Limits() ledger.Limits {
+	return ledger.Limits{RecordBytes: p.RecordBytes, RequestBytes: p.RequestBytes}
 }
 
 // NodePeers configures the discovery of other entries before they are known from the
@@ -108,6 +125,7 @@
 // DefaultNode returns the values of settings that a file does not set.
 func DefaultNode() Node {
 	return Node{
+		Platform:  NodePlatform{RecordBytes: ledger.DefaultRecordBytes, RequestBytes: ledger.DefaultRequestBytes},
 		Upstream:  NodeUpstream{Lease: Duration(5 * time.Second), Retention: Duration(150 * time.Second)},
 		Placement: NodePlacement{LearnedRunTimes: true},
 		Shutdown:  Shutdown{BalancerDelay: Duration(2500 * time.Millisecond), Timeout: Duration(5 * time.Second)},
@@ -131,6 +149,8 @@
 	if s.Platform.Advice != "" {
 		c.address("platform.advice", s.Platform.Advice)
 	}
+	c.number("platform.record_bytes", float64(s.Platform.RecordBytes), minLogBytes, maxLogBytes)
+	c.number("platform.request_bytes", float64(s.Platform.RequestBytes), float64(s.Platform.RecordBytes), maxLogBytes)
 	c.addresses("peers.seeds", s.Peers.Seeds, 0)
 	c.number("limits.memory_mb", float64(s.Limits.MemoryMB), 0, 1<<20)
 	c.number("limits.cpu_share", s.Limits.CPUShare, 0, 1024)
--- a/internal/transport/peer/peer.go
+++ b/internal/transport/peer/peer.go
@@ -101,14 +101,18 @@
 	faultNotOwner
 	faultUnknown
 	faultRefused
+	faultRejected
 )
 
 func faultOf(err error) Fault {
 	var conflict *port.ConflictError
 	var refused *port.RefusedError
+	var rejected *port.RejectedError
 	switch {
 	case err == nil:
 		return Fault{}
+	case errors.As(err, &rejected):
+		return Fault{Kind: faultRejected, Text: rejected.Reason}
 	case errors.As(err, &refused):
 		return Fault{Kind: faultRefused, Cause: refused.Cause, Text: refused.Reason, RetryAfter: refused.RetryAfter}
 	case errors.Is(err, port.ErrNotDone):
@@ -143,6 +147,8 @@
 		return &port.ConflictError{End: f.End}
 	case faultRefused:
 		return &port.RefusedError{Cause: f.Cause, Reason: f.Text, RetryAfter: f.RetryAfter}
+	case faultRejected:
+		return &port.RejectedError{Reason: f.Text}
 	case faultUnknown:
 	}
 	return &port.RelayedError{Cause: f.Text}
--- a/internal/transport/peer/peer_test.go
+++ b/internal/transport/peer/peer_test.go
@@ -197,3 +197,11 @@
 	want := &port.RefusedError{Cause: "too_late", Reason: "too busy", RetryAfter: 3 * time.Second}
 	is.Equal(faultOf(want).Err(), want)
 }
+
+// TestRefusalForGoodIsRelayed guards against an append through another entry that is repeated for
+// ever because the log's refusal arrives as an unknown outcome.
+func TestRefusalForGoodIsRelayed(t *testing.T) {
+	is := is.New(t)
+	want := &port.RejectedError{Reason: "too large"}
+	is.Equal(faultOf(want).Err(), want)
+}
