Give the record of a job's state a compact form for the progress of a series

Change: Series follows the crashes in the record: the first occurrence that has not begun, and those before it that are not complete. Its size goes with the occurrences at work. An entry of the release in production ignores it and takes an occurrence as complete only if it is listed; complete ones stay listed while they are few, and are dropped when the record is read. Once they are not listed, these entries read the job as cancelled at no time: they start nothing of it, and neither replace nor drop its record. Until they are replaced they show it as cancelled.

--- a/internal/state/ledger/crashes.go
+++ b/internal/state/ledger/crashes.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"bytes"
 	"fmt"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -18,9 +19,9 @@
 }
 
 // appendCrashes appends the crashes to a job's encoded state. Entries of a former release
-// ignore what follows the state.
-func appendCrashes(value []byte, crashes []TaskCrashes) ([]byte, error) {
-	if len(crashes) == 0 {
+// ignore what follows the state. more says that another value follows.
+func appendCrashes(value []byte, crashes []TaskCrashes, more bool) ([]byte, error) {
+	if len(crashes) == 0 && !more {
 		return value, nil
 	}
 	data, err := msgpack.Marshal(crashes)
@@ -30,13 +31,21 @@
 	return append(value, data...), nil
 }
 
-// decodeState decodes a job's state and the crashes that follow it.
+// decodeState decodes a job's state, and the crashes and the series that follow it.
 func decodeState(r Record, into *JobState) error {
 	rest, err := decodePrefix(r, into)
 	if err != nil || len(rest) == 0 {
 		return err
 	}
-	if err := msgpack.Unmarshal(rest, &into.Crashes); err != nil {
+	in := bytes.NewReader(rest)
+	decoder := msgpack.NewDecoder(in)
+	if err := decoder.Decode(&into.Crashes); err != nil {
+		return unreadable(r, err)
+	}
+	if in.Len() == 0 {
+		return nil
+	}
+	if err := decodeSeries(decoder, into); err != nil {
 		return unreadable(r, err)
 	}
 	return nil
--- a/internal/state/ledger/record.go
+++ b/internal/state/ledger/record.go
@@ -106,6 +106,9 @@
 	// Crashes holds the tasks under which upstreams have crashed. It follows the other fields in
 	// the record, as Claim.StartList does.
 	Crashes []TaskCrashes `msgpack:"-"`
+	// Series is the progress of a job that repeats, nil for another job and in the states that
+	// former releases wrote. It follows the crashes in the record.
+	Series *Series `msgpack:"-"`
 }
 
 // StepState is the progress of a step in one occurrence.
@@ -136,6 +139,9 @@
 	if s.Phase > Cancelled {
 		return fmt.Errorf("the phase %d is unknown; upgrade the entry", uint8(s.Phase))
 	}
+	if err := s.Series.validate(); err != nil {
+		return err
+	}
 	for i := range s.Steps {
 		step := &s.Steps[i]
 		if step.Occurrence < 0 || step.Step < 0 {
@@ -186,11 +192,18 @@
 
 // StateRecord returns the record of a job's state.
 func StateRecord(id workload.JobID, s *JobState) (Record, error) {
-	r, err := encode(string(kindState)+string(id), s)
+	stored := *s
+	if s.Series != nil && s.Series.Unlisted {
+		stored.Phase, stored.FinalUnixMS = Cancelled, 0 // see Series
+	}
+	r, err := encode(string(kindState)+string(id), &stored)
 	if err != nil {
 		return r, err
 	}
-	r.Value, err = appendCrashes(r.Value, s.Crashes)
+	if r.Value, err = appendCrashes(r.Value, s.Crashes, s.Series != nil); err != nil {
+		return r, err
+	}
+	r.Value, err = appendSeries(r.Value, s)
 	return r, err
 }
 
