Refuse jobs at acceptance whose state could outgrow a record

Cause: Job.Validate bounded steps and tasks one by one and not what the owner records of them, though its comment said that the state fits one record.

--- a/internal/coordination/intake/batch.go
+++ b/internal/coordination/intake/batch.go
@@ -34,6 +34,14 @@
 	done   chan error
 }
 
+// check returns a *port.RejectedError for a record that the log does not take.
+func (b *batcher) check(record ledger.Record) error {
+	if b.limits.Fit([]ledger.Record{record}) > 0 {
+		return nil
+	}
+	return &port.RejectedError{Reason: fmt.Sprintf("the record %q has %d bytes, of %d", record.Key, record.Size(), b.limits.RecordBytes)}
+}
+
 // append waits until the record is appended or the context ends. If the context ends
 // while the record is in flight, it may still be appended; if it was not sent yet, append
 // returns port.ErrNotDone.
@@ -41,8 +49,8 @@
 	if ctx.Err() != nil {
 		return port.ErrNotDone
 	}
-	if b.limits.Fit([]ledger.Record{record}) == 0 {
-		return &port.RejectedError{Reason: fmt.Sprintf("the record %q has %d bytes, of %d", record.Key, record.Size(), b.limits.RecordBytes)}
+	if err := b.check(record); err != nil {
+		return err
 	}
 	p := &pending{record, make(chan error, 1)}
 	b.mu.Lock()
--- a/internal/coordination/intake/batch_test.go
+++ b/internal/coordination/intake/batch_test.go
@@ -68,11 +68,12 @@
 	is.Equal(len(log.records), 10)
 }
 
-// TestJobLargerThanARecordIsNotSent guards against an append that the log can only refuse.
+// TestJobLargerThanARecordIsNotSent guards against an append that the log can only refuse, here or
+// at the owner.
 func TestJobLargerThanARecordIsNotSent(t *testing.T) {
 	is := is.New(t)
 	log := &memoryLog{}
-	in := newIntake(t, log, &remoteOwner{err: notSentError{}})
+	in := newIntake(t, log, &remoteOwner{}) // an owner that accepts it
 	in.SetLimits(ledger.Limits{RecordBytes: 1000})
 	job := testJob()
 	job.Payload = strings.Repeat("x", 4000)
--- a/internal/coordination/intake/intake.go
+++ b/internal/coordination/intake/intake.go
@@ -127,7 +127,10 @@
 		return err
 	}
 	began := time.Now()
-	via, err := in.record(ctx, record)
+	via, err := "", in.batch.check(record)
+	if err == nil {
+		via, err = in.record(ctx, record)
+	}
 	took := time.Since(began)
 	in.latency.Update(took.Microseconds())
 	var refused *port.RefusedError
--- a/internal/state/ledger/record.go
+++ b/internal/state/ledger/record.go
@@ -244,7 +244,7 @@
 	if string(job.ID) != r.Key[1:] || !job.ID.Valid() {
 		return nil, fmt.Errorf("ledger: the record %q at offset %d holds the job %q", r.Key, r.Offset, job.ID)
 	}
-	if err := job.Validate(); err != nil {
+	if err := job.CheckForm(); err != nil {
 		return nil, fmt.Errorf("ledger: the record %q at offset %d holds an invalid job: %w", r.Key, r.Offset, err)
 	}
 	return job, nil
--- a/internal/state/workload/job.go
+++ b/internal/state/workload/job.go
@@ -5,8 +5,6 @@
 
 import (
 	"fmt"
-	"strconv"
-	"strings"
 	"time"
 
 	"github.com/samphirerail/samphirerail/internal/state"
@@ -135,7 +133,7 @@
 // Estimate returns the declared run time of a task.
 func (s *Step) Estimate() time.Duration { return time.Duration(s.EstimateMS) * time.Millisecond }
 
-// Limits of an accepted job. The encoded state of a job must fit one record of the log.
+// Limits of the form of a job.
 const (
 	maxSteps        = 256
 	maxTasksPerStep = 20_000
@@ -152,6 +150,15 @@
 
 // Validate returns an *InvalidJobError if the job can't be accepted.
 func (j *Job) Validate() error {
+	if err := j.CheckForm(); err != nil {
+		return err
+	}
+	return j.checkBounds()
+}
+
+// CheckForm returns an *InvalidJobError if no release accepts the job. A former one may have
+// accepted a job of this form that Validate rejects.
+func (j *Job) CheckForm() error {
 	switch {
 	case len(j.Payload) > maxPayload:
 		return &InvalidJobError{fmt.Sprintf("the payload has %d bytes, the most is %d", len(j.Payload), maxPayload)}
@@ -182,55 +189,3 @@
 	}
 	return nil
 }
-
-// TaskID identifies a task of a job.
-type TaskID struct {
-	Job        JobID
-	Occurrence int
-	Step       int
-	Index      int
-}
-
-// String returns the ID in the form that is sent to upstreams:
-// JOB.OCCURRENCE.STEP.INDEX.
-func (t TaskID) String() string {
-	b := make([]byte, 0, idDigits+12)
-	b = append(b, t.Job...)
-	for _, n := range [...]int{t.Occurrence, t.Step, t.Index} {
-		b = append(b, '.')
-		b = strconv.AppendInt(b, int64(n), 10)
-	}
-	return string(b)
-}
-
-// StepID returns the ID of the task's step.
-func (t TaskID) StepID() StepID { return StepID{t.Job, t.Occurrence, t.Step} }
-
-// StepID identifies a step of one occurrence of a job.
-type StepID struct {
-	Job        JobID
-	Occurrence int
-	Step       int
-}
-
-// String returns the ID in the form JOB.OCCURRENCE.STEP.
-func (s StepID) String() string {
-	return string(s.Job) + "." + strconv.Itoa(s.Occurrence) + "." + strconv.Itoa(s.Step)
-}
-
-// ParseTaskID parses the form that TaskID.String returns.
-func ParseTaskID(text string) (TaskID, error) {
-	parts := strings.Split(text, ".")
-	if len(parts) != 4 || !JobID(parts[0]).Valid() {
-		return TaskID{}, fmt.Errorf("task ID %q does not have the form JOB.OCCURRENCE.STEP.INDEX", text)
-	}
-	id := TaskID{Job: JobID(parts[0])}
-	for i, field := range [...]*int{&id.Occurrence, &id.Step, &id.Index} {
-		n, err := strconv.Atoi(parts[i+1])
-		if err != nil || n < 0 {
-			return TaskID{}, fmt.Errorf("task ID %q: %q is not a number", text, parts[i+1])
-		}
-		*field = n
-	}
-	return id, nil
-}
