Make the occurrences of a job when they are due, and its tasks when they are placed

Cause: AddJob made the steps and tasks of all occurrences, and each iteration went over all of them. The record listed each complete occurrence and every task at work without a bound.

Ruled out: refusing long series, which callers submit; recording the state of a wide job in several records, of which entries of the release in production would read the first only and start the tasks of the others again.

Change: a job holds the occurrences that are due and not complete, a step the tasks that were placed and are not complete, or have runs; complete tasks are a bit each, complete occurrences nothing. An occurrence begins when it is due and the state of the others leaves room, so overdue ones go in parts. A run of a complete occurrence is adopted and stopped as before, one before its time is stopped. The states of the release in production are read on. The lists of unconfirmed tasks are no longer walked to their ends for each task.

The simulation now reads the recorded states back through the ledger at each takeover.

--- a/internal/state/ledger/record.go
+++ b/internal/state/ledger/record.go
@@ -6,6 +6,7 @@
 import (
 	"bytes"
 	"fmt"
+	"math/bits"
 
 	"github.com/vmihailenco/msgpack/v5"
 
@@ -169,6 +170,22 @@
 	s.Done[index/8] |= 1 << (index % 8)
 }
 
+// SetAllDone marks all of a number of tasks as complete.
+func (s *StepState) SetAllDone(count int) {
+	s.Done = bytes.Repeat([]byte{0xff}, (count+7)/8)
+	if rest := count % 8; rest > 0 {
+		s.Done[len(s.Done)-1] = 1<<rest - 1
+	}
+}
+
+// CountDone returns the number of complete tasks.
+func (s *StepState) CountDone() (n int) {
+	for _, b := range s.Done {
+		n += bits.OnesCount8(b)
+	}
+	return n
+}
+
 // IsDone reports whether a task is complete.
 func (s *StepState) IsDone(index int) bool {
 	return index/8 < len(s.Done) && s.Done[index/8]&(1<<(index%8)) != 0
--- a/internal/state/scheduler/advice.go
+++ b/internal/state/scheduler/advice.go
@@ -199,7 +199,7 @@
 }
 
 func (s *Scheduler) releaseAwaiting(now state.Time, st *step) {
-	for _, t := range st.tasks {
+	for _, t := range slices.Clone(st.tasks) {
 		for _, r := range append([]*run(nil), t.runs...) {
 			if r.phase == awaitingTicket {
 				s.release(now, r, false)
@@ -214,7 +214,7 @@
 func (s *Scheduler) ApplyAdvice(now state.Time, req *AdviceRequest, tickets map[workload.UpstreamID]string, validUntil state.Time, failed bool) []Start {
 	s.advisors.finish(now, req, failed)
 	j := s.jobs[req.Step.Job]
-	if j == nil || req.Step.Occurrence >= len(j.steps) {
+	if j == nil || j.steps[req.Step.Occurrence] == nil {
 		return nil
 	}
 	st := j.steps[req.Step.Occurrence][req.Step.Step]
@@ -248,7 +248,7 @@
 	var plan Plan
 	p := placement{s: s, now: now, step: st, queue: &workload.Queue{Advice: &req.Advice}, plan: &plan}
 	if st.spec.Gang {
-		if len(st.tasks[0].runs) == 0 || st.tasks[0].runs[0].phase != awaitingTicket {
+		if len(st.tasks) == 0 || len(st.tasks[0].runs) == 0 || st.tasks[0].runs[0].phase != awaitingTicket {
 			return nil
 		}
 		p.startGangIfTicketed()
--- a/internal/state/scheduler/learn.go
+++ b/internal/state/scheduler/learn.go
@@ -121,6 +121,9 @@
 
 // allRunning reports whether all members of a gang are running.
 func (st *step) allRunning() bool {
+	if st.untouched() > 0 {
+		return false
+	}
 	for _, t := range st.tasks {
 		if len(t.runs) == 0 || t.runs[0].phase != running {
 			return false
--- a/internal/state/scheduler/losses.go
+++ b/internal/state/scheduler/losses.go
@@ -188,10 +188,11 @@
 // restoreCrashes applies the recorded crashes of a job's tasks.
 func (s *Scheduler) restoreCrashes(j *job, recorded []ledger.TaskCrashes) {
 	for _, c := range recorded {
-		if c.Occurrence >= len(j.steps) || c.Step >= len(j.steps[c.Occurrence]) || c.Index >= len(j.steps[c.Occurrence][c.Step].tasks) {
+		steps := j.steps[c.Occurrence]
+		if c.Step >= len(steps) || c.Index >= steps[c.Step].spec.Count || steps[c.Step].isDone(c.Index) {
 			continue
 		}
-		t := j.steps[c.Occurrence][c.Step].tasks[c.Index]
+		t := steps[c.Step].task(c.Index)
 		t.crashes = crashes.Record{
 			Certain: c.Certain, Uncertain: c.Uncertain, Shared: c.Shared, Blame: c.BlamePercent, Alone: c.Alone, Age: time.Duration(c.AgeMS) * time.Millisecond,
 		}
@@ -204,15 +205,13 @@
 
 // recordCrashes returns what is held against the tasks of a job that are not complete.
 func (j *job) recordCrashes() (out []ledger.TaskCrashes) {
-	for k, steps := range j.steps {
-		for i, st := range steps {
-			for _, t := range st.tasks {
-				if c := &t.crashes; !c.Empty() && !t.done {
-					out = append(out, ledger.TaskCrashes{
-						Occurrence: k, Step: i, Index: t.index, Certain: c.Certain, Uncertain: c.Uncertain, Shared: c.Shared, BlamePercent: c.Blame, Alone: c.Alone,
-						AgeMS: c.Age.Milliseconds(), Observed: true,
-					})
-				}
+	for st := range j.all() {
+		for _, t := range st.tasks {
+			if c := &t.crashes; !c.Empty() && !t.done {
+				out = append(out, ledger.TaskCrashes{
+					Occurrence: st.occurrence, Step: st.index, Index: t.index, Certain: c.Certain, Uncertain: c.Uncertain, Shared: c.Shared, BlamePercent: c.Blame, Alone: c.Alone,
+					AgeMS: c.Age.Milliseconds(), Observed: true,
+				})
 			}
 		}
 	}
--- a/internal/state/scheduler/model.go
+++ b/internal/state/scheduler/model.go
@@ -230,7 +230,12 @@
 	occurrence int
 	index      int
 	spec       *workload.Step
-	tasks      []*task
+	// tasks holds the tasks that were placed and are not complete, or still have runs, by index.
+	tasks []*task
+	// done is a bit set of the complete tasks; it is not kept once all are.
+	done []byte
+	// cursor is the index below which each task was placed.
+	cursor int
 	// home is the home domain of the job if the step is to be placed there.
 	home state.DomainID
 	// left counts the tasks that are not complete.
@@ -280,8 +285,12 @@
 type job struct {
 	id        workload.JobID
 	spec      *workload.Job
-	steps     [][]*step // indexed by occurrence, then by step
-	openSteps int       // steps that are not complete
+	steps     map[int][]*step // of the occurrences that the job holds; see begin
+	openSteps int             // of these, the steps that are not complete
+	// next is the first occurrence that has not begun.
+	next int
+	// atWork is the number of tasks that the steps hold.
+	atWork    int
 	phase     ledger.Phase
 	cancelled bool
 	begun     bool
--- a/internal/state/scheduler/moveout.go
+++ b/internal/state/scheduler/moveout.go
@@ -117,6 +117,7 @@
 func (l *leavingStep) describe(pl *pool) evacuation.Service {
 	st := l.step
 	sv := evacuation.Service{Demand: st.spec.Demand(), MayMiss: st.spec.MayMiss, Working: len(l.working), Idle: len(l.idle), Places: make([]int, len(pl.members))}
+	sv.Interrupted, sv.Waiting = st.untouched(), st.untouched()
 	for _, t := range st.tasks {
 		if t.done {
 			continue
--- a/internal/state/scheduler/place.go
+++ b/internal/state/scheduler/place.go
@@ -39,10 +39,10 @@
 	case len(candidates) == 0:
 		exhausted = true
 	case !p.step.spec.Gang:
-		placed, exhausted = p.placeSingles(p.step.waitingTasks(), candidates)
+		placed, exhausted = p.placeSingles(waiting, candidates)
 	case !p.s.withinMaximum(p.step.job.spec.Workspace, p.step.spec.Each.Scale(int64(waiting))):
 		p.s.waiting.Maximum += waiting
-	case p.placeGang(p.step.waitingTasks(), candidates):
+	case p.placeGang(waiting, candidates):
 		placed = waiting
 	default:
 		exhausted = true
@@ -57,24 +57,34 @@
 
 // placeSingles places independent tasks, each on the upstream with the lowest cost, until
 // none is left or the quota, the headroom or the candidates are exhausted.
-func (p *placement) placeSingles(waiting []*task, candidates []candidate) (placed int, exhausted bool) {
-	for i, t := range waiting {
+func (p *placement) placeSingles(waiting int, candidates []candidate) (placed int, exhausted bool) {
+	placedBefore := p.step.waitingTasks(false)
+	for i := range waiting {
 		if !p.s.withinMaximum(p.step.job.spec.Workspace, p.step.spec.Each) {
-			p.s.waiting.Maximum += len(waiting) - i
+			p.s.waiting.Maximum += waiting - i
 			return i, false
 		}
 		if !p.withinHeadroom(1) {
-			p.s.waiting.Capacity += len(waiting) - i
+			p.s.waiting.Capacity += waiting - i
 			return i, false
 		}
+		var t *task
+		if i < len(placedBefore) {
+			t = placedBefore[i]
+		}
 		best := p.best(t, candidates)
 		if best == nil {
 			return i, true
 		}
+		if t == nil {
+			if t = p.step.nextUntouched(); t == nil {
+				return i, false
+			}
+		}
 		best.free = best.free.Sub(p.step.spec.Demand())
 		p.assign(t, best.u, p.s.nextRun(t.lastRun))
 	}
-	return len(waiting), false
+	return waiting, false
 }
 
 // best returns the candidate with capacity that has the lowest cost, or nil. The task
@@ -117,18 +127,19 @@
 
 // placeGang places all tasks of a gang, or returns false if the candidates lack the
 // capacity for one of them.
-func (p *placement) placeGang(waiting []*task, candidates []candidate) bool {
+func (p *placement) placeGang(members int, candidates []candidate) bool {
 	var chosen []*upstream
 	if p.step.spec.SameRack {
-		chosen = p.chooseOneRack(waiting, candidates)
+		chosen = p.chooseOneRack(members, candidates)
 	}
 	if chosen == nil {
-		chosen = p.chooseSimilar(waiting, candidates)
+		chosen = p.chooseSimilar(members, candidates)
 	}
 	if chosen == nil {
 		return false
 	}
 	number := int64(0)
+	waiting := p.step.waitingTasks(true)
 	for _, t := range waiting {
 		number = max(number, t.lastRun)
 	}
@@ -153,7 +164,7 @@
 }
 
 // chooseOneRack returns an upstream for each task, all on one rack, or nil.
-func (p *placement) chooseOneRack(waiting []*task, candidates []candidate) []*upstream {
+func (p *placement) chooseOneRack(members int, candidates []candidate) []*upstream {
 	racks := map[string][]candidate{}
 	for _, c := range candidates {
 		racks[c.u.Rack()] = append(racks[c.u.Rack()], c)
@@ -164,7 +175,7 @@
 	}
 	slices.Sort(names)
 	for _, name := range names {
-		if chosen := p.chooseUpstreams(waiting, racks[name]); chosen != nil {
+		if chosen := p.chooseUpstreams(members, racks[name]); chosen != nil {
 			return chosen
 		}
 	}
@@ -172,10 +183,10 @@
 }
 
 // chooseUpstreams returns an upstream for each task, or nil if one can't be placed.
-func (p *placement) chooseUpstreams(waiting []*task, candidates []candidate) []*upstream {
+func (p *placement) chooseUpstreams(members int, candidates []candidate) []*upstream {
 	trial := slices.Clone(candidates)
-	chosen := make([]*upstream, 0, len(waiting))
-	for range waiting {
+	chosen := make([]*upstream, 0, members)
+	for range members {
 		best := p.best(nil, trial)
 		if best == nil {
 			return nil
--- a/internal/state/scheduler/plan.go
+++ b/internal/state/scheduler/plan.go
@@ -52,7 +52,7 @@
 	}
 	suspected := !s.heldBack(st) && len(st.suspects()) > 0
 	if waiting == 0 && !suspected {
-		if unconfirmed == 0 {
+		if unconfirmed == 0 && st.untouched() == 0 {
 			delete(s.ready, st)
 		}
 		return
@@ -102,6 +102,7 @@
 // counts those that may have a run on an upstream that has not been polled yet.
 func (st *step) countWaiting() (waiting, unconfirmed int) {
 	gangRuns := false
+	waiting = st.untouched()
 	for _, t := range st.tasks {
 		switch {
 		case t.done:
@@ -120,22 +121,11 @@
 	return waiting, unconfirmed
 }
 
-// waitingTasks returns the tasks that have no run and may get one.
-func (st *step) waitingTasks() []*task {
-	var out []*task
-	for _, t := range st.tasks {
-		if !t.done && len(t.runs) == 0 && t.unconfirmedOn == "" && (!t.isolated || st.spec.Gang) {
-			out = append(out, t)
-		}
-	}
-	return out
-}
-
 // stopIncompleteGang stops the members of a gang that does not run completely. An owner
 // starts all members together, but may fail in between. It reports whether any member
 // runs.
 func (s *Scheduler) stopIncompleteGang(now state.Time, st *step) bool {
-	missing := false
+	missing := st.untouched() > 0
 	var runs []*run
 	for _, t := range st.tasks {
 		missing = missing || (len(t.runs) == 0 && !t.done)
--- a/internal/state/scheduler/preempt.go
+++ b/internal/state/scheduler/preempt.go
@@ -65,6 +65,7 @@
 		return
 	}
 	waiting, _ := st.countWaiting()
+	waiting = st.startable(waiting)
 	if !next.rank.background() {
 		c.noteWait(now, st, q, waiting)
 	}
--- a/internal/state/scheduler/report.go
+++ b/internal/state/scheduler/report.go
@@ -185,6 +185,9 @@
 			// The run waits for slower gang members; all end together.
 			return false
 		}
+		if r.task.step.untouched() > 0 {
+			return false
+		}
 		for _, t := range r.task.step.tasks {
 			if len(t.runs) == 0 || t.runs[0].phase != running {
 				return false
@@ -203,6 +206,9 @@
 		t = s.taskOfEndedJob(reported.Task)
 	}
 	if t == nil || u.runs[reported.Task] != nil {
+		if t != nil {
+			t.step.dropIdle(t)
+		}
 		s.stops = append(s.stops, Stop{Run: Run{reported.Task, reported.Run, u.ID}, Reason: StopUnwanted, Percent: reported.Percent})
 		return nil
 	}
@@ -229,13 +235,7 @@
 	if spec == nil || id.Occurrence >= spec.Occurrences() || id.Step >= len(spec.Steps) {
 		return nil
 	}
-	j := &job{id: spec.ID, spec: spec, phase: ledger.Cancelled, cancelled: true, endedBeforeTakeover: true, begun: true, steps: make([][]*step, spec.Occurrences())}
-	for k := range j.steps {
-		j.steps[k] = make([]*step, len(spec.Steps))
-		for i := range spec.Steps {
-			j.steps[k][i] = newStep(j, k, i)
-		}
-	}
+	j := &job{id: spec.ID, spec: spec, phase: ledger.Cancelled, cancelled: true, endedBeforeTakeover: true, begun: true, steps: map[int][]*step{}}
 	s.jobs[j.id] = j
 	return s.task(id)
 }
@@ -247,6 +247,7 @@
 	if t == nil {
 		return
 	}
+	defer t.step.dropIdle(t)
 	r := u.runs[reported.Task]
 	if r != nil && r.Number != reported.Run {
 		r = nil
@@ -283,22 +284,26 @@
 // taskDone marks a task, or all tasks of a gang, as complete.
 func (s *Scheduler) taskDone(now state.Time, t *task) {
 	st := t.step
-	tasks := []*task{t}
-	if st.spec.Gang {
-		tasks = st.tasks
-	}
 	if t.done {
 		return
 	}
+	tasks := []*task{t}
+	if st.spec.Gang {
+		tasks = slices.Clone(st.tasks)
+		st.left = 0 // with those that were never placed
+	} else {
+		st.setDone(t.index)
+	}
 	for _, member := range tasks {
-		if member.done {
-			continue
-		}
 		member.done = true
 		s.clearUnconfirmed(member)
-		st.left--
 	}
 	s.stopCopies(now, t)
+	for _, member := range tasks {
+		if member != t { // that one's end is still being applied
+			st.dropIdle(member)
+		}
+	}
 	if st.left == 0 && !st.job.phase.Final() {
 		s.stepDone(now, st)
 	}
@@ -307,7 +312,7 @@
 func (s *Scheduler) stepDone(now state.Time, st *step) {
 	delete(s.ready, st)
 	st.job.openSteps--
-	if st.job.openSteps == 0 {
+	if st.job.complete() {
 		s.finish(now, st.job, ledger.Complete)
 		return
 	}
@@ -323,7 +328,8 @@
 func (s *Scheduler) taskFailed(now state.Time, u *upstream, t *task, number int64) {
 	counted := t
 	if t.step.spec.Gang {
-		counted = t.step.tasks[0]
+		counted = t.step.task(0)
+		defer t.step.dropIdle(counted)
 	}
 	if slices.Contains(counted.failed, number) {
 		return
@@ -362,15 +368,11 @@
 
 // task returns a task of a known job, or nil.
 func (s *Scheduler) task(id workload.TaskID) *task {
-	j := s.jobs[id.Job]
-	if j == nil || id.Occurrence >= len(j.steps) || id.Step >= len(j.steps[id.Occurrence]) {
-		return nil
-	}
-	st := j.steps[id.Occurrence][id.Step]
-	if id.Index >= len(st.tasks) {
+	st := s.stepOf(id.StepID())
+	if st == nil || id.Index >= st.spec.Count {
 		return nil
 	}
-	return st.tasks[id.Index]
+	return st.task(id.Index)
 }
 
 // markBegun marks a job as begun.
@@ -384,8 +386,6 @@
 // requeue makes a step's open tasks eligible for placement again.
 func (s *Scheduler) requeue(st *step) {
 	if st.left > 0 && !st.job.phase.Final() && st.predecessorsDone() {
-		if _, timed := s.timed[st]; !timed {
-			s.ready[st] = struct{}{}
-		}
+		s.ready[st] = struct{}{}
 	}
 }
--- a/internal/state/scheduler/runs.go
+++ b/internal/state/scheduler/runs.go
@@ -74,6 +74,7 @@
 		s.stopGangMembers(now, st, r.Number)
 	}
 	s.requeue(st)
+	st.dropIdle(r.task)
 	if st.job.phase.Final() {
 		s.dropIfIdle(st.job)
 	}
@@ -84,7 +85,7 @@
 
 // stopGangMembers stops the remaining members of a gang run after one has ended.
 func (s *Scheduler) stopGangMembers(now state.Time, st *step, number int64) {
-	for _, t := range st.tasks {
+	for _, t := range slices.Clone(st.tasks) {
 		for _, r := range append([]*run(nil), t.runs...) {
 			if r.Number == number {
 				s.stop(now, r, StopGangBroken)
--- a/internal/state/scheduler/scheduler.go
+++ b/internal/state/scheduler/scheduler.go
@@ -1,6 +1,8 @@
 package scheduler
 
 import (
+	"bytes"
+	"slices"
 	"time"
 
 	"github.com/samphirerail/samphirerail/internal/state"
@@ -77,8 +79,10 @@
 	// nextMoves is when runs to move are searched next.
 	nextMoves state.Time
 	copies    copyCount
-	// timed holds the steps whose occurrence is not due yet.
-	timed map[*step]struct{}
+	// series holds the jobs with occurrences that have not begun, and unixNow the newest wall-clock
+	// time, in Unix milliseconds, by which they begin.
+	series  map[workload.JobID]*job
+	unixNow int64
 	// searchFrom is the pool member at which the next search in a large fleet begins.
 	searchFrom int
 	// searched is the memory of the latest search, for the next one.
@@ -110,7 +114,7 @@
 		shares:            map[workload.WorkspaceName]*share{},
 		ready:             map[*step]struct{}{},
 		unconfirmed:       map[workload.UpstreamID][]*task{},
-		timed:             map[*step]struct{}{},
+		series:            map[workload.JobID]*job{},
 		unconfirmedStarts: map[workload.UpstreamID]map[Run]*unconfirmedStart{},
 		freed:             map[workload.ServiceName]*freedLog{},
 		advised:           map[workload.QueueName]*advised{},
@@ -132,10 +136,8 @@
 	s.config = config
 	s.resetClaimants()
 	for _, j := range s.jobs {
-		for _, steps := range j.steps {
-			for _, st := range steps {
-				st.scannedTo = 0 // the queue may belong to another service now
-			}
+		for st := range j.all() {
+			st.scannedTo = 0 // the queue may belong to another service now
 		}
 	}
 }
@@ -152,14 +154,8 @@
 		return false
 	}
 	waited := time.Duration(max(0, unixNow-spec.SubmittedUnixMS)) * time.Millisecond
-	j := &job{id: spec.ID, spec: spec, arrived: now - waited, phase: recorded.Phase, begun: recorded.Phase == ledger.Running, admission: admission}
-	j.steps = make([][]*step, spec.Occurrences())
-	for k := range j.steps {
-		j.steps[k] = make([]*step, len(spec.Steps))
-		for i := range spec.Steps {
-			j.steps[k][i] = newStep(j, k, i)
-		}
-	}
+	j := &job{id: spec.ID, spec: spec, arrived: now - waited, phase: recorded.Phase, begun: recorded.Phase == ledger.Running, admission: admission, steps: map[int][]*step{}}
+	j.restoreOccurrences(recorded)
 	for i := range recorded.Steps {
 		s.restore(j, &recorded.Steps[i])
 	}
@@ -168,48 +164,38 @@
 	j.overShare = s.takeShare(j)
 	j.headroom = s.headroomFor(j)
 	s.jobs[j.id] = j
-	for _, steps := range j.steps {
-		for _, st := range steps {
-			if st.left > 0 {
-				j.openSteps++
-			}
-		}
-	}
 	if cancelled {
 		s.cancel(now, j)
 		return j.overShare
 	}
-	for k := range j.steps {
-		s.advance(j, k, unixNow)
+	for _, k := range j.held() {
+		s.advance(j, k)
 	}
+	s.unixNow = unixNow
+	s.beginDue(j)
 	s.finishIfComplete(j)
 	return j.overShare
 }
 
-func newStep(j *job, occurrence, index int) *step {
-	spec := &j.spec.Steps[index]
-	st := &step{job: j, occurrence: occurrence, index: index, spec: spec, left: spec.Count, tasks: make([]*task, spec.Count)}
-	for i := range st.tasks {
-		st.tasks[i] = &task{step: st, index: i}
-	}
-	return st
-}
-
 // restore applies the recorded progress of a step.
 func (s *Scheduler) restore(j *job, r *ledger.StepState) {
-	if r.Occurrence >= len(j.steps) || r.Step >= len(j.spec.Steps) {
+	steps := j.steps[r.Occurrence]
+	if r.Step >= len(steps) || steps[r.Step].left == 0 {
 		return
 	}
-	st := j.steps[r.Occurrence][r.Step]
-	for i, t := range st.tasks {
-		if r.IsDone(i) {
-			t.done = true
-			st.left--
+	st := steps[r.Step]
+	for i := range st.spec.Count {
+		if r.IsDone(i) && !st.isDone(i) {
+			st.setDone(i)
 		}
 	}
+	if st.left == 0 {
+		j.openSteps--
+		return
+	}
 	for i := range r.Tasks {
-		if rt := &r.Tasks[i]; rt.Index < len(st.tasks) {
-			t := st.tasks[rt.Index]
+		if rt := &r.Tasks[i]; rt.Index < st.spec.Count && !st.isDone(rt.Index) {
+			t := st.task(rt.Index)
 			t.lastRun, t.failed, t.checkpoint = rt.Run, rt.Failed, rt.Checkpoint
 			st.started = true
 			if rt.Upstream != "" {
@@ -219,22 +205,15 @@
 	}
 }
 
-// advance marks the steps of an occurrence as ready whose predecessors are complete,
-// and as timed those that are not due yet.
-func (s *Scheduler) advance(j *job, occurrence int, unixNow int64) {
+// advance marks the steps of an occurrence as ready whose predecessors are complete.
+func (s *Scheduler) advance(j *job, occurrence int) {
 	if j.phase.Final() || j.cancelled {
 		return
 	}
 	for _, st := range j.steps[occurrence] {
-		if st.left == 0 || !st.predecessorsDone() {
-			continue
-		}
-		if due := j.spec.Due(occurrence); due > unixNow {
-			s.timed[st] = struct{}{}
-			continue
+		if st.left > 0 && st.predecessorsDone() {
+			s.ready[st] = struct{}{}
 		}
-		delete(s.timed, st)
-		s.ready[st] = struct{}{}
 	}
 }
 
@@ -247,10 +226,11 @@
 	return true
 }
 
-// Tick marks the steps of due occurrences as ready. unixNow is in Unix milliseconds.
+// Tick begins the occurrences that are due. unixNow is in Unix milliseconds.
 func (s *Scheduler) Tick(unixNow int64) {
-	for st := range s.timed {
-		s.advance(st.job, st.occurrence, unixNow)
+	s.unixNow = unixNow
+	for _, j := range s.series {
+		s.beginDue(j)
 	}
 }
 
@@ -275,18 +255,21 @@
 	s.markDirty(j)
 	s.ended = append(s.ended, EndedJob{j.id, p})
 	s.noteOutcome(now, j)
-	for _, steps := range j.steps {
-		for _, st := range steps {
-			delete(s.ready, st)
-			delete(s.timed, st)
-			for _, t := range st.tasks {
-				for _, r := range append([]*run(nil), t.runs...) {
-					s.stop(now, r, StopJobEnded)
-				}
+	s.stopAll(now, j)
+	s.dropIfIdle(j)
+}
+
+// stopAll stops the runs of a job and places no more of them.
+func (s *Scheduler) stopAll(now state.Time, j *job) {
+	delete(s.series, j.id)
+	for st := range j.all() {
+		delete(s.ready, st)
+		for _, t := range slices.Clone(st.tasks) {
+			for _, r := range append([]*run(nil), t.runs...) {
+				s.stop(now, r, StopJobEnded)
 			}
 		}
 	}
-	s.dropIfIdle(j)
 }
 
 // dropIfIdle drops an ended job once it is recorded and none of its tasks runs or may
@@ -295,12 +278,10 @@
 	if !j.phase.Final() || j.dirty {
 		return
 	}
-	for _, steps := range j.steps {
-		for _, st := range steps {
-			for _, t := range st.tasks {
-				if len(t.runs) > 0 || t.unconfirmedOn != "" {
-					return
-				}
+	for st := range j.all() {
+		for _, t := range st.tasks {
+			if len(t.runs) > 0 || t.unconfirmedOn != "" {
+				return
 			}
 		}
 	}
@@ -308,7 +289,7 @@
 }
 
 func (s *Scheduler) finishIfComplete(j *job) {
-	if j.openSteps == 0 && !j.phase.Final() && !j.spec.LongRunning() {
+	if j.complete() && !j.phase.Final() && !j.spec.LongRunning() {
 		s.finish(0, j, ledger.Complete)
 	}
 }
@@ -358,26 +339,29 @@
 	if j.begun {
 		out.Phase = ledger.Running
 	}
-	for k, steps := range j.steps {
-		for i, st := range steps {
-			if rec, any := st.record(k, i); any {
-				out.Steps = append(out.Steps, rec)
-			}
+	for st := range j.all() {
+		if rec, any := st.record(); any {
+			out.Steps = append(out.Steps, rec)
 		}
 	}
 	out.Crashes = j.recordCrashes()
+	if j.repeats() {
+		j.recordSeries(&out)
+	}
 	return out
 }
 
-func (s *step) record(occurrence, index int) (rec ledger.StepState, any bool) {
-	rec = ledger.StepState{Occurrence: occurrence, Step: index}
-	for i, t := range s.tasks {
-		switch {
-		case t.done:
-			rec.SetDone(i)
-			any = true
-		case t.lastRun > 0 || len(t.failed) > 0:
-			ts := ledger.TaskState{Index: i, Run: t.lastRun, Failed: t.failed, Checkpoint: t.checkpoint, Upstream: t.unconfirmedOn}
+func (s *step) record() (rec ledger.StepState, any bool) {
+	rec = ledger.StepState{Occurrence: s.occurrence, Step: s.index}
+	if s.left == 0 {
+		rec.SetAllDone(s.spec.Count)
+		return rec, true
+	}
+	rec.Done = slices.Clone(bytes.TrimRight(s.done, "\x00"))
+	any = len(rec.Done) > 0
+	for _, t := range s.tasks {
+		if !t.done && (t.lastRun > 0 || len(t.failed) > 0) {
+			ts := ledger.TaskState{Index: t.index, Run: t.lastRun, Failed: t.failed, Checkpoint: t.checkpoint, Upstream: t.unconfirmedOn}
 			if n := len(t.runs); n > 0 {
 				ts.Upstream = t.runs[n-1].Upstream
 			}
--- a/internal/state/scheduler/simulation_test.go
+++ b/internal/state/scheduler/simulation_test.go
@@ -282,7 +282,7 @@
 		Lookup: func(id workload.JobID) *workload.Job { return sim.jobs[id].spec },
 	})
 	for id, j := range sim.jobs {
-		state := sim.recorded[id]
+		state := sim.readBack(id)
 		sim.s.AddJob(sim.now, sim.unix(), j.spec, &state, false)
 	}
 	sim.s.InheritJobs()
@@ -297,6 +297,20 @@
 	}
 }
 
+// readBack returns the recorded state of a job as the next owner reads it from the log.
+func (sim *simulation) readBack(id workload.JobID) ledger.JobState {
+	state := sim.recorded[id]
+	record, cut, err := ledger.FitState(id, &state, ledger.Limits{}.WithDefaults())
+	if err != nil || cut != (ledger.Cut{}) {
+		sim.t.Fatalf("the state of job %s: %v, cut %+v", id, err, cut)
+	}
+	table := ledger.NewTable()
+	if _, err := table.Apply(record); err != nil {
+		sim.t.Fatal(err)
+	}
+	return table.Row(id).State
+}
+
 // advise responds to an advice request.
 func (sim *simulation) advise(req *AdviceRequest) {
 	tickets := map[workload.UpstreamID]string{}
--- a/internal/state/scheduler/speed.go
+++ b/internal/state/scheduler/speed.go
@@ -133,8 +133,8 @@
 // chooseSimilar returns an upstream for each task of a gang, or nil if one can't be placed.
 // It finds how slow the slowest member has to be, and then takes the slowest upstreams that
 // are no slower: faster ones would only wait for it.
-func (p *placement) chooseSimilar(waiting []*task, candidates []candidate) []*upstream {
-	chosen := p.chooseUpstreams(waiting, candidates)
+func (p *placement) chooseSimilar(members int, candidates []candidate) []*upstream {
+	chosen := p.chooseUpstreams(members, candidates)
 	if chosen == nil || p.speed.weight == 0 {
 		return chosen
 	}
@@ -149,7 +149,7 @@
 			similar = append(similar, c)
 		}
 	}
-	if better := p.chooseUpstreams(waiting, similar); better != nil {
+	if better := p.chooseUpstreams(members, similar); better != nil {
 		return better
 	}
 	return chosen
--- a/internal/state/scheduler/startlist.go
+++ b/internal/state/scheduler/startlist.go
@@ -130,13 +130,15 @@
 // counts those that may have a run on an upstream that has not been polled yet.
 func (s *Scheduler) countPlaceable(st *step) (waiting, unconfirmed int) {
 	if !s.heldBack(st) {
-		return st.countWaiting()
+		waiting, unconfirmed = st.countWaiting()
+		return st.startable(waiting), unconfirmed
 	}
 	return 0, st.countOpen() // also the missing members of an incomplete gang
 }
 
 // countOpen returns the number of tasks that are not complete and have no known run.
 func (st *step) countOpen() (n int) {
+	n = st.untouched()
 	for _, t := range st.tasks {
 		if !t.done && len(t.runs) == 0 {
 			n++
@@ -160,19 +162,17 @@
 		if !j.inherited || j.phase.Final() || w == nil || w.Maximum.IsZero() {
 			continue
 		}
-		for _, steps := range j.steps {
-			for _, st := range steps {
-				if st.left == 0 || !s.heldBack(st) {
-					continue
-				}
-				open := 0
-				for _, t := range st.tasks {
-					if !t.done && len(t.runs) == 0 && t.unconfirmedOn == "" { // others count in used
-						open++
-					}
+		for st := range j.all() {
+			if st.left == 0 || !s.heldBack(st) {
+				continue
+			}
+			open := st.untouched()
+			for _, t := range st.tasks {
+				if !t.done && len(t.runs) == 0 && t.unconfirmedOn == "" { // others count in used
+					open++
 				}
-				s.possibleUse[w.Name] = s.possibleUse[w.Name].Add(st.spec.Each.Scale(int64(open)))
 			}
+			s.possibleUse[w.Name] = s.possibleUse[w.Name].Add(st.spec.Each.Scale(int64(open)))
 		}
 	}
 	for name, use := range s.possibleUse {
--- /dev/null
+++ b/internal/state/scheduler/tasks.go
@@ -0,0 +1,111 @@
+package scheduler
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/samphirerail/samphirerail/internal/state/workload"
+)
+
+// A step holds the tasks that were placed and are not complete, and those that are complete and
+// still have runs. Of the others it holds a bit if they are complete, and nothing if they were never
+// placed.
+
+// find returns the position of a task among those that the step holds, and whether it holds it.
+func (st *step) find(index int) (position int, found bool) {
+	return slices.BinarySearchFunc(st.tasks, index, func(t *task, index int) int { return cmp.Compare(t.index, index) })
+}
+
+// task returns a task, which the step holds from now on.
+func (st *step) task(index int) *task {
+	i, found := st.find(index)
+	if !found {
+		st.tasks = slices.Insert(st.tasks, i, &task{step: st, index: index, done: st.isDone(index)})
+		st.job.atWork++
+	}
+	return st.tasks[i]
+}
+
+// isDone reports whether a task is complete.
+func (st *step) isDone(index int) bool {
+	return st.left == 0 || (index/8 < len(st.done) && st.done[index/8]&(1<<(index%8)) != 0)
+}
+
+// setDone marks a task as complete that is not.
+func (st *step) setDone(index int) {
+	if st.done == nil {
+		st.done = make([]byte, (st.spec.Count+7)/8)
+	}
+	st.done[index/8] |= 1 << (index % 8)
+	st.left--
+}
+
+// dropIdle drops a complete task without runs, and its occurrence with the last one.
+func (st *step) dropIdle(t *task) {
+	if !t.done || len(t.runs) > 0 || t.unconfirmedOn != "" {
+		return
+	}
+	i, found := st.find(t.index)
+	if !found || st.tasks[i] != t {
+		return
+	}
+	st.tasks = slices.Delete(st.tasks, i, i+1)
+	st.job.atWork--
+	if len(st.tasks) == 0 {
+		st.tasks = nil
+		st.job.dropOccurrence(st.occurrence)
+	}
+}
+
+// untouched returns the number of tasks that were never placed.
+func (st *step) untouched() int {
+	n := st.left
+	for _, t := range st.tasks {
+		n -= boolInt(!t.done)
+	}
+	return n
+}
+
+// nextUntouched returns the first task that was never placed, or nil if there is none.
+func (st *step) nextUntouched() *task {
+	for ; st.cursor < st.spec.Count; st.cursor++ {
+		if _, found := st.find(st.cursor); !found && !st.isDone(st.cursor) {
+			return st.task(st.cursor)
+		}
+	}
+	return nil
+}
+
+// startable returns how many of the waiting tasks may be placed: of those that were never placed no
+// more than the state of the job may hold, and those of a gang together.
+func (st *step) startable(waiting int) int {
+	if waiting == 0 {
+		return 0
+	}
+	untouched := st.untouched()
+	room := max(0, workload.MaxTasksAtWork-st.job.atWork)
+	switch {
+	case untouched <= room:
+		return waiting
+	case st.spec.Gang:
+		return 0
+	}
+	return waiting - untouched + room
+}
+
+// waitingTasks returns the tasks that have no run and may get one. With touch, it includes those
+// that were never placed, which the step holds from now on.
+func (st *step) waitingTasks(touch bool) []*task {
+	if touch {
+		for n := st.untouched(); n > 0; n-- {
+			st.nextUntouched()
+		}
+	}
+	var out []*task
+	for _, t := range st.tasks {
+		if !t.done && len(t.runs) == 0 && t.unconfirmedOn == "" && (!t.isolated || st.spec.Gang) {
+			out = append(out, t)
+		}
+	}
+	return out
+}
--- a/internal/state/scheduler/trials.go
+++ b/internal/state/scheduler/trials.go
@@ -96,12 +96,10 @@
 
 // waitsForTrial reports whether a task of the job is to be tried alone and has not been started.
 func (j *job) waitsForTrial() bool {
-	for _, steps := range j.steps {
-		for _, st := range steps {
-			for _, t := range st.tasks {
-				if t.isolated && !t.done && (len(t.runs) == 0 || t.runs[0].startedAt == 0) {
-					return true
-				}
+	for st := range j.all() {
+		for _, t := range st.tasks {
+			if t.isolated && !t.done && (len(t.runs) == 0 || t.runs[0].startedAt == 0) {
+				return true
 			}
 		}
 	}
--- a/internal/state/scheduler/unconfirmed.go
+++ b/internal/state/scheduler/unconfirmed.go
@@ -27,7 +27,9 @@
 	t.unconfirmedOn = ""
 	w := t.step.job.spec.Workspace
 	s.used[w] = s.used[w].Sub(t.step.spec.Each)
-	s.unconfirmed[id] = slices.DeleteFunc(s.unconfirmed[id], func(other *task) bool { return other == t })
+	if i := slices.Index(s.unconfirmed[id], t); i >= 0 {
+		s.unconfirmed[id] = slices.Delete(s.unconfirmed[id], i, i+1)
+	}
 	if len(s.unconfirmed[id]) == 0 {
 		delete(s.unconfirmed, id)
 	}
@@ -49,7 +51,9 @@
 // clearUnconfirmedOn clears all unconfirmed tasks of an upstream, once it has been
 // polled or its runs cannot exist any more.
 func (s *Scheduler) clearUnconfirmedOn(id workload.UpstreamID) {
-	for _, t := range slices.Clone(s.unconfirmed[id]) {
+	tasks := s.unconfirmed[id]
+	delete(s.unconfirmed, id)
+	for _, t := range tasks {
 		s.clearUnconfirmed(t)
 	}
 }
--- a/internal/state/scheduler/victims.go
+++ b/internal/state/scheduler/victims.go
@@ -140,7 +140,7 @@
 		vs.group = len(v.steps) + 1
 	}
 	if st.spec.LongRunning {
-		vs.left = st.spec.MayMiss
+		vs.left = st.spec.MayMiss - st.untouched()
 		for _, t := range st.tasks {
 			if len(t.runs) == 0 || t.runs[len(t.runs)-1].phase != running {
 				vs.left--
