Keep the owner's appends within the log's limits, and one record from stopping the rest

Cause: startFlush put all that had changed into one append and a job's whole state into one record, and checked neither size; an append that the log refuses for good was repeated as if the log were down.

Change: the owner parts its records into appends within platform.record_bytes and request_bytes, also after an outage and at a release. An append that is refused for good is halved until the record in question is found, which is left out with a log line and owner.records_rejected; a refused append uses up no sequence number. A state is cut to fit (FitState, owner.records_cut). A job whose state fits no record, or that a former release accepted and nobody can hold, is set aside: nothing of it is started, its runs are stopped, it keeps its recorded phase, and a cancellation ends it (owner.jobs_set_aside). The owner refuses such a job that an entry of a former release hands in (owner.refused.too_large). A claim that the log refuses for good is not awaited.

Left: the ends of the runs of a job that is set aside because its state could not be recorded are taken note of, although the log does not hold them; no accepted job gets there, as its largest state fits.

Evidence: with one append for all and the refusal taken for an outage, TestRejectedStateDoesNotStopTheOthers and TestBacklogAfterAnOutageKeepsTheLimits (1,500 jobs of 4 kB after 30 s of silence) fail; without the check at the load TestJobThatCannotBeHeldIsSetAside fails; with 300,000 tasks at work allowed TestWideJobIsRecorded fails. contact_test.go uses the new form of append; it checks the same.

--- a/internal/coordination/dispatch/claim.go
+++ b/internal/coordination/dispatch/claim.go
@@ -59,7 +59,8 @@
 	}
 	m.cfg.Logger.Info("claim", "epoch", claim.Epoch, "previous", old.Entry, "previous_epoch", old.Epoch, "error", err)
 	var conflict *port.ConflictError
-	if errors.Is(err, port.ErrNotDone) || errors.Is(err, port.ErrFenced) || errors.Is(err, errSuperseded) || errors.As(err, &conflict) {
+	var rejected *port.RejectedError
+	if errors.As(err, &rejected) || errors.Is(err, port.ErrNotDone) || errors.Is(err, port.ErrFenced) || errors.Is(err, errSuperseded) || errors.As(err, &conflict) {
 		return claim, false
 	}
 	if !m.awaitClaim(callCtx, claim) {
--- a/internal/coordination/dispatch/contact_test.go
+++ b/internal/coordination/dispatch/contact_test.go
@@ -177,7 +177,8 @@
 	c.clock.pause(4 * time.Second)
 	is.True(c.owner.mayAct())
 	c.owner.log = &pausingLog{pause: func() { c.clock.pause(4 * time.Second) }}
-	is.True(c.owner.append(port.Append{Fence: &port.Fence{}}))
+	_, ok := c.owner.append(nil)
+	is.True(ok)
 	is.True(c.owner.mayAct()) // the append began 4 s ago
 	c.clock.pause(2 * time.Second)
 	is.True(!c.owner.mayAct())
--- a/internal/coordination/dispatch/fakeplatform_test.go
+++ b/internal/coordination/dispatch/fakeplatform_test.go
@@ -36,6 +36,9 @@
 	changed   chan struct{}
 	silent    bool
 	lostShare float64 // of the answers to appends
+	// limits are those of appends; larger ones are refused for good and counted.
+	limits    ledger.Limits
+	refused   int
 	rand      *rand.Rand
 	config    *workload.Config
 	upstreams map[workload.UpstreamID]*fakeUpstream
@@ -252,6 +255,10 @@
 			return offset, nil
 		}
 	}
+	if limits := p.limits.WithDefaults(); limits.Fit(a.Records) < len(a.Records) {
+		p.refused++
+		return 0, &port.RejectedError{Reason: "too large"}
+	}
 	end := int64(len(p.records[a.Topic]))
 	if a.At != port.AnyOffset && a.At != end {
 		return 0, &port.ConflictError{End: end}
--- a/internal/coordination/dispatch/flush.go
+++ b/internal/coordination/dispatch/flush.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"context"
 	"errors"
 	"maps"
 	"slices"
@@ -95,9 +94,8 @@
 	var ended []scheduler.EndedJob
 	ids, states := o.sched.Changed(now.UnixMilli())
 	for i := range ids {
-		record, err := ledger.StateRecord(ids[i], &states[i])
-		if err != nil {
-			o.logger.Error("job state not encoded", "job", ids[i], "error", err)
+		record, ok := o.stateRecord(ids[i], &states[i])
+		if !ok {
 			continue
 		}
 		records = append(records, record)
@@ -130,10 +128,9 @@
 	o.acks, o.pendingStarts = nil, nil
 	o.unrecorded.inFlight = slices.Clone(starts)
 	o.flushing, o.flushedAt = true, now
-	args := port.Append{Topic: port.TopicJobs, Records: records, Fence: &port.Fence{Epoch: o.epoch, Seq: o.seq}, At: port.AnyOffset}
-	o.seq++
 	o.spawn(func() {
-		if !o.append(args) {
+		rejected, ok := o.appendAll(records)
+		if !ok {
 			for i := range requests {
 				requests[i].done <- errNotRecorded
 			}
@@ -144,7 +141,7 @@
 		}
 		o.post(func() {
 			o.finishStartList(now, list)
-			o.finishFlush(requests, ended, starts)
+			o.finishFlush(o.dropRejected(requests, rejected), ended, starts)
 		})
 	})
 }
@@ -166,6 +163,7 @@
 			delete(o.submitted, r.job.ID)
 		case r.cancel != "":
 			o.sched.Cancel(o.now(), r.cancel)
+			o.endSetAside(r.cancel)
 			o.logger.Info("job cancelled", "job", r.cancel)
 		}
 		r.done <- nil
@@ -186,6 +184,10 @@
 		return
 	}
 	if r.job != nil && !waiting {
+		if err := o.refuseTooLarge(&r); err != nil {
+			r.done <- err
+			return
+		}
 		if retryAfter, refused := o.refuseEvacuated(r.job); refused {
 			r.done <- &port.RefusedError{Reason: "only upstreams of evacuated failure domains could run the job", RetryAfter: retryAfter}
 			return
@@ -227,37 +229,6 @@
 	return 0, false
 }
 
-// append retries an append until it succeeds or the owner is fenced, and reports
-// whether it succeeded. Retries carry the same sequence number, so they have no effect
-// if an earlier attempt succeeded.
-func (o *owner) append(args port.Append) bool {
-	for o.ctx.Err() == nil {
-		began := o.clock()
-		ctx, cancel := context.WithTimeout(o.ctx, appendTimeout)
-		_, err := o.log.Append(ctx, args)
-		cancel()
-		switch {
-		case err == nil:
-			o.metrics.appends.Inc(1)
-			o.appendedAt.Store(int64(o.now()))
-			o.contactAt.Store(int64(began))
-			return true
-		case errors.Is(err, port.ErrFenced):
-			o.loseOwnership("the log")
-			return false
-		}
-		if o.ctx.Err() == nil {
-			o.metrics.appendFails.Inc(1)
-			o.logger.Warn("append to the log failed; retrying", "records", len(args.Records), "seq", args.Fence.Seq, "error", err)
-		}
-		select {
-		case <-o.ctx.Done():
-		case <-time.After(100 * time.Millisecond):
-		}
-	}
-	return false
-}
-
 // expire drops the records of jobs that ended longer ago than the retention period.
 func (o *owner) expire(now time.Time) {
 	before := now.Add(-o.retention).UnixMilli()
@@ -266,6 +237,7 @@
 			if row.State.Phase.Final() && row.State.FinalUnixMS > 0 && row.State.FinalUnixMS < before {
 				o.drops = append(o.drops, ledger.DropRecords(row.Job.ID)...)
 				delete(o.addedJobs, row.Job.ID)
+				delete(o.setAside, row.Job.ID)
 			}
 		})
 	})
--- a/internal/coordination/dispatch/manager.go
+++ b/internal/coordination/dispatch/manager.go
@@ -74,6 +74,8 @@
 	CapacityLimit time.Duration
 	// StartsWithoutRecord allows the owner to start tasks before the log holds their start.
 	StartsWithoutRecord bool
+	// Limits are those of the log's appends; the defaults apply where it has none.
+	Limits ledger.Limits
 	// Slow reports whether the log is slow.
 	Slow func() bool
 	// Retention is how long the state of an ended job is kept.
@@ -124,7 +126,7 @@
 	}
 	return &Manager{cfg: cfg, done: make(chan struct{}), deps: &ownerDeps{
 		log: cfg.Log, decoder: cfg.Decoder, upstreams: cfg.Upstreams, replica: cfg.Replica, peers: cfg.Peers,
-		self: cfg.Name, cpuShare: cfg.CPUShare, advisor: cfg.Advisor, lease: cfg.Lease, retention: cfg.Retention, learnRunTimes: cfg.LearnedRunTimes, logger: cfg.Logger, clock: cfg.Clock,
+		self: cfg.Name, cpuShare: cfg.CPUShare, advisor: cfg.Advisor, lease: cfg.Lease, retention: cfg.Retention, limits: cfg.Limits.WithDefaults(), learnRunTimes: cfg.LearnedRunTimes, logger: cfg.Logger, clock: cfg.Clock,
 		evacuationLimit:     cfg.EvacuationLimit,
 		capacityLimit:       cfg.CapacityLimit,
 		startsWithoutRecord: cfg.StartsWithoutRecord,
@@ -140,6 +142,7 @@
 			unrecorded: newUnrecordedMetrics(cfg.Registry),
 			losses:     newLossMetrics(cfg.Registry),
 			capacity:   newCapacityMetrics(cfg.Registry),
+			records:    newRecordMetrics(cfg.Registry),
 			moves:      counter("owner.moves"), copies: counter("owner.copies"), learned: gauge("owner.learned_upstreams"), silentDomains: counter("owner.silent_domains"), lostPolls: counter("owner.lost_polls"), factors: histogram("owner.run_time_factor_percent"),
 		},
 	}}
--- a/internal/coordination/dispatch/owner.go
+++ b/internal/coordination/dispatch/owner.go
@@ -131,6 +131,8 @@
 	// addedJobs holds the jobs that were added to the scheduler in this term, so that
 	// none is added again when the replica reads it or a repeated request is recorded.
 	addedJobs map[workload.JobID]struct{}
+	// setAside holds the jobs that the owner can't hold or record. Nothing of them is started.
+	setAside map[workload.JobID]struct{}
 	// runTimes is what this owner has learned, or nil; runTimesAt is when it was last
 	// considered for a record.
 	runTimes   *runtimes.Model
@@ -151,6 +153,8 @@
 	advisor   port.Advisor
 	lease     time.Duration
 	retention time.Duration
+	// limits are those of the log's appends.
+	limits ledger.Limits
 	// learnRunTimes makes the scheduler use learned run times.
 	learnRunTimes bool
 	// evacuationLimit is within what time an evacuation takes effect; 0 disables the check.
@@ -182,7 +186,7 @@
 func (p *ownerDeps) newOwner(ctx context.Context, claim ledger.Claim) *owner {
 	o := &owner{
 		ownerDeps: p, epoch: claim.Epoch, claim: claim, base: time.Now(),
-		submitted: map[workload.JobID]struct{}{}, addedJobs: map[workload.JobID]struct{}{}, final: map[workload.JobID]finalPhase{},
+		submitted: map[workload.JobID]struct{}{}, addedJobs: map[workload.JobID]struct{}{}, setAside: map[workload.JobID]struct{}{}, final: map[workload.JobID]finalPhase{},
 		links: map[workload.UpstreamID]*link{}, signal: make(chan struct{}, 1), seq: 1,
 		adviceMargin: reachability.Timeout{Min: minAdviceMargin, Max: maxAdviceMargin},
 		expired:      map[workload.UpstreamID]struct{}{}, unknownEnds: map[workload.UpstreamID]*unknownEnds{},
@@ -319,6 +323,13 @@
 		return false, false
 	}
 	o.addedJobs[job.ID] = struct{}{}
+	if err := job.CheckHeld(); err != nil {
+		o.putAside(job.ID, err)
+		if cancelled {
+			o.endSetAside(job.ID)
+		}
+		return false, false
+	}
 	return true, o.sched.AddJob(o.now(), time.Now().UnixMilli(), job, recorded, cancelled)
 }
 
@@ -379,6 +390,7 @@
 			o.addNewJob(c.NewJob.Job, &c.NewJob.State, c.NewJob.Cancelled)
 		case c.CancelledJob != "":
 			o.sched.Cancel(o.now(), c.CancelledJob)
+			o.endSetAside(c.CancelledJob)
 			o.logger.Info("job cancelled", "job", c.CancelledJob)
 		}
 	}
--- a/internal/coordination/dispatch/ownermetrics.go
+++ b/internal/coordination/dispatch/ownermetrics.go
@@ -18,6 +18,7 @@
 	moves, copies metrics.Counter
 	losses        lossMetrics
 	capacity      capacityMetrics
+	records       recordMetrics
 	learned       metrics.Gauge
 	// silentDomains counts how often a failure domain stopped answering.
 	silentDomains metrics.Counter
--- a/internal/coordination/dispatch/release.go
+++ b/internal/coordination/dispatch/release.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/samphirerail/samphirerail/internal/coordination/port"
 	"github.com/samphirerail/samphirerail/internal/state/ledger"
 	"github.com/samphirerail/samphirerail/internal/state/scheduler"
 )
@@ -101,10 +100,8 @@
 	ids, states := o.sched.Changed(time.Now().UnixMilli())
 	var records []ledger.Record
 	for i := range ids {
-		if record, err := ledger.StateRecord(ids[i], &states[i]); err == nil {
+		if record, ok := o.stateRecord(ids[i], &states[i]); ok {
 			records = append(records, record)
-		} else {
-			o.logger.Error("job state not encoded", "job", ids[i], "error", err)
 		}
 	}
 	last, err := ledger.ClaimRecord(&o.claim)
@@ -114,10 +111,9 @@
 		records = append(records, last)
 	}
 	o.flushing = true
-	args := port.Append{Topic: port.TopicJobs, Records: records, Fence: &port.Fence{Epoch: o.epoch, Seq: o.seq}, At: port.AnyOffset}
-	o.seq++
 	o.spawn(func() {
-		if o.append(args) {
+		if rejected, ok := o.appendAll(records); ok {
+			o.logRejected(rejected)
 			o.logger.Info("ownership released", "epoch", o.epoch, "records", len(records), "successor", successor.Name)
 			o.nominate(successor)
 		} else {
--- a/internal/state/ledger/fit.go
+++ b/internal/state/ledger/fit.go
@@ -33,6 +33,7 @@
 // numbers of failed runs but the newest of each task. It returns a *TooLargeError if that is not
 // enough.
 func FitState(id workload.JobID, s *JobState, limits Limits) (Record, Cut, error) {
+	limits = limits.WithDefaults()
 	var cut Cut
 	r, err := StateRecord(id, s)
 	if err != nil || r.Size() <= limits.RecordBytes {
--- a/internal/state/ledger/limits.go
+++ b/internal/state/ledger/limits.go
@@ -32,6 +32,7 @@
 // Fit returns how many of the first records fit one append. It returns 0 if the first one is
 // too large by itself.
 func (l Limits) Fit(records []Record) (n int) {
+	l = l.WithDefaults()
 	total := 0
 	for i := range records {
 		size := records[i].Size()
--- a/internal/state/ledger/record.go
+++ b/internal/state/ledger/record.go
@@ -305,6 +305,14 @@
 	return workload.JobID(r.Key[1:]), true
 }
 
+// StateOf returns the job whose state a record holds; false if the record is of another kind.
+func StateOf(r Record) (workload.JobID, bool) {
+	if r.Key == "" || r.Key[0] != kindState {
+		return "", false
+	}
+	return workload.JobID(r.Key[1:]), true
+}
+
 // DropRecords returns the records that delete a job from the log.
 func DropRecords(id workload.JobID) []Record {
 	return []Record{
--- a/internal/state/scheduler/scheduler.go
+++ b/internal/state/scheduler/scheduler.go
@@ -272,6 +272,19 @@
 	}
 }
 
+// Drop takes a job that can't be recorded out of the placement: its runs are stopped and nothing of
+// it is started or recorded any more.
+func (s *Scheduler) Drop(now state.Time, id workload.JobID) {
+	j := s.jobs[id]
+	if j == nil {
+		return
+	}
+	s.dirty = slices.DeleteFunc(s.dirty, func(other *job) bool { return other == j })
+	j.phase, j.cancelled, j.endedBeforeTakeover, j.dirty = ledger.Cancelled, true, true, false
+	s.stopAll(now, j)
+	s.dropIfIdle(j)
+}
+
 // dropIfIdle drops an ended job once it is recorded and none of its tasks runs or may
 // run.
 func (s *Scheduler) dropIfIdle(j *job) {
