--- a/internal/state/scheduler/report.go
+++ b/internal/state/scheduler/report.go
@@ -91,6 +91,7 @@
 		return
 	}
 	u.polled, u.unreachable, u.closed, u.suspected = true, false, false, false
+	s.endAwaitedLivesOfSurvivor(id)
 	for i := range report.Ended {
 		s.applyEnded(now, u, &report.Ended[i])
 	}
@@ -261,6 +262,10 @@
 	if r != nil {
 		s.noteStopped(now, u, r, reported.Cause)
 		r.phase = finished
+		// The upstream has survived a run that ended by itself.
+		if (reported.Cause == EndDone || reported.Cause == EndFailed) && now-r.startedAt > t.crashes.Age {
+			t.endSuspicion()
+		}
 	}
 	switch {
 	case reported.Cause == EndDone && !t.step.spec.LongRunning:
--- a/internal/state/scheduler/tasks.go
+++ b/internal/state/scheduler/tasks.go
@@ -26,6 +26,19 @@
 	return st.tasks[i]
 }
 
+// heldTask returns a task that its step holds, or nil.
+func (s *Scheduler) heldTask(id workload.TaskID) *task {
+	j := s.jobs[id.Job]
+	if j == nil || id.Step >= len(j.steps[id.Occurrence]) {
+		return nil
+	}
+	st := j.steps[id.Occurrence][id.Step]
+	if i, found := st.find(id.Index); found {
+		return st.tasks[i]
+	}
+	return nil
+}
+
 // isDone reports whether a task is complete.
 func (st *step) isDone(index int) bool {
 	return st.left == 0 || (index/8 < len(st.done) && st.done[index/8]&(1<<(index%8)) != 0)
@@ -103,7 +116,7 @@
 	}
 	var out []*task
 	for _, t := range st.tasks {
-		if !t.done && len(t.runs) == 0 && t.unconfirmedOn == "" && (!t.isolated || st.spec.Gang) {
+		if !t.done && len(t.runs) == 0 && t.unconfirmedOn == "" && t.awaitedLives == 0 && (!t.isolated || st.spec.Gang) {
 			out = append(out, t)
 		}
 	}
