--- a/internal/coordination/journal/compaction.go
+++ b/internal/coordination/journal/compaction.go
@@ -29,7 +29,7 @@
 	w := &j.writer
 	tooLarge := w.bytesSinceBase > max(j.cfg.CompactBytes, 2*j.openBytes)
 	tooOld := now.Sub(w.baseTime) >= j.cfg.CompactAfter
-	if w.compaction != nil || !tooLarge && !tooOld {
+	if w.compaction != nil || !tooLarge && !tooOld || now.Before(w.noCompactionUntil) {
 		return
 	}
 	c := &compaction{base: w.next, startedAt: now}
--- a/internal/coordination/journal/fakelog_test.go
+++ b/internal/coordination/journal/fakelog_test.go
@@ -1,6 +1,7 @@
 package journal
 
 import (
+	"cmp"
 	"context"
 	"math"
 	"sync"
@@ -19,6 +20,8 @@
 	// duplicate makes the log store every append twice.
 	duplicate bool
 	down      bool
+	// limit is the largest record, in bytes; 0 for devplatform.MaxRecordBytes.
+	limit int
 	// appends and bytes count the successful appends and the size of their data.
 	appends int
 	bytes   int
@@ -36,7 +39,7 @@
 	switch {
 	case l.down:
 		return 0, devplatform.ErrUnavailable
-	case len(req.Record.Data) > devplatform.MaxRecordBytes:
+	case len(req.Record.Data) > cmp.Or(l.limit, devplatform.MaxRecordBytes):
 		return 0, devplatform.ErrTooLarge
 	case req.ExpectedOffset != nil && *req.ExpectedOffset != l.tail:
 		return 0, devplatform.ErrOffsetMismatch
--- a/internal/coordination/journal/journal.go
+++ b/internal/coordination/journal/journal.go
@@ -197,7 +197,7 @@
 	case j.fenced:
 		return j.trackEndCommit(o, resolvedCommit(false))
 	}
-	return j.trackEndCommit(o, j.add(pendingEvent{job: o, end: true}, endEventSize+len(id)))
+	return j.trackEndCommit(o, j.add(pendingEvent{job: o, end: true}, endEventSize+escapedBytes*len(id)))
 }
 
 func (j *Journal) trackEndCommit(o *openJob, c *Commit) *Commit {
--- a/internal/coordination/journal/record.go
+++ b/internal/coordination/journal/record.go
@@ -62,10 +62,14 @@
 // names and IDs, in bytes.
 const jobOverhead = 512
 
+// escapedBytes is the most that a byte of a name takes in JSON: six for a character that is escaped,
+// and for one that is not valid UTF-8.
+const escapedBytes = 6
+
 // size returns an upper bound of the encoded size of the job, in bytes.
 func (j *Job) size() int {
-	names := len(j.ID) + len(j.Team) + len(j.Queue) + len(j.Service)
-	return jobOverhead + names + (len(j.Payload)+2)/3*4
+	names := len(j.ID) + len(j.Team) + len(j.Queue) + len(j.Service) + len(j.Class)
+	return jobOverhead + escapedBytes*names + (len(j.Payload)+2)/3*4
 }
 
 // endEventSize is an upper bound of the encoded size of an end event without the
--- a/internal/coordination/journal/writer.go
+++ b/internal/coordination/journal/writer.go
@@ -35,6 +35,8 @@
 	// the base on.
 	bytesSinceBase int
 	compaction     *compaction
+	// noCompactionUntil is when the next pass may begin after one that was given up.
+	noCompactionUntil time.Time
 }
 
 // Run takes the stream over, passes the unfinished jobs to OnRecovered and then
@@ -95,13 +97,38 @@
 		return nil
 	}
 	size, stored, err := j.store(ctx, &b)
-	if stored {
+	switch {
+	case errors.Is(err, devplatform.ErrTooLarge):
+		j.log.Error("the log refuses a batch of the journal for good; its jobs are not stored", "bytes", size, "limit", devplatform.MaxRecordBytes, "events", len(b.Events))
+		j.rejectGroup(g)
+		return nil
+	case stored:
 		j.completeGroup(g)
 		j.updateBase(size)
 	}
 	return err
 }
 
+// rejectGroup removes the first group, whose batch the log refuses for good, and fails its commit.
+// A compaction in progress, whose jobs the batch may have held, is given up; the next one begins
+// anew.
+func (j *Journal) rejectGroup(g *group) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.writer.compaction, j.writer.noCompactionUntil = nil, time.Now().Add(j.cfg.CompactAfter)
+	if g == nil {
+		return
+	}
+	j.groups = j.groups[1:]
+	j.pending -= g.bytes
+	for _, e := range g.events {
+		if !e.end {
+			e.job.written = false
+		}
+	}
+	g.commit.resolve(false)
+}
+
 // buildBatch returns the first group, and a batch of its events and of the next
 // jobs to compact. The group is nil if none waits or it does not fit.
 func (j *Journal) buildBatch() (*group, batch) {
@@ -174,7 +201,8 @@
 
 // store appends a batch, with retries until it is known to be in the log. After an
 // append with an unknown outcome it looks for the record before it appends again,
-// so that the batch is stored once. It may return stored together with ErrFenced.
+// so that the batch is stored once. It may return stored together with ErrFenced. It returns
+// devplatform.ErrTooLarge at once for a batch that the log refuses for good.
 func (j *Journal) store(ctx context.Context, b *batch) (size int, stored bool, err error) {
 	ctx, span := tracer.Start(ctx, "journal.append")
 	defer span.End()
@@ -190,6 +218,9 @@
 			j.writer.next = offset + 1
 			return len(data), true, nil
 		}
+		if errors.Is(err, devplatform.ErrTooLarge) {
+			return len(data), false, err
+		}
 		if !errors.Is(err, devplatform.ErrOffsetMismatch) {
 			j.log.Warn("journal append failed", "bytes", len(data), "error", err.Error())
 			if err := sleep(ctx, delays.NextBackOff()); err != nil {
