--- a/internal/coordination/dispatch/appends.go
+++ b/internal/coordination/dispatch/appends.go
@@ -66,6 +66,19 @@
 	return record, true
 }
 
+// canHold reports whether the owner can hold a job, which is set aside otherwise.
+func (o *owner) canHold(job *workload.Job, cancelled bool) bool {
+	err := job.CheckHeld()
+	if err == nil {
+		return true
+	}
+	o.putAside(job.ID, err)
+	if cancelled {
+		o.endSetAside(job.ID)
+	}
+	return false
+}
+
 // putAside takes a job that can't be held or recorded out of the placement, so that the others go
 // on. The log keeps its newest record.
 func (o *owner) putAside(id workload.JobID, cause error) {
--- a/internal/coordination/dispatch/owner.go
+++ b/internal/coordination/dispatch/owner.go
@@ -325,11 +325,7 @@
 		return false, false
 	}
 	o.addedJobs[job.ID] = struct{}{}
-	if err := job.CheckHeld(); err != nil {
-		o.putAside(job.ID, err)
-		if cancelled {
-			o.endSetAside(job.ID)
-		}
+	if !o.canHold(job, cancelled) {
 		return false, false
 	}
 	return true, o.sched.AddJob(o.now(), time.Now().UnixMilli(), job, recorded, cancelled)
