--- a/internal/state/ledger/record.go
+++ b/internal/state/ledger/record.go
@@ -6,6 +6,7 @@
 import (
 	"bytes"
 	"fmt"
+	"math/bits"
 
 	"github.com/vmihailenco/msgpack/v5"
 
@@ -106,6 +107,9 @@
 	// Crashes holds the tasks under which upstreams have crashed. It follows the other fields in
 	// the record, as Claim.StartList does.
 	Crashes []TaskCrashes `msgpack:"-"`
+	// Series is the progress of a job that repeats, nil for another job and in the states that
+	// former releases wrote. It follows the crashes in the record.
+	Series *Series `msgpack:"-"`
 }
 
 // StepState is the progress of a step in one occurrence.
@@ -136,6 +140,9 @@
 	if s.Phase > Cancelled {
 		return fmt.Errorf("the phase %d is unknown; upgrade the entry", uint8(s.Phase))
 	}
+	if err := s.Series.validate(); err != nil {
+		return err
+	}
 	for i := range s.Steps {
 		step := &s.Steps[i]
 		if step.Occurrence < 0 || step.Step < 0 {
@@ -163,6 +170,22 @@
 	s.Done[index/8] |= 1 << (index % 8)
 }
 
+// SetAllDone marks all of a number of tasks as complete.
+func (s *StepState) SetAllDone(count int) {
+	s.Done = bytes.Repeat([]byte{0xff}, (count+7)/8)
+	if rest := count % 8; rest > 0 {
+		s.Done[len(s.Done)-1] = 1<<rest - 1
+	}
+}
+
+// CountDone returns the number of complete tasks.
+func (s *StepState) CountDone() (n int) {
+	for _, b := range s.Done {
+		n += bits.OnesCount8(b)
+	}
+	return n
+}
+
 // IsDone reports whether a task is complete.
 func (s *StepState) IsDone(index int) bool {
 	return index/8 < len(s.Done) && s.Done[index/8]&(1<<(index%8)) != 0
@@ -186,11 +209,18 @@
 
 // StateRecord returns the record of a job's state.
 func StateRecord(id workload.JobID, s *JobState) (Record, error) {
-	r, err := encode(string(kindState)+string(id), s)
+	stored := *s
+	if s.Series != nil && s.Series.Unlisted {
+		stored.Phase, stored.FinalUnixMS = Cancelled, 0 // see Series
+	}
+	r, err := encode(string(kindState)+string(id), &stored)
 	if err != nil {
 		return r, err
 	}
-	r.Value, err = appendCrashes(r.Value, s.Crashes)
+	if r.Value, err = appendCrashes(r.Value, s.Crashes, s.Series != nil); err != nil {
+		return r, err
+	}
+	r.Value, err = appendSeries(r.Value, s)
 	return r, err
 }
 
@@ -231,7 +261,7 @@
 	if string(job.ID) != r.Key[1:] || !job.ID.Valid() {
 		return nil, fmt.Errorf("ledger: the record %q at offset %d holds the job %q", r.Key, r.Offset, job.ID)
 	}
-	if err := job.Validate(); err != nil {
+	if err := job.CheckForm(); err != nil {
 		return nil, fmt.Errorf("ledger: the record %q at offset %d holds an invalid job: %w", r.Key, r.Offset, err)
 	}
 	return job, nil
@@ -275,6 +305,14 @@
 	return workload.JobID(r.Key[1:]), true
 }
 
+// StateOf returns the job whose state a record holds; false if the record is of another kind.
+func StateOf(r Record) (workload.JobID, bool) {
+	if r.Key == "" || r.Key[0] != kindState {
+		return "", false
+	}
+	return workload.JobID(r.Key[1:]), true
+}
+
 // DropRecords returns the records that delete a job from the log.
 func DropRecords(id workload.JobID) []Record {
 	return []Record{
--- a/internal/state/scheduler/latestarts.go
+++ b/internal/state/scheduler/latestarts.go
@@ -15,7 +15,7 @@
 // has closed its connections.
 func (s *Scheduler) yieldToNextLife(now state.Time, id workload.UpstreamID) {
 	for start, l := range s.unconfirmedStarts[id] {
-		t := s.task(start.Task)
+		t := s.heldTask(start.Task)
 		if l.awaitsLife || l.undelivered || now >= l.until || t == nil || !t.yields() {
 			continue
 		}
@@ -49,7 +49,7 @@
 		return
 	}
 	l.awaitsLife = false
-	if t := s.task(start.Task); t != nil {
+	if t := s.heldTask(start.Task); t != nil {
 		t.awaitedLives = max(0, t.awaitedLives-1)
 		s.requeue(t.step)
 	}
