Call one run of an upstream an incarnation throughout

The late starts used the word life for what the glossary calls an incarnation. Tests of late starts, trials, lost contact and crashes pass.

--- a/internal/coordination/dispatch/owner.go
+++ b/internal/coordination/dispatch/owner.go
@@ -410,7 +410,7 @@
 	activeLinks := int64(0)
 	for id, l := range o.links {
 		active, shortWait := o.sched.HasRuns(id)
-		active = active || o.sched.AwaitsNextLife(id)
+		active = active || o.sched.AwaitsNextIncarnation(id)
 		if active {
 			activeLinks++
 		}
--- a/internal/state/scheduler/latestarts.go
+++ b/internal/state/scheduler/latestarts.go
@@ -6,24 +6,24 @@
 )
 
 // A start without a response may be carried out up to maxStartDelay later. The stop that revoked it
-// holds in the life of the upstream that acknowledged it only: if the upstream ends, its next
-// life may carry out the start beside the run that has replaced it. So the task gives way from
-// the moment that the upstream closes its connections: its run is stopped, and it is not started
-// again until the next life has acknowledged a stop, or cannot carry out the start any more.
+// holds in the incarnation of the upstream that acknowledged it only: if the upstream ends, its next
+// incarnation may carry out the start beside the run that has replaced it. So the task gives way
+// from the moment that the upstream closes its connections: its run is stopped, and it is not
+// started again until the next incarnation has acknowledged a stop, or can't carry out the start.
 
-// yieldToNextLife stops the runs that have replaced the unconfirmed starts on an upstream that
+// yieldToNextIncarnation stops the runs that have replaced the unconfirmed starts on an upstream that
 // has closed its connections.
-func (s *Scheduler) yieldToNextLife(now state.Time, id workload.UpstreamID) {
+func (s *Scheduler) yieldToNextIncarnation(now state.Time, id workload.UpstreamID) {
 	for start, l := range s.unconfirmedStarts[id] {
 		t := s.heldTask(start.Task)
-		if l.awaitsLife || l.undelivered || now >= l.until || t == nil || !t.yields() {
+		if l.awaitsNext || l.undelivered || now >= l.until || t == nil || !t.yields() {
 			continue
 		}
-		l.awaitsLife, l.inNextLife = true, false
-		t.awaitedLives++
+		l.awaitsNext, l.inNext = true, false
+		t.awaitedIncarnations++
 		for _, r := range append([]*run(nil), t.runs...) {
 			if r.Upstream != id {
-				s.stop(now, r, StopNextLife)
+				s.stop(now, r, StopNextIncarnation)
 			}
 		}
 	}
@@ -43,37 +43,37 @@
 	return !t.done && !t.step.job.phase.Final() && !spec.Speculative && spec.MayMiss == 0
 }
 
-// endAwaitedLife lets a task be started again that waited for the next life of an upstream.
-func (s *Scheduler) endAwaitedLife(start Run, l *unconfirmedStart) {
-	if !l.awaitsLife {
+// endWait lets a task be started again that waited for the next incarnation of an upstream.
+func (s *Scheduler) endWait(start Run, l *unconfirmedStart) {
+	if !l.awaitsNext {
 		return
 	}
-	l.awaitsLife = false
+	l.awaitsNext = false
 	if t := s.heldTask(start.Task); t != nil {
-		t.awaitedLives = max(0, t.awaitedLives-1)
+		t.awaitedIncarnations = max(0, t.awaitedIncarnations-1)
 		s.requeue(t.step)
 	}
 }
 
-// endAwaitedLives lets all tasks be started again that waited for the next life of an upstream.
-func (s *Scheduler) endAwaitedLives(id workload.UpstreamID) {
+// endWaits lets all tasks be started again that waited for the next incarnation of an upstream.
+func (s *Scheduler) endWaits(id workload.UpstreamID) {
 	for start, l := range s.unconfirmedStarts[id] {
-		s.endAwaitedLife(start, l)
+		s.endWait(start, l)
 	}
 }
 
-// endAwaitedLivesOfSurvivor lets the tasks be started again that waited for the next life of an
+// endWaitsForSurvivor lets the tasks be started again that waited for the next incarnation of an
 // upstream which was only not reached: its stops still hold.
-func (s *Scheduler) endAwaitedLivesOfSurvivor(id workload.UpstreamID) {
+func (s *Scheduler) endWaitsForSurvivor(id workload.UpstreamID) {
 	for start, l := range s.unconfirmedStarts[id] {
-		if !l.inNextLife {
-			s.endAwaitedLife(start, l)
+		if !l.inNext {
+			s.endWait(start, l)
 		}
 	}
 }
 
-// AwaitsNextLife reports whether an upstream, or its next life, may still carry out a start
+// AwaitsNextIncarnation reports whether an upstream, or its next incarnation, may still carry out a start
 // without a response. It is polled all the while, so that its end is noticed at once.
-func (s *Scheduler) AwaitsNextLife(id workload.UpstreamID) bool {
+func (s *Scheduler) AwaitsNextIncarnation(id workload.UpstreamID) bool {
 	return len(s.unconfirmedStarts[id]) > 0
 }
--- a/internal/state/scheduler/latestarts_test.go
+++ b/internal/state/scheduler/latestarts_test.go
@@ -11,8 +11,8 @@
 	"github.com/samphirerail/samphirerail/internal/state/workload"
 )
 
-// endLife ends an upstream, which is up again under its ID after a time and then knows nothing of before.
-func (sim *simulation) endLife(u *simUpstream, away state.Time) {
+// endIncarnation ends an upstream, which is up again under its ID after a time and then knows nothing of before.
+func (sim *simulation) endIncarnation(u *simUpstream, away state.Time) {
 	clear(u.running)
 	clear(u.revoked)
 	u.ended, u.reportedEnds, u.fence, u.down = nil, 0, 0, true
@@ -20,12 +20,12 @@
 	sim.at(away, func() {
 		u.down, u.polled = false, false
 		u.reg.StartedUnixMS = sim.unix()
-		sim.s.SetUpstream(sim.now, u.reg) // the owner sees the new life before its first report
+		sim.s.SetUpstream(sim.now, u.reg) // the owner sees the new incarnation before its first report
 	})
 }
 
-// TestLateStartAtNextLifeRunsAlone guards against a start that is carried out by the next life of its upstream beside the run that replaced it.
-func TestLateStartAtNextLifeRunsAlone(t *testing.T) {
+// TestLateStartAtNextIncarnationRunsAlone guards against a start that is carried out by the next incarnation of its upstream beside the run that replaced it.
+func TestLateStartAtNextIncarnationRunsAlone(t *testing.T) {
 	is := is.New(t)
 	sim := newSimulation(t, oneQueue(nil))
 	sim.add(4, largeUpstream)
@@ -52,7 +52,7 @@
 	}
 	is.Equal(sim.running(jobID(1)), 1)
 	is.True(u.running[task] == nil) // replaced elsewhere
-	sim.endLife(u, 500*time.Millisecond)
+	sim.endIncarnation(u, 500*time.Millisecond)
 	sim.at(500*time.Millisecond, func() { sim.executeStart(sim.epoch, sim.now+simLease, late) })
 	sim.advance(3 * time.Second) // the simulation reports a second run
 	is.Equal(sim.running(jobID(1)), 1)
@@ -60,7 +60,7 @@
 	is.Equal(sim.phaseOf(jobID(1)), ledger.Complete)
 }
 
-// TestUpstreamThatWasOnlyNotReachedEndsTheWait guards against tasks that wait for a next life that does not come.
+// TestUpstreamThatWasOnlyNotReachedEndsTheWait guards against tasks that wait for a next incarnation that does not come.
 func TestUpstreamThatWasOnlyNotReachedEndsTheWait(t *testing.T) {
 	cases := []struct {
 		name string
--- a/internal/state/scheduler/model.go
+++ b/internal/state/scheduler/model.go
@@ -57,13 +57,13 @@
 	StopPreempted
 	// StopMoved: the run would end too late and resumes on a faster upstream.
 	StopMoved
-	// StopNextLife: an upstream has ended whose next life may carry out a former start of the task.
-	StopNextLife
+	// StopNextIncarnation: an upstream has ended whose next incarnation may carry out a former start of the task.
+	StopNextIncarnation
 )
 
 // String returns the reason as written to logs.
 func (r StopReason) String() string {
-	return [...]string{"job-ended", "stalled", "gang-broken", "unwanted", "unanswered", "leaving", "evacuated", "preempted", "moved", "next-life"}[r]
+	return [...]string{"job-ended", "stalled", "gang-broken", "unwanted", "unanswered", "leaving", "evacuated", "preempted", "moved", "next-incarnation"}[r]
 }
 
 // Stop is the command to stop a run.
@@ -204,9 +204,9 @@
 	// still be running there. It is "" once this owner has polled the upstream. The
 	// upstream may be absent from the platform's list.
 	unconfirmedOn workload.UpstreamID
-	// awaitedLives counts the upstreams whose next lives may carry out a start of the task; it is
-	// not started until they cannot. See yieldToNextLife.
-	awaitedLives int
+	// awaitedIncarnations counts the upstreams whose next incarnations may carry out a start of the task; it is
+	// not started until they cannot. See yieldToNextIncarnation.
+	awaitedIncarnations int
 	// preempted counts how often this owner preempted the task.
 	preempted int
 	moves     move
--- a/internal/state/scheduler/plan.go
+++ b/internal/state/scheduler/plan.go
@@ -108,7 +108,7 @@
 		case t.done:
 		case len(t.runs) > 0:
 			gangRuns = true
-		case t.unconfirmedOn != "", t.awaitedLives > 0:
+		case t.unconfirmedOn != "", t.awaitedIncarnations > 0:
 			unconfirmed++
 		case t.isolated && !st.spec.Gang: // see suspects
 		default:
--- a/internal/state/scheduler/report.go
+++ b/internal/state/scheduler/report.go
@@ -91,7 +91,7 @@
 		return
 	}
 	u.polled, u.unreachable, u.closed, u.suspected = true, false, false, false
-	s.endAwaitedLivesOfSurvivor(id)
+	s.endWaitsForSurvivor(id)
 	for i := range report.Ended {
 		s.applyEnded(now, u, &report.Ended[i])
 	}
--- a/internal/state/scheduler/revoke.go
+++ b/internal/state/scheduler/revoke.go
@@ -25,11 +25,11 @@
 	// revokeAt is when the revoking stop is due; 0 while one is in flight or once the
 	// newest incarnation has acknowledged it.
 	revokeAt state.Time
-	// awaitsLife is set while the task gives way to the next life of the upstream, and inNextLife
+	// awaitsNext is set while the task gives way to the next incarnation of the upstream, and inNext
 	// once that has begun.
-	awaitsLife, inNextLife bool
+	awaitsNext, inNext bool
 	// undelivered says that the upstream closed the connection before a response: what it had
-	// not received by then is not delivered to its next life.
+	// not received by then is not delivered to its next incarnation.
 	undelivered bool
 }
 
@@ -46,7 +46,7 @@
 // of an upstream.
 func (s *Scheduler) revokeStarts(now state.Time, id workload.UpstreamID) {
 	for _, l := range s.unconfirmedStarts[id] {
-		l.revokeAt, l.inNextLife = now, true
+		l.revokeAt, l.inNext = now, true
 	}
 }
 
@@ -57,7 +57,7 @@
 		for run, l := range starts {
 			switch {
 			case now >= l.until:
-				s.endAwaitedLife(run, l)
+				s.endWait(run, l)
 				delete(starts, run)
 			case l.revokeAt > 0 && now >= l.revokeAt:
 				l.revokeAt = 0
@@ -77,7 +77,7 @@
 	case l == nil:
 	case !acknowledged:
 		l.revokeAt = now + revokeRetry
-	case l.inNextLife:
-		s.endAwaitedLife(id, l)
+	case l.inNext:
+		s.endWait(id, l)
 	}
 }
--- a/internal/state/scheduler/runs.go
+++ b/internal/state/scheduler/runs.go
@@ -356,7 +356,7 @@
 	if u := s.upstreams[id]; u != nil && !u.unreachable {
 		u.unreachable, u.unreachableSince, u.closed = true, now, closed
 		if closed {
-			s.yieldToNextLife(now, id)
+			s.yieldToNextIncarnation(now, id)
 		}
 		if u.polled { // otherwise this owner never had contact
 			s.outages.Note(string(id), u.place(), now)
@@ -387,9 +387,9 @@
 	}
 	switch {
 	case cause == LossRestarted: // another upstream answers, which refuses starts for this one
-		s.endAwaitedLives(id)
+		s.endWaits(id)
 	case u.closed:
-		s.yieldToNextLife(now, id)
+		s.yieldToNextIncarnation(now, id)
 	}
 	s.giveUp(now, giveUp)
 	if !u.listed {
