Teach the soak long-running jobs whose runners are cut off and restart

The soak had no long-running job, no cut between entries and runners, and no runner that restarts behind one. At the end every task of such a job must run, and the job must not be shown as failed unless two runners ended while they ran one of its tasks. The report has the longest time for which a task had no run.

--- a/internal/command/soak.go
+++ b/internal/command/soak.go
@@ -26,6 +26,8 @@
 			&cli.BoolFlag{Name: "starts-without-record", Usage: "switch the setting on at every entry"},
 			&cli.BoolFlag{Name: "crashing-tasks", Usage: "submit jobs that crash the runners that start them", Value: true},
 			&cli.BoolFlag{Name: "changing-capacities", Usage: "let runners shrink and grow", Value: true},
+			&cli.BoolFlag{Name: "lasting-jobs", Usage: "submit long-running jobs, cut runners off in waves and kill the owner"},
+			&cli.BoolFlag{Name: "failing-lasting-jobs", Usage: "let tasks of long-running jobs fail by themselves", Value: true},
 			&cli.BoolFlag{Name: "quiet", Usage: "inject no faults"},
 			&cli.BoolFlag{Name: "faults", Usage: "print each fault"},
 		},
@@ -41,6 +43,7 @@
 					Runners: cmd.Int("runners"), Program: program, NoFaults: cmd.Bool("quiet"),
 					StartsWithoutRecord: cmd.Bool("starts-without-record"),
 					CrashingTasks:       cmd.Bool("crashing-tasks"), ChangingCapacities: cmd.Bool("changing-capacities"),
+					LastingJobs: cmd.Bool("lasting-jobs"), FailingLastingJobs: cmd.Bool("failing-lasting-jobs"),
 				}
 				if cmd.Bool("faults") {
 					opts.Out = cmd.Root().Writer
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -7,6 +7,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -21,6 +22,10 @@
 
 	mu   sync.Mutex
 	jobs map[string]*sentJob
+	// lasting are the long-running jobs.
+	lasting []lastingJob
+	// longestIdle is the longest time for which a task of them had no run.
+	longestIdle time.Duration
 }
 
 // sentJob records the replies that a caller received for one job.
@@ -34,6 +39,8 @@
 	cancelSent, cancelled bool
 	// crashes is set if the tasks crash the runners that start them.
 	crashes bool
+	// lasting is set for a long-running job.
+	lasting bool
 	tasks   int
 	// prefix is the path prefix of the job's queue.
 	prefix string
@@ -42,6 +49,9 @@
 const (
 	// submitInterval is the pause between two submissions.
 	submitInterval = 40 * time.Millisecond
+	// sparseInterval is the same beside long-running jobs: the work fits the workspace's limit,
+	// so that none waits for long at the end of a run of minutes.
+	sparseInterval = 160 * time.Millisecond
 	// callTimeout bounds one HTTP request.
 	callTimeout = 3 * time.Second
 	// maxAttempts is how often a caller submits a job that is not acknowledged.
@@ -63,13 +73,17 @@
 // flight.
 func (c *callers) run(stop chan struct{}) {
 	r := rand.New(rand.NewPCG(c.opts.Seed, 3))
+	interval := submitInterval
+	if c.opts.LastingJobs {
+		interval = sparseInterval
+	}
 	var group sync.WaitGroup
 	defer group.Wait()
 	for {
 		select {
 		case <-stop:
 			return
-		case <-time.After(submitInterval):
+		case <-time.After(interval):
 		}
 		id := fmt.Sprintf("%016x", r.Uint64())
 		width := 1 + r.IntN(4)
@@ -107,7 +121,7 @@
 }
 
 // Streams of random numbers of the further submissions, which leave that of the others alone.
-const lateStream, crashingStream = 4, 5
+const lateStream, crashingStream, lastingStream = 4, 5, 7
 
 // submitRegularly submits a job that next makes after each interval, until stop is closed, and
 // then waits for the calls in flight.
@@ -195,7 +209,11 @@
 		return 0, ""
 	}
 	req.Host = host
-	req.Header.Set("Authorization", "Bearer "+fakewire.Key)
+	key := fakewire.Key
+	if strings.HasPrefix(path, fakewire.LastingPrefix) {
+		key = fakewire.LastingKey
+	}
+	req.Header.Set("Authorization", "Bearer "+key)
 	resp, err := c.client.Do(req)
 	if err != nil {
 		return 0, ""
@@ -240,6 +258,11 @@
 func (c *callers) verify(wait time.Duration) Report {
 	var report Report
 	deadline := time.Now().Add(wait)
+	for _, l := range c.lasting {
+		if l.job.acked {
+			c.checkLasting(&report, l.id, l.job, deadline)
+		}
+	}
 	for id, job := range c.jobs {
 		if job.acked {
 			report.Accepted++
@@ -248,7 +271,7 @@
 		} else {
 			report.Unknown++
 		}
-		if !job.acked {
+		if !job.acked || job.lasting {
 			continue
 		}
 		state := c.finalState(id, deadline)
--- a/internal/soak/cluster.go
+++ b/internal/soak/cluster.go
@@ -10,6 +10,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -50,9 +51,14 @@
 	servers []*http.Server
 	entries []*entry
 
+	// lives counts the lives of runners under further IDs.
+	lives atomic.Int64
+
 	mu sync.Mutex
 	// version is that of the newest published configuration.
 	version int64
+	// cut holds the indices of the runners that are cut off.
+	cut map[int]bool
 }
 
 // entry is one entry process, which is restarted when it exits.
@@ -80,7 +86,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &cluster{opts: opts, dir: dir, log: fakewire.NewLog()}
+	c := &cluster{opts: opts, dir: dir, log: fakewire.NewLog(), cut: map[int]bool{}}
 	c.fleet = fakewire.NewFleet(c.log, accepted)
 	c.fleet.SetCPULimit(workspaceMaxCPUMilli)
 	c.fleet.SetEvacuationBound(evacuationBound)
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -43,6 +43,10 @@
 	CrashingTasks bool
 	// ChangingCapacities makes runners shrink and grow.
 	ChangingCapacities bool
+	// LastingJobs submits long-running jobs, cuts runners off in waves and kills the owner.
+	LastingJobs bool
+	// FailingLastingJobs makes the tasks of every third long-running job fail after some seconds.
+	FailingLastingJobs bool
 }
 
 // Report is the outcome of a run.
@@ -60,6 +64,8 @@
 	GivenUp, Innocent int
 	// Resumed counts the runs that were started from a checkpoint.
 	Resumed int
+	// LongestIdle is the longest time for which a task of a long-running job had no run.
+	LongestIdle time.Duration
 	// Problems describes each violated guarantee.
 	Problems []string
 	// Dir is the directory of the logs. It is empty, and the directory removed, if there
@@ -93,22 +99,19 @@
 	}
 	callers.cluster = c
 	start := time.Now()
+	if opts.LastingJobs {
+		callers.submitLasting()
+	}
 	stop := make(chan struct{})
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		var late sync.WaitGroup
-		defer late.Wait()
-		if opts.Uneven {
-			late.Go(func() { callers.runLate(stop) })
-		}
-		if opts.CrashingTasks {
-			late.Go(func() { callers.runCrashing(stop) })
-		}
-		if opts.ChangingCapacities {
-			late.Go(func() { c.resizeRunners(stop, start) })
-		}
-		callers.run(stop)
+		callers.load(stop, start)
+	}()
+	settled, watched := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(watched)
+		callers.watchLasting(settled, start)
 	}()
 	evacuations := make(chan int, 1)
 	go func() { evacuations <- c.evacuateZones(stop, start) }()
@@ -123,7 +126,10 @@
 	c.clearFaults()
 	c.restoreCapacities()
 	problems := callers.checkConfiguration()
+	close(settled)
+	<-watched
 	report := callers.verify(settleTimeout)
+	report.LongestIdle = callers.longestIdle
 	report.Seed, report.Dir, report.Evacuations, report.Resumed = opts.Seed, c.dir, evacuated, c.fleet.Resumed()
 	report.Problems = append(report.Problems, problems...)
 	report.Problems = append(report.Problems, c.fleet.Problems()...)
@@ -137,6 +143,25 @@
 	return report, err
 }
 
+// load submits jobs and disturbs the upstreams, as the options say, until stop is closed.
+func (c *callers) load(stop chan struct{}, start time.Time) {
+	var further sync.WaitGroup
+	defer further.Wait()
+	if c.opts.Uneven {
+		further.Go(func() { c.runLate(stop) })
+	}
+	if c.opts.CrashingTasks {
+		further.Go(func() { c.runCrashing(stop) })
+	}
+	if c.opts.ChangingCapacities {
+		further.Go(func() { c.cluster.resizeRunners(stop, start) })
+	}
+	if c.opts.LastingJobs {
+		further.Go(func() { c.cluster.disturb(c.lasting, stop, start) })
+	}
+	c.run(stop)
+}
+
 // fault is a failure that is injected with begin and ended with end.
 type fault struct {
 	name  string
@@ -257,5 +282,5 @@
 	if len(r.Problems) > 0 {
 		outcome = fmt.Sprintf("%d problems: %s; logs in %s", len(r.Problems), strings.Join(r.Problems[:min(len(r.Problems), 5)], "; "), r.Dir)
 	}
-	return fmt.Sprintf("seed %d: accepted %d, rejected %d, unknown %d, complete %d, given up %d (innocent %d), evacuations %d, resumed %d: %s", r.Seed, r.Accepted, r.Rejected, r.Unknown, r.Complete, r.GivenUp, r.Innocent, r.Evacuations, r.Resumed, outcome)
+	return fmt.Sprintf("seed %d: accepted %d, rejected %d, unknown %d, complete %d, given up %d (innocent %d), evacuations %d, resumed %d, longest idle %s: %s", r.Seed, r.Accepted, r.Rejected, r.Unknown, r.Complete, r.GivenUp, r.Innocent, r.Evacuations, r.Resumed, r.LongestIdle.Round(time.Millisecond), outcome)
 }
