--- a/internal/coordination/dispatch/owner.go
+++ b/internal/coordination/dispatch/owner.go
@@ -104,6 +104,8 @@
 	// expired holds the upstreams that are removed unless they register again.
 	logReturnedAt time.Time
 	expired       map[workload.UpstreamID]struct{}
+	// invalid holds the IDs whose newest registration can't be decoded.
+	invalid map[workload.UpstreamID]struct{}
 	// unknownEnds holds the reported ends of jobs that are not known.
 	unknownEnds map[workload.UpstreamID]*unknownEnds
 	// unrecorded is the state of the starts that are sent before the log holds them.
@@ -185,7 +187,7 @@
 		submitted: map[workload.JobID]struct{}{}, addedJobs: map[workload.JobID]struct{}{}, final: map[workload.JobID]finalPhase{},
 		links: map[workload.UpstreamID]*link{}, signal: make(chan struct{}, 1), seq: 1,
 		adviceMargin: reachability.Timeout{Min: minAdviceMargin, Max: maxAdviceMargin},
-		expired:      map[workload.UpstreamID]struct{}{}, unknownEnds: map[workload.UpstreamID]*unknownEnds{},
+		expired:      map[workload.UpstreamID]struct{}{}, invalid: map[workload.UpstreamID]struct{}{}, unknownEnds: map[workload.UpstreamID]*unknownEnds{},
 	}
 	o.ctx, o.cancel = context.WithCancel(ctx)
 	o.runTimes, o.runTimesAt = p.loadRunTimes(), o.base
@@ -399,6 +401,7 @@
 	activeLinks := int64(0)
 	for id, l := range o.links {
 		active, shortWait := o.sched.HasRuns(id)
+		active = active || o.sched.AwaitsNextLife(id)
 		if active {
 			activeLinks++
 		}
@@ -450,21 +453,24 @@
 	}
 }
 
-// handlePollFailure processes a failed poll. leasesExpired says that the leases granted
-// by this owner have expired; replaced says that another upstream responds at the
-// address, which is only reused after the former one has ended.
-func (o *owner) handlePollFailure(id workload.UpstreamID, l *link, leasesExpired, replaced bool) {
+// handlePollFailure processes a failed poll.
+func (o *owner) handlePollFailure(id workload.UpstreamID, l *link, f pollFailure) {
 	if o.links[id] != l {
 		return
 	}
-	o.sched.MarkUnreachable(o.now(), id)
+	// An upstream that leaves closes its connections, too, and announces it in its registration.
+	if f.closed && o.clock()-o.registrationsAt < outageTime {
+		o.sched.MarkClosed(o.now(), id)
+	} else {
+		o.sched.MarkUnreachable(o.now(), id)
+	}
 	any, _ := o.sched.HasRuns(id)
-	if replaced || (any && leasesExpired && o.now() > o.sched.UnconfirmedUntil()) {
+	if f.replaced || (any && f.leasesExpired && o.now() > o.sched.UnconfirmedUntil()) {
 		if any {
-			o.logger.Warn("runs declared lost", "upstream", id, "lapsed", leasesExpired, "replaced", replaced)
+			o.logger.Warn("runs declared lost", "upstream", id, "lapsed", f.leasesExpired, "replaced", f.replaced)
 		}
 		cause := scheduler.LossExpired
-		if replaced {
+		if f.replaced {
 			cause = scheduler.LossRestarted
 		}
 		o.sched.ReleaseRuns(o.now(), id, cause)
@@ -476,8 +482,8 @@
 // handleRestart processes a restart of an upstream that its registration does not
 // show yet.
 func (o *owner) handleRestart(id workload.UpstreamID, startedUnixMS int64) {
-	if reg, ok := o.sched.Registration(id); ok && reg.StartedUnixMS != startedUnixMS {
-		reg.StartedUnixMS = startedUnixMS
-		o.sched.SetUpstream(o.now(), reg)
+	o.sched.Restart(o.now(), id, startedUnixMS)
+	if l := o.links[id]; l != nil {
+		o.dropLinkIfUnknown(id, l)
 	}
 }
--- a/internal/coordination/dispatch/poller.go
+++ b/internal/coordination/dispatch/poller.go
@@ -59,7 +59,7 @@
 	var polledAt time.Time
 	for ctx.Err() == nil {
 		l.mu.Lock()
-		active, shortWait, removed, pollRequested := l.active, l.close, l.removed, l.pollRequested
+		active, shortWait, removed, pollRequested, doubted := l.active, l.close, l.removed, l.pollRequested, l.doubted
 		unrecorded := l.reported > l.recorded
 		l.mu.Unlock()
 		if removed {
@@ -82,7 +82,7 @@
 			}
 		}
 		// After a gap the upstream may be a new incarnation, which numbers run ends from 1.
-		verify := !incarnationKnown || time.Since(polledAt) > verifyAfter
+		verify := !incarnationKnown || doubted || time.Since(polledAt) > verifyAfter
 		wait := time.Duration(0)
 		l.mu.Lock()
 		if !verify && l.active && !l.pollRequested && l.reported <= l.recorded {
@@ -292,6 +292,17 @@
 	return true
 }
 
+// pollFailure is what a failed poll shows.
+type pollFailure struct {
+	// leasesExpired says that the leases granted by this owner have expired.
+	leasesExpired bool
+	// replaced says that another upstream responds at the address, which is only reused after
+	// the former one has ended.
+	replaced bool
+	// closed says that the connection was closed or refused.
+	closed bool
+}
+
 // recordPollFailure counts a failed poll and reports it to the control loop.
 func (o *owner) recordPollFailure(id workload.UpstreamID, l *link, reply port.Reply, err error) {
 	l.mu.Lock()
@@ -303,10 +314,11 @@
 	if first {
 		o.logger.Warn("upstream poll failed", "upstream", id, "outcome", reply.Outcome, "reason", reply.Reason, "other_life", reply.OtherIncarnation, "error", err)
 	}
+	failure := pollFailure{leasesExpired: leasesExpired, replaced: reply.OtherIncarnation, closed: reply.NotListening || port.ConnectionClosed(err)}
 	o.post(func() {
 		if reply.NotListening && o.links[id] == l {
 			o.sched.SettleUpstream(id)
 		}
-		o.handlePollFailure(id, l, leasesExpired, reply.OtherIncarnation)
+		o.handlePollFailure(id, l, failure)
 	})
 }
--- a/internal/state/scheduler/model.go
+++ b/internal/state/scheduler/model.go
@@ -57,11 +57,13 @@
 	StopPreempted
 	// StopMoved: the run would end too late and resumes on a faster upstream.
 	StopMoved
+	// StopNextLife: an upstream has ended whose next life may carry out a former start of the task.
+	StopNextLife
 )
 
 // String returns the reason as written to logs.
 func (r StopReason) String() string {
-	return [...]string{"job-ended", "stalled", "gang-broken", "unwanted", "unanswered", "leaving", "evacuated", "preempted", "moved"}[r]
+	return [...]string{"job-ended", "stalled", "gang-broken", "unwanted", "unanswered", "leaving", "evacuated", "preempted", "moved", "next-life"}[r]
 }
 
 // Stop is the command to stop a run.
@@ -202,6 +204,9 @@
 	// still be running there. It is "" once this owner has polled the upstream. The
 	// upstream may be absent from the platform's list.
 	unconfirmedOn workload.UpstreamID
+	// awaitedLives counts the upstreams whose next lives may carry out a start of the task; it is
+	// not started until they cannot. See yieldToNextLife.
+	awaitedLives int
 	// preempted counts how often this owner preempted the task.
 	preempted int
 	moves     move
@@ -211,6 +216,8 @@
 	// is set while it is to be tried alone.
 	crashes  crashes.Record
 	isolated bool
+	// suspectedAt is when the task began to wait for an upstream of its own; 0 if it does not.
+	suspectedAt state.Time
 }
 
 func (t *task) id() workload.TaskID {
@@ -304,9 +311,6 @@
 	firstStart state.Time
 	// claimant holds the accounts and turns of the job; nil until it is looked up.
 	claimant *claimant
-	// suspectedAt is when a suspected task of the job began to wait for an upstream of its own;
-	// 0 if none does.
-	suspectedAt state.Time
 	// following holds, for each step, the declared run time of the longest chain of steps
 	// that follow it; nil until it is needed.
 	following []time.Duration
@@ -320,8 +324,10 @@
 	polled bool
 	// unreachable is set while calls to the upstream fail.
 	unreachable bool
-	// unreachableSince is when the calls began to fail.
+	// unreachableSince is when the calls began to fail, and closed is set if the upstream's
+	// process closed the connections then.
 	unreachableSince state.Time
+	closed           bool
 	// suspected is set from an unanswered command until the next successful poll.
 	suspected bool
 	used      state.Vector
--- a/internal/state/scheduler/plan.go
+++ b/internal/state/scheduler/plan.go
@@ -42,12 +42,15 @@
 	if q == nil || s.jobs[st.job.id] != st.job || st.job.phase.Final() {
 		return
 	}
+	if s.failUsedUp(now, st, q) {
+		return
+	}
 	waiting, unconfirmed := s.countPlaceable(st)
 	s.waiting.Unconfirmed += unconfirmed
 	if st.spec.Gang && unconfirmed == 0 && s.stopIncompleteGang(now, st) {
 		return
 	}
-	suspected := unconfirmed == 0 && len(st.suspects()) > 0
+	suspected := !s.heldBack(st) && len(st.suspects()) > 0
 	if waiting == 0 && !suspected {
 		if unconfirmed == 0 {
 			delete(s.ready, st)
@@ -63,8 +66,7 @@
 	st.priority = q.Priority
 	p := placement{s: s, now: now, step: st, queue: q, pool: pl, background: background, yields: s.leavesHeadroom(now, st, q, background), plan: plan, speed: s.speedPolicy(now, st, pl)}
 	p.chooseHome()
-	if p.placeSuspects() || waiting == 0 {
-		s.waiting.Capacity += waiting
+	if waiting += p.placeSuspects(); waiting == 0 {
 		p.requestTickets()
 		return
 	}
@@ -105,7 +107,7 @@
 		case t.done:
 		case len(t.runs) > 0:
 			gangRuns = true
-		case t.unconfirmedOn != "":
+		case t.unconfirmedOn != "", t.awaitedLives > 0:
 			unconfirmed++
 		case t.isolated && !st.spec.Gang: // see suspects
 		default:
@@ -122,7 +124,7 @@
 func (st *step) waitingTasks() []*task {
 	var out []*task
 	for _, t := range st.tasks {
-		if !t.done && len(t.runs) == 0 && t.unconfirmedOn == "" && (!t.isolated || st.spec.Gang) {
+		if !t.done && len(t.runs) == 0 && t.unconfirmedOn == "" && t.awaitedLives == 0 && (!t.isolated || st.spec.Gang) {
 			out = append(out, t)
 		}
 	}
--- a/internal/state/scheduler/runs.go
+++ b/internal/state/scheduler/runs.go
@@ -161,6 +161,7 @@
 		return false
 	}
 	r.phase, r.since, r.startedAt = starting, now, now
+	r.task.suspectedAt = 0
 	r.measure.begin(now, r)
 	return true
 }
@@ -249,6 +250,22 @@
 	return s.applyCapacity(now, u, before)
 }
 
+// Restart records a new incarnation of an upstream that its registration does not name yet. An
+// upstream that has left the platform's list stays off it.
+func (s *Scheduler) Restart(now state.Time, id workload.UpstreamID, startedUnixMS int64) {
+	u := s.upstreams[id]
+	switch {
+	case u == nil, u.StartedUnixMS == startedUnixMS:
+	case u.listed:
+		reg := u.Upstream
+		reg.StartedUnixMS = startedUnixMS
+		s.SetUpstream(now, reg)
+	default:
+		u.StartedUnixMS = startedUnixMS
+		s.handleNewIncarnation(now, u)
+	}
+}
+
 // handleNewIncarnation releases the runs of an upstream's previous incarnation and
 // revokes the unconfirmed starts.
 func (s *Scheduler) handleNewIncarnation(now state.Time, u *upstream) {
@@ -321,8 +338,20 @@
 
 // MarkUnreachable marks an upstream as unreachable until it is polled successfully.
 func (s *Scheduler) MarkUnreachable(now state.Time, id workload.UpstreamID) {
+	s.loseContact(now, id, false)
+}
+
+// MarkClosed marks an upstream as unreachable that closed or refused connections, as a process
+// does that ends. It has no effect on an upstream that is unreachable already: what ends during
+// a silence may not have been there at its beginning.
+func (s *Scheduler) MarkClosed(now state.Time, id workload.UpstreamID) { s.loseContact(now, id, true) }
+
+func (s *Scheduler) loseContact(now state.Time, id workload.UpstreamID, closed bool) {
 	if u := s.upstreams[id]; u != nil && !u.unreachable {
-		u.unreachable, u.unreachableSince = true, now
+		u.unreachable, u.unreachableSince, u.closed = true, now, closed
+		if closed {
+			s.yieldToNextLife(now, id)
+		}
 		if u.polled { // otherwise this owner never had contact
 			s.outages.Note(string(id), u.place(), now)
 		}
@@ -350,6 +379,12 @@
 	for _, r := range u.sortedRuns() {
 		s.release(now, r, false)
 	}
+	switch {
+	case cause == LossRestarted: // another upstream answers, which refuses starts for this one
+		s.endAwaitedLives(id)
+	case u.closed:
+		s.yieldToNextLife(now, id)
+	}
 	s.giveUp(now, giveUp)
 	if !u.listed {
 		s.dropUpstream(u)
