Teach the soak calls with unknown keys on a queue that needs none

The former must run; the latter must get no acknowledgement, never be started, and reading and cancelling them must be answered with 401 by every entry at the end.

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -7,7 +7,6 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"strings"
 	"sync"
 	"time"
 
@@ -42,8 +41,10 @@
 	// lasting is set for a long-running job.
 	lasting bool
 	tasks   int
-	// prefix is the path prefix of the job's queue.
-	prefix string
+	// prefix is the path prefix of the job's queue, key the key of its calls if it is unknown.
+	prefix, key string
+	// unauthorized is set by a refusal of the key.
+	unauthorized bool
 }
 
 const (
@@ -121,7 +122,7 @@
 }
 
 // Streams of random numbers of the further submissions, which leave that of the others alone.
-const lateStream, crashingStream, lastingStream = 4, 5, 7
+const lateStream, crashingStream, lastingStream, openStream = 4, 5, 7, 20
 
 // submitRegularly submits a job that next makes after each interval, until stop is closed, and
 // then waits for the calls in flight.
@@ -157,12 +158,14 @@
 			job.acked = true
 		case status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests:
 			job.rejected = true
+		case status == http.StatusUnauthorized:
+			job.unauthorized = true
 		default:
 			job.unknown = true
 		}
-		acked := job.acked
+		answered := job.acked || job.unauthorized
 		c.mu.Unlock()
-		if acked {
+		if answered {
 			break
 		}
 		time.Sleep(200 * time.Millisecond)
@@ -189,7 +192,7 @@
 
 // get requests a path and returns the HTTP status, or 0 if there was no response.
 func (c *callers) get(e *entry, path string) int {
-	status, _ := c.send(http.MethodGet, e, path, nil)
+	status, _ := c.send(http.MethodGet, e, path, fakewire.Key, nil)
 	return status
 }
 
@@ -197,23 +200,21 @@
 // the reply. It returns 0 if there was no complete response.
 func (c *callers) request(method string, e *entry, id string, body []byte) (int, string) {
 	c.mu.Lock()
-	prefix := c.jobs[id].prefix
+	job := c.jobs[id]
 	c.mu.Unlock()
-	return c.send(method, e, prefix+id, body)
+	return c.send(method, e, job.prefix+id, job.keyFor(), body)
 }
 
-// send makes one request for a path; see request.
-func (c *callers) send(method string, e *entry, path string, body []byte) (int, string) {
+// send makes one request for a path with a key, or with none if it is empty; see request.
+func (c *callers) send(method string, e *entry, path, key string, body []byte) (int, string) {
 	req, err := http.NewRequest(method, "http://"+e.callers+path, bytes.NewReader(body))
 	if err != nil {
 		return 0, ""
 	}
 	req.Host = host
-	key := fakewire.Key
-	if strings.HasPrefix(path, fakewire.LastingPrefix) {
-		key = fakewire.LastingKey
+	if key != "" {
+		req.Header.Set("Authorization", "Bearer "+key)
 	}
-	req.Header.Set("Authorization", "Bearer "+key)
 	resp, err := c.client.Do(req)
 	if err != nil {
 		return 0, ""
@@ -264,6 +265,10 @@
 		}
 	}
 	for id, job := range c.jobs {
+		if job.key != "" {
+			c.checkUnknownKey(&report, id, job)
+			continue
+		}
 		if job.acked {
 			report.Accepted++
 		} else if job.rejected && !job.unknown {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -47,6 +47,8 @@
 	LastingJobs bool
 	// FailingLastingJobs makes the tasks of every third long-running job fail after some seconds.
 	FailingLastingJobs bool
+	// UnknownKeys submits jobs without a key and with unknown keys to a queue that needs none.
+	UnknownKeys bool
 }
 
 // Report is the outcome of a run.
@@ -64,6 +66,8 @@
 	GivenUp, Innocent int
 	// Resumed counts the runs that were started from a checkpoint.
 	Resumed int
+	// Unauthorized counts the jobs that were refused for their unknown keys.
+	Unauthorized int
 	// LongestIdle is the longest time for which a task of a long-running job had no run.
 	LongestIdle time.Duration
 	// Problems describes each violated guarantee.
@@ -156,6 +160,9 @@
 	if c.opts.ChangingCapacities {
 		further.Go(func() { c.cluster.resizeRunners(stop, start) })
 	}
+	if c.opts.UnknownKeys {
+		further.Go(func() { c.runOpen(stop) })
+	}
 	if c.opts.LastingJobs {
 		further.Go(func() { c.cluster.disturb(c.lasting, stop, start) })
 	}
@@ -282,5 +289,5 @@
 	if len(r.Problems) > 0 {
 		outcome = fmt.Sprintf("%d problems: %s; logs in %s", len(r.Problems), strings.Join(r.Problems[:min(len(r.Problems), 5)], "; "), r.Dir)
 	}
-	return fmt.Sprintf("seed %d: accepted %d, rejected %d, unknown %d, complete %d, given up %d (innocent %d), evacuations %d, resumed %d, longest idle %s: %s", r.Seed, r.Accepted, r.Rejected, r.Unknown, r.Complete, r.GivenUp, r.Innocent, r.Evacuations, r.Resumed, r.LongestIdle.Round(time.Millisecond), outcome)
+	return fmt.Sprintf("seed %d: accepted %d, rejected %d, unknown %d, complete %d, given up %d (innocent %d), evacuations %d, resumed %d, unauthorized %d, longest idle %s: %s", r.Seed, r.Accepted, r.Rejected, r.Unknown, r.Complete, r.GivenUp, r.Innocent, r.Evacuations, r.Resumed, r.Unauthorized, r.LongestIdle.Round(time.Millisecond), outcome)
 }
