Keep the ports of the soak's entries from other soak runs

Cause: the entry had ended by SIGTERM at 14.9 s and never came back. Its log has 170 times "cannot listen on 127.0.0.1:23202: address already in use". While an entry is down nothing holds its ports, and the range of another soak run with a process ID 156 higher overlaps with its own. Which process took the port is not known.

Change: a run takes its ports from blocks, and listens on the first port of each block for as long as it lives, so that no other soak takes one of the others. Ports are reused once their entry is closed.

--- a/internal/soak/cluster.go
+++ b/internal/soak/cluster.go
@@ -67,9 +67,8 @@
 	// path is the program, settings the path of its settings file.
 	path     string
 	settings string
-	// callers and ready are the addresses (IP:port) of its listeners.
-	callers string
-	ready   string
+	// callers, ready and internal are the addresses (IP:port) of its listeners.
+	callers, ready, internal string
 	// proxy carries its connections to the log service.
 	proxy  *proxy
 	output *os.File
@@ -169,13 +168,13 @@
 	if err != nil {
 		return err
 	}
-	ports, err := freePorts(3)
+	addresses, err := ports.take(3)
 	if err != nil {
 		return err
 	}
 	e := &entry{
 		name: fmt.Sprintf("entry-%d", i), path: c.opts.Program, proxy: p,
-		callers: ports[0], ready: ports[1], settings: filepath.Join(c.dir, fmt.Sprintf("entry-%d.toml", i)),
+		callers: addresses[0], ready: addresses[1], internal: addresses[2], settings: filepath.Join(c.dir, fmt.Sprintf("entry-%d.toml", i)),
 	}
 	text := fmt.Sprintf(`[entry]
 name = %q
@@ -196,7 +195,7 @@
 heartbeat = %q
 [shutdown]
 balancer_delay = "500ms"
-`, e.name, i%3, e.callers, e.ready, ports[2], p.address(), evacuationBound, c.opts.StartsWithoutRecord, capacityNotice, runnerHeartbeat)
+`, e.name, i%3, e.callers, e.ready, e.internal, p.address(), evacuationBound, c.opts.StartsWithoutRecord, capacityNotice, runnerHeartbeat)
 	if err := os.WriteFile(e.settings, []byte(text), 0o600); err != nil {
 		return err
 	}
@@ -207,46 +206,6 @@
 	return e.start()
 }
 
-// freePorts returns n loopback addresses with ports below the range of outgoing
-// connections. The ports were free when checked; they are not reserved.
-func freePorts(n int) ([]string, error) {
-	var addresses []string
-	var listeners []net.Listener
-	defer func() {
-		for _, l := range listeners {
-			_ = l.Close()
-		}
-	}()
-	for port := firstPort; port < lastPort && len(addresses) < n; port++ {
-		portMu.Lock()
-		offset := nextPort
-		nextPort++
-		portMu.Unlock()
-		listener, err := net.Listen("tcp4", fmt.Sprintf("127.0.0.1:%d", firstPort+offset%(lastPort-firstPort)))
-		if err != nil {
-			continue
-		}
-		listeners = append(listeners, listener)
-		addresses = append(addresses, listener.Addr().String())
-	}
-	if len(addresses) < n {
-		return nil, errors.New("soak: not enough free ports for the entries; stop other soak runs")
-	}
-	return addresses, nil
-}
-
-// The ports on which entries listen lie below the range from which operating systems
-// take the ports of outgoing connections.
-const firstPort, lastPort = 20000, 30000
-
-// portsPerSoak separates the port ranges of soak runs with consecutive process IDs.
-const portsPerSoak = 64
-
-var (
-	portMu   sync.Mutex
-	nextPort = os.Getpid() * portsPerSoak % (lastPort - firstPort)
-)
-
 // start starts the process unless the entry is being closed.
 func (e *entry) start() error {
 	e.mu.Lock()
@@ -296,6 +255,7 @@
 	}
 	_ = e.output.Close()
 	_ = e.proxy.close()
+	ports.release([]string{e.callers, e.ready, e.internal})
 }
 
 // awaitReady waits until every entry is ready. It closes the cluster on a timeout.
