--- a/internal/state/scheduler/latestarts.go
+++ b/internal/state/scheduler/latestarts.go
@@ -15,8 +15,8 @@
 // has closed its connections.
 func (s *Scheduler) yieldToNextLife(now state.Time, id workload.UpstreamID) {
 	for start, l := range s.unconfirmedStarts[id] {
-		t := s.task(start.Task)
-		if l.awaitsLife || now >= l.until || t == nil || !t.yields() {
+		t := s.heldTask(start.Task)
+		if l.awaitsLife || l.undelivered || now >= l.until || t == nil || !t.yields() {
 			continue
 		}
 		l.awaitsLife, l.inNextLife = true, false
@@ -29,6 +29,13 @@
 	}
 }
 
+// StartInterrupted records that the connection of an unconfirmed start was closed before a response.
+func (s *Scheduler) StartInterrupted(start Run) {
+	if l := s.unconfirmedStarts[start.Upstream][start]; l != nil {
+		l.undelivered = true
+	}
+}
+
 // yields reports whether two runs of the task at the same time must be avoided at the cost of a
 // stop.
 func (t *task) yields() bool {
@@ -42,7 +49,7 @@
 		return
 	}
 	l.awaitsLife = false
-	if t := s.task(start.Task); t != nil {
+	if t := s.heldTask(start.Task); t != nil {
 		t.awaitedLives = max(0, t.awaitedLives-1)
 		s.requeue(t.step)
 	}
--- a/internal/state/scheduler/losses.go
+++ b/internal/state/scheduler/losses.go
@@ -48,6 +48,9 @@
 	Verdict crashes.Verdict
 }
 
+// leaveNotice is how long before it ends an upstream announces at least that it leaves.
+const leaveNotice = 2 * time.Second
+
 // unknownAge is the age of a run that a former owner started.
 const unknownAge = -1
 
@@ -77,10 +80,11 @@
 		lost = append(lost, lostRun{t, t.lastRun, false, unknownAge})
 	}
 	// Only a process that ends closes its connections; what else shows the loss may be a cut.
-	crash := !u.Draining && u.closed && (cause == LossRestarted || !u.listed)
+	// One that leaves announces it, which must have been readable.
+	crash := u.closed && !u.Draining && s.registrationsRead+leaveNotice >= u.unreachableSince
 	evidence := crashes.Confirmed
 	switch {
-	case cause != LossRestarted:
+	case cause != LossRestarted, s.opts.Lease > 0 && now-u.unreachableSince > s.opts.Lease:
 		evidence = crashes.Presumed
 	case s.outages.Shared(string(u.ID), u.place(), u.lostContactAt(now)):
 		evidence = crashes.Shared
@@ -188,10 +192,11 @@
 // restoreCrashes applies the recorded crashes of a job's tasks.
 func (s *Scheduler) restoreCrashes(j *job, recorded []ledger.TaskCrashes) {
 	for _, c := range recorded {
-		if c.Occurrence >= len(j.steps) || c.Step >= len(j.steps[c.Occurrence]) || c.Index >= len(j.steps[c.Occurrence][c.Step].tasks) {
+		steps := j.steps[c.Occurrence]
+		if c.Step >= len(steps) || c.Index >= steps[c.Step].spec.Count || steps[c.Step].isDone(c.Index) {
 			continue
 		}
-		t := j.steps[c.Occurrence][c.Step].tasks[c.Index]
+		t := steps[c.Step].task(c.Index)
 		t.crashes = crashes.Record{
 			Certain: c.Certain, Uncertain: c.Uncertain, Shared: c.Shared, Blame: c.BlamePercent, Alone: c.Alone, Age: time.Duration(c.AgeMS) * time.Millisecond,
 		}
@@ -204,15 +209,13 @@
 
 // recordCrashes returns what is held against the tasks of a job that are not complete.
 func (j *job) recordCrashes() (out []ledger.TaskCrashes) {
-	for k, steps := range j.steps {
-		for i, st := range steps {
-			for _, t := range st.tasks {
-				if c := &t.crashes; !c.Empty() && !t.done {
-					out = append(out, ledger.TaskCrashes{
-						Occurrence: k, Step: i, Index: t.index, Certain: c.Certain, Uncertain: c.Uncertain, Shared: c.Shared, BlamePercent: c.Blame, Alone: c.Alone,
-						AgeMS: c.Age.Milliseconds(), Observed: true,
-					})
-				}
+	for st := range j.all() {
+		for _, t := range st.tasks {
+			if c := &t.crashes; !c.Empty() && !t.done {
+				out = append(out, ledger.TaskCrashes{
+					Occurrence: st.occurrence, Step: st.index, Index: t.index, Certain: c.Certain, Uncertain: c.Uncertain, Shared: c.Shared, BlamePercent: c.Blame, Alone: c.Alone,
+					AgeMS: c.Age.Milliseconds(), Observed: true,
+				})
 			}
 		}
 	}
--- a/internal/state/scheduler/report.go
+++ b/internal/state/scheduler/report.go
@@ -186,6 +186,9 @@
 			// The run waits for slower gang members; all end together.
 			return false
 		}
+		if r.task.step.untouched() > 0 {
+			return false
+		}
 		for _, t := range r.task.step.tasks {
 			if len(t.runs) == 0 || t.runs[0].phase != running {
 				return false
@@ -204,6 +207,9 @@
 		t = s.taskOfEndedJob(reported.Task)
 	}
 	if t == nil || u.runs[reported.Task] != nil {
+		if t != nil {
+			t.step.dropIdle(t)
+		}
 		s.stops = append(s.stops, Stop{Run: Run{reported.Task, reported.Run, u.ID}, Reason: StopUnwanted, Percent: reported.Percent})
 		return nil
 	}
@@ -230,13 +236,7 @@
 	if spec == nil || id.Occurrence >= spec.Occurrences() || id.Step >= len(spec.Steps) {
 		return nil
 	}
-	j := &job{id: spec.ID, spec: spec, phase: ledger.Cancelled, cancelled: true, endedBeforeTakeover: true, begun: true, steps: make([][]*step, spec.Occurrences())}
-	for k := range j.steps {
-		j.steps[k] = make([]*step, len(spec.Steps))
-		for i := range spec.Steps {
-			j.steps[k][i] = newStep(j, k, i)
-		}
-	}
+	j := &job{id: spec.ID, spec: spec, phase: ledger.Cancelled, cancelled: true, endedBeforeTakeover: true, begun: true, steps: map[int][]*step{}}
 	s.jobs[j.id] = j
 	return s.task(id)
 }
@@ -248,6 +248,7 @@
 	if t == nil {
 		return
 	}
+	defer t.step.dropIdle(t)
 	r := u.runs[reported.Task]
 	if r != nil && r.Number != reported.Run {
 		r = nil
@@ -288,22 +289,26 @@
 // taskDone marks a task, or all tasks of a gang, as complete.
 func (s *Scheduler) taskDone(now state.Time, t *task) {
 	st := t.step
-	tasks := []*task{t}
-	if st.spec.Gang {
-		tasks = st.tasks
-	}
 	if t.done {
 		return
 	}
+	tasks := []*task{t}
+	if st.spec.Gang {
+		tasks = slices.Clone(st.tasks)
+		st.left = 0 // with those that were never placed
+	} else {
+		st.setDone(t.index)
+	}
 	for _, member := range tasks {
-		if member.done {
-			continue
-		}
 		member.done = true
 		s.clearUnconfirmed(member)
-		st.left--
 	}
 	s.stopCopies(now, t)
+	for _, member := range tasks {
+		if member != t { // that one's end is still being applied
+			st.dropIdle(member)
+		}
+	}
 	if st.left == 0 && !st.job.phase.Final() {
 		s.stepDone(now, st)
 	}
@@ -312,7 +317,7 @@
 func (s *Scheduler) stepDone(now state.Time, st *step) {
 	delete(s.ready, st)
 	st.job.openSteps--
-	if st.job.openSteps == 0 {
+	if st.job.complete() {
 		s.finish(now, st.job, ledger.Complete)
 		return
 	}
@@ -328,7 +333,8 @@
 func (s *Scheduler) taskFailed(now state.Time, u *upstream, t *task, number int64) {
 	counted := t
 	if t.step.spec.Gang {
-		counted = t.step.tasks[0]
+		counted = t.step.task(0)
+		defer t.step.dropIdle(counted)
 	}
 	if slices.Contains(counted.failed, number) {
 		return
@@ -354,28 +360,30 @@
 	return !t.done && !t.step.spec.LongRunning && q.MaxAttempts > 0 && len(t.failed) >= q.MaxAttempts
 }
 
+// configSettled is the age of an owner's term from which its configuration is as new as that by
+// which its predecessor acted.
+const configSettled = 5 * time.Second
+
 // failUsedUp fails the job of a step of which a task may not be started again: its last attempt
 // failed while the configuration lacked the queue, or allowed more attempts. It reports whether
-// it did.
+// there is such a task; nothing of the step is started then.
 func (s *Scheduler) failUsedUp(now state.Time, st *step, q *workload.Queue) bool {
 	if !slices.ContainsFunc(st.tasks, func(t *task) bool { return t.attemptsUsed(q) }) {
 		return false
 	}
-	s.finish(now, st.job, ledger.Failed)
+	if now >= configSettled {
+		s.finish(now, st.job, ledger.Failed)
+	}
 	return true
 }
 
 // task returns a task of a known job, or nil.
 func (s *Scheduler) task(id workload.TaskID) *task {
-	j := s.jobs[id.Job]
-	if j == nil || id.Occurrence >= len(j.steps) || id.Step >= len(j.steps[id.Occurrence]) {
+	st := s.stepOf(id.StepID())
+	if st == nil || id.Index >= st.spec.Count {
 		return nil
 	}
-	st := j.steps[id.Occurrence][id.Step]
-	if id.Index >= len(st.tasks) {
-		return nil
-	}
-	return st.tasks[id.Index]
+	return st.task(id.Index)
 }
 
 // markBegun marks a job as begun.
@@ -389,8 +397,6 @@
 // requeue makes a step's open tasks eligible for placement again.
 func (s *Scheduler) requeue(st *step) {
 	if st.left > 0 && !st.job.phase.Final() && st.predecessorsDone() {
-		if _, timed := s.timed[st]; !timed {
-			s.ready[st] = struct{}{}
-		}
+		s.ready[st] = struct{}{}
 	}
 }
--- a/internal/state/scheduler/runs.go
+++ b/internal/state/scheduler/runs.go
@@ -74,6 +74,7 @@
 		s.stopGangMembers(now, st, r.Number)
 	}
 	s.requeue(st)
+	st.dropIdle(r.task)
 	if st.job.phase.Final() {
 		s.dropIfIdle(st.job)
 	}
@@ -84,7 +85,7 @@
 
 // stopGangMembers stops the remaining members of a gang run after one has ended.
 func (s *Scheduler) stopGangMembers(now state.Time, st *step, number int64) {
-	for _, t := range st.tasks {
+	for _, t := range slices.Clone(st.tasks) {
 		for _, r := range append([]*run(nil), t.runs...) {
 			if r.Number == number {
 				s.stop(now, r, StopGangBroken)
@@ -346,6 +347,11 @@
 // a silence may not have been there at its beginning.
 func (s *Scheduler) MarkClosed(now state.Time, id workload.UpstreamID) { s.loseContact(now, id, true) }
 
+// RegistrationsRead records that the registrations were read up to those of a time.
+func (s *Scheduler) RegistrationsRead(at state.Time) {
+	s.registrationsRead = max(s.registrationsRead, at)
+}
+
 func (s *Scheduler) loseContact(now state.Time, id workload.UpstreamID, closed bool) {
 	if u := s.upstreams[id]; u != nil && !u.unreachable {
 		u.unreachable, u.unreachableSince, u.closed = true, now, closed
