--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -21,6 +21,10 @@
 
 	mu   sync.Mutex
 	jobs map[string]*sentJob
+	// lasting are the long-running jobs.
+	lasting []lastingJob
+	// longestIdle is the longest time for which a task of them had no run.
+	longestIdle time.Duration
 }
 
 // sentJob records the replies that a caller received for one job.
@@ -34,14 +38,21 @@
 	cancelSent, cancelled bool
 	// crashes is set if the tasks crash the runners that start them.
 	crashes bool
+	// lasting is set for a long-running job.
+	lasting bool
 	tasks   int
-	// prefix is the path prefix of the job's queue.
-	prefix string
+	// prefix is the path prefix of the job's queue, key the key of its calls if it is unknown.
+	prefix, key string
+	// unauthorized is set by a refusal of the key.
+	unauthorized bool
 }
 
 const (
 	// submitInterval is the pause between two submissions.
 	submitInterval = 40 * time.Millisecond
+	// sparseInterval is the same beside long-running jobs: the work fits the workspace's limit,
+	// so that none waits for long at the end of a run of minutes.
+	sparseInterval = 160 * time.Millisecond
 	// callTimeout bounds one HTTP request.
 	callTimeout = 3 * time.Second
 	// maxAttempts is how often a caller submits a job that is not acknowledged.
@@ -63,13 +74,17 @@
 // flight.
 func (c *callers) run(stop chan struct{}) {
 	r := rand.New(rand.NewPCG(c.opts.Seed, 3))
+	interval := submitInterval
+	if c.opts.LastingJobs {
+		interval = sparseInterval
+	}
 	var group sync.WaitGroup
 	defer group.Wait()
 	for {
 		select {
 		case <-stop:
 			return
-		case <-time.After(submitInterval):
+		case <-time.After(interval):
 		}
 		id := fmt.Sprintf("%016x", r.Uint64())
 		width := 1 + r.IntN(4)
@@ -107,7 +122,7 @@
 }
 
 // Streams of random numbers of the further submissions, which leave that of the others alone.
-const lateStream, crashingStream = 4, 5
+const lateStream, crashingStream, lastingStream, openStream = 4, 5, 7, 20
 
 // submitRegularly submits a job that next makes after each interval, until stop is closed, and
 // then waits for the calls in flight.
@@ -143,12 +158,14 @@
 			job.acked = true
 		case status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests:
 			job.rejected = true
+		case status == http.StatusUnauthorized:
+			job.unauthorized = true
 		default:
 			job.unknown = true
 		}
-		acked := job.acked
+		answered := job.acked || job.unauthorized
 		c.mu.Unlock()
-		if acked {
+		if answered {
 			break
 		}
 		time.Sleep(200 * time.Millisecond)
@@ -175,7 +192,7 @@
 
 // get requests a path and returns the HTTP status, or 0 if there was no response.
 func (c *callers) get(e *entry, path string) int {
-	status, _ := c.send(http.MethodGet, e, path, nil)
+	status, _ := c.send(http.MethodGet, e, path, fakewire.Key, nil)
 	return status
 }
 
@@ -183,19 +200,21 @@
 // the reply. It returns 0 if there was no complete response.
 func (c *callers) request(method string, e *entry, id string, body []byte) (int, string) {
 	c.mu.Lock()
-	prefix := c.jobs[id].prefix
+	job := c.jobs[id]
 	c.mu.Unlock()
-	return c.send(method, e, prefix+id, body)
+	return c.send(method, e, job.prefix+id, job.keyFor(), body)
 }
 
-// send makes one request for a path; see request.
-func (c *callers) send(method string, e *entry, path string, body []byte) (int, string) {
+// send makes one request for a path with a key, or with none if it is empty; see request.
+func (c *callers) send(method string, e *entry, path, key string, body []byte) (int, string) {
 	req, err := http.NewRequest(method, "http://"+e.callers+path, bytes.NewReader(body))
 	if err != nil {
 		return 0, ""
 	}
 	req.Host = host
-	req.Header.Set("Authorization", "Bearer "+fakewire.Key)
+	if key != "" {
+		req.Header.Set("Authorization", "Bearer "+key)
+	}
 	resp, err := c.client.Do(req)
 	if err != nil {
 		return 0, ""
@@ -240,7 +259,16 @@
 func (c *callers) verify(wait time.Duration) Report {
 	var report Report
 	deadline := time.Now().Add(wait)
+	for _, l := range c.lasting {
+		if l.job.acked {
+			c.checkLasting(&report, l.id, l.job, deadline)
+		}
+	}
 	for id, job := range c.jobs {
+		if job.key != "" {
+			c.checkUnknownKey(&report, id, job)
+			continue
+		}
 		if job.acked {
 			report.Accepted++
 		} else if job.rejected && !job.unknown {
@@ -248,7 +276,7 @@
 		} else {
 			report.Unknown++
 		}
-		if !job.acked {
+		if !job.acked || job.lasting {
 			continue
 		}
 		state := c.finalState(id, deadline)
