Send no planned start of a task that has ended meanwhile

If an earlier run of its task that counted as lost is reported as done meanwhile, the start is still sent, unless the job is complete by that. Such a run is a late start that the next incarnation of an upstream has carried out.

Change: a planned start is dropped at the time to send it if its task is complete.

Measured: the test fails without the change (the start is marked as sent) and passes with it.

--- a/internal/state/scheduler/return_test.go
+++ b/internal/state/scheduler/return_test.go
@@ -47,3 +47,28 @@
 	sim.advance(time.Second)
 	is.Equal(sim.phaseOf(jobID(1)), ledger.Complete)
 }
+
+// TestPlannedStartOfTaskThatHasEndedIsNotSent guards against a second run of a task whose end is
+// reported while its next start waits to be recorded.
+func TestPlannedStartOfTaskThatHasEndedIsNotSent(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation(t, oneQueue(nil))
+	sim.add(2, largeUpstream)
+	sim.submit(&workload.Job{ID: jobID(1), Steps: []workload.Step{tasksOf(2, cores(1), 60_000)}})
+	sim.advance(100 * time.Millisecond)
+	u := sim.firstBusy()
+	lost := sortedTasks(u.running)[0]
+	first := u.running[lost].run
+	sim.endIncarnation(u, 0)
+	sim.advance(5 * time.Millisecond) // the next incarnation has no runs
+	sim.s.Tick(sim.unix())
+	var planned []Start
+	for _, start := range sim.s.Plan(sim.now).Starts {
+		if start.Task == lost {
+			planned = append(planned, start)
+		}
+	}
+	is.Equal(len(planned), 1)
+	sim.s.ApplyReport(sim.now, u.reg.ID, RunReport{SentAt: sim.now, Ended: []EndedRun{{Task: lost, Run: first, Cause: EndDone}}})
+	is.True(!sim.s.MarkSent(sim.now, planned[0].Run))
+}
--- a/internal/state/scheduler/runs.go
+++ b/internal/state/scheduler/runs.go
@@ -149,15 +149,15 @@
 
 // MarkSent records that a planned start is about to be sent: the log holds it by now, or
 // the upstream is one on which a new owner looks for runs that the log does not show.
-// It returns false if the run is no longer wanted, its ticket has expired, the upstream's domain
-// is evacuated, its runs exceed its capacity or it does not answer; the start must not be sent
-// then.
+// It returns false if the run is no longer wanted, its task is complete, its ticket has expired,
+// the upstream's domain is evacuated, its runs exceed its capacity or it does not answer; the
+// start must not be sent then.
 func (s *Scheduler) MarkSent(now state.Time, id Run) bool {
 	r := s.find(id)
 	if r == nil || r.phase != planned {
 		return false
 	}
-	if u := s.upstreams[id.Upstream]; u.unreachable || u.suspected || s.isEvacuated(u) || !u.withinCapacity() || (r.ticketUntil > 0 && now >= r.ticketUntil) {
+	if u := s.upstreams[id.Upstream]; r.task.done || u.unreachable || u.suspected || s.isEvacuated(u) || !u.withinCapacity() || (r.ticketUntil > 0 && now >= r.ticketUntil) {
 		s.release(now, r, false)
 		return false
 	}
