Print what a failed soak's logs hold about the first broken job

Change: a failed soak test prints the lines of the entries' logs that name the first job in its problems, and those on claims, owners and the ends of upstreams between them, 150 lines at most. The checks are as before.

--- a/internal/soak/lasting_test.go
+++ b/internal/soak/lasting_test.go
@@ -19,9 +19,7 @@
 	})
 	is.NoErr(err)
 	t.Log(report)
-	for _, problem := range report.Problems {
-		t.Error(problem)
-	}
+	reportProblems(t, &report)
 	is.True(report.Complete > 30) // of 6 a second
 }
 
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -73,9 +73,7 @@
 			})
 			is.NoErr(err)
 			t.Log(report)
-			for _, problem := range report.Problems {
-				t.Error(problem)
-			}
+			reportProblems(t, &report)
 			is.True(report.Complete > 30) // of 25 a second
 			is.True(!c.uneven || report.Resumed > 0)
 			is.True(!c.unknownKeys || report.Unauthorized > 0)
