Fail no job by a limit of attempts that may be outdated

What callers could see: a job `failed` though its tasks had failed fewer times than the configuration in force allows.

Cause: an owner that has just taken over may hold an older configuration than its predecessor for some seconds. failUsedUp waits for the first 5 s of a term, taskFailed did not: a limit raised from 2 to 5, a takeover, and a second end `failed` within 0.6 s ended the job.

Change: both places ask limitsSettled. The first owner of all has no predecessor and decides at once. TestReportedEndsCountOnce submits its job 5 s later, since its takeover lies in the first seconds of the simulation; its bounds are unchanged.

--- a/internal/state/scheduler/attempts_test.go
+++ b/internal/state/scheduler/attempts_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -52,3 +53,38 @@
 		})
 	}
 }
+
+// TestOutdatedLimitFailsNoJob guards against failing a job by a limit of attempts that was raised before the takeover.
+func TestOutdatedLimitFailsNoJob(t *testing.T) {
+	for _, failsAgain := range []bool{false, true} {
+		t.Run(fmt.Sprintf("a further attempt fails: %v", failsAgain), func(t *testing.T) {
+			is := is.New(t)
+			limit := func(n int) *workload.Config {
+				return oneQueue(func(q *workload.Queue, _ *workload.Workspace) { q.MaxAttempts = n })
+			}
+			sim := newSimulation(t, limit(5))
+			sim.add(4, largeUpstream)
+			sim.runFails = func(Run) bool { return true }
+			starts := 0
+			sim.onStart = func(Start) { starts++ }
+			sim.submit(&workload.Job{ID: jobID(1), Steps: []workload.Step{tasksOf(1, cores(1), 500)}})
+			for starts < 2 {
+				sim.advance(5 * time.Millisecond)
+			}
+			sim.record()
+			raised := sim.config
+			sim.config = limit(2)
+			sim.config.Index()
+			sim.takeOver()
+			if failsAgain {
+				sim.advance(600 * time.Millisecond)
+			}
+			sim.config = raised
+			sim.s.SetConfig(raised)
+			is.Equal(sim.phaseOf(jobID(1)).Final(), false)
+			sim.advance(10 * time.Second)
+			is.Equal(sim.phaseOf(jobID(1)), ledger.Failed)
+			is.Equal(starts, 5)
+		})
+	}
+}
--- a/internal/state/scheduler/report.go
+++ b/internal/state/scheduler/report.go
@@ -329,7 +329,7 @@
 }
 
 // taskFailed counts a failed run. It fails the job once the task has used up its
-// attempts.
+// attempts, unless the limit may be outdated; failUsedUp does so later then.
 func (s *Scheduler) taskFailed(now state.Time, u *upstream, t *task, number int64) {
 	counted := t
 	if t.step.spec.Gang {
@@ -346,7 +346,7 @@
 	u.health.fault(now, weight)
 	t.avoid = u.ID
 	counted.failed = append(slices.Clone(counted.failed), number)
-	if q := s.config.Queue(t.step.job.spec.Queue); q != nil && counted.attemptsUsed(q) {
+	if q := s.config.Queue(t.step.job.spec.Queue); q != nil && counted.attemptsUsed(q) && s.limitsSettled(now) {
 		s.finish(now, t.step.job, ledger.Failed)
 	}
 }
@@ -371,12 +371,18 @@
 	if !slices.ContainsFunc(st.tasks, func(t *task) bool { return t.attemptsUsed(q) }) {
 		return false
 	}
-	if now >= configSettled {
+	if s.limitsSettled(now) {
 		s.finish(now, st.job, ledger.Failed)
 	}
 	return true
 }
 
+// limitsSettled reports whether the owner's configuration is as new as that of its predecessor, if
+// there is one. Without that a lower limit may be one that has been raised.
+func (s *Scheduler) limitsSettled(now state.Time) bool {
+	return now >= configSettled || s.opts.FirstRun <= 1
+}
+
 // task returns a task of a known job, or nil.
 func (s *Scheduler) task(id workload.TaskID) *task {
 	st := s.stepOf(id.StepID())
--- a/internal/state/scheduler/takeover_test.go
+++ b/internal/state/scheduler/takeover_test.go
@@ -61,6 +61,7 @@
 	sim := newSimulation(t, oneQueue(nil))
 	sim.add(3, largeUpstream)
 	sim.runFails = func(run Run) bool { return run.Task.Step == 1 && run.Task.Index == 0 }
+	sim.advance(configSettled)
 	sim.submit(&workload.Job{ID: jobID(1), Steps: []workload.Step{tasksOf(2, cores(1), 50), tasksOf(3, cores(1), 100, 0), tasksOf(1, cores(1), 400, 1)}})
 	sim.advance(290 * time.Millisecond) // two of three attempts have failed
 	is.Equal(sim.jobs[jobID(1)].failed[workload.TaskID{Job: jobID(1), Step: 1}], 2)
