Do not take adopted runs for runs that had just begun

What callers could see: a lasting job `failed` without a crash: four takeovers, each followed within 250 ms by a network that rejects the connections of the task's upstream until its leases have expired.

Cause: a run that a former owner started got the time of its adoption as its start, so that it counted as accepted within 250 ms before the loss, the one case in which an unconfirmed loss is held against a task.

Change: the age of an adopted run is unknown; a crash that is confirmed counts as before.

Result: TestAdoptedRunsAreNotTakenForNew fails on the code before in its fourth round and passes; the tests of crashes, losses, takeovers and trials pass.

--- a/internal/state/scheduler/losses.go
+++ b/internal/state/scheduler/losses.go
@@ -62,6 +62,14 @@
 	age      time.Duration
 }
 
+// ageAt returns the age of a run at a time, or unknownAge.
+func (r *run) ageAt(t state.Time) time.Duration {
+	if r.adopted {
+		return unknownAge
+	}
+	return t - r.startedAt
+}
+
 // loseRuns counts the loss of all runs on an upstream as a crash under their tasks, unless it
 // has another cause. It must be called before the runs are released, and returns the tasks to
 // give up after that.
@@ -73,7 +81,7 @@
 		case r.phase == stopping && r.stopReason == StopUnconfirmed:
 			// The run counted when its start was not answered.
 		default:
-			lost = append(lost, lostRun{r.task, r.Number, r.accepted, u.lostContactAt(now) - r.startedAt})
+			lost = append(lost, lostRun{r.task, r.Number, r.accepted, r.ageAt(u.lostContactAt(now))})
 		}
 	}
 	for _, t := range s.unconfirmed[u.ID] {
--- a/internal/state/scheduler/lostcontact_test.go
+++ b/internal/state/scheduler/lostcontact_test.go
@@ -210,3 +210,26 @@
 		})
 	}
 }
+
+// TestAdoptedRunsAreNotTakenForNew guards against giving up a job for rejected connections right after takeovers.
+func TestAdoptedRunsAreNotTakenForNew(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation(t, oneQueue(nil))
+	sim.add(8, largeUpstream)
+	sim.submit(&workload.Job{ID: jobID(1), Steps: []workload.Step{{Count: 1, Each: cores(1), LongRunning: true}}})
+	sim.advance(time.Second)
+	for round := range 5 {
+		sim.advance(6 * time.Second)
+		sim.record()
+		u := sim.firstBusy()
+		sim.takeOver()
+		sim.advance(100 * time.Millisecond)
+		sim.lose(u, sim.s.MarkClosed)
+		sim.advance(3 * time.Second)
+		sim.expire(u)
+		sim.advance(4 * time.Second)
+		t.Logf("round %d: %s", round+1, sim.phaseOf(jobID(1)))
+		is.Equal(sim.running(jobID(1)), 1)
+	}
+	is.Equal(sim.phaseOf(jobID(1)), ledger.Running)
+}
--- a/internal/state/scheduler/model.go
+++ b/internal/state/scheduler/model.go
@@ -155,8 +155,10 @@
 	account *account
 	// since is when the current phase began.
 	since state.Time
-	// startedAt is when the start was sent.
+	// startedAt is when the start was sent, or when a run of a former owner was reported first.
 	startedAt state.Time
+	// adopted is set for a run that a former owner started.
+	adopted bool
 	// accepted is set once the upstream accepted the start or reported the run.
 	accepted bool
 	// ticketUntil is when the ticket of a planned start expires; 0 without a ticket.
--- a/internal/state/scheduler/report.go
+++ b/internal/state/scheduler/report.go
@@ -214,7 +214,7 @@
 		return nil
 	}
 	wanted := !t.done && !t.step.job.phase.Final() && len(t.runs) == 0
-	r := &run{Run: Run{reported.Task, reported.Run, u.ID}, task: t, phase: running, since: now, startedAt: now, pace: 100}
+	r := &run{Run: Run{reported.Task, reported.Run, u.ID}, task: t, phase: running, since: now, startedAt: now, adopted: true, pace: 100}
 	s.reserve(u, r)
 	t.lastRun = max(t.lastRun, reported.Run)
 	s.clearUnconfirmed(t)
