Count starts that are lost together as one fault of their upstream

A batch gets none if it exceeds the 150 ms of a command on a busy machine, or is cut.

Cause: each start without a response added one fault to its upstream, without a bound, and an upstream with 2.2 recent faults gets no work; 24 faults need 13 s to decay.

Change: between two successful polls the lost starts of an upstream count once. Further losses after a poll count again, so that an upstream which answers polls but no starts is avoided as before.

--- a/internal/state/scheduler/model.go
+++ b/internal/state/scheduler/model.go
@@ -341,7 +341,9 @@
 	closed           bool
 	// suspected is set from an unanswered command until the next successful poll.
 	suspected bool
-	used      state.Vector
+	// lossCounted is set from the first start without a response until the next successful poll.
+	lossCounted bool
+	used        state.Vector
 	// bestEffortCPU is the processor share requested by best-effort (Fills) runs, in
 	// thousandths of a core.
 	bestEffortCPU int64
--- a/internal/state/scheduler/report.go
+++ b/internal/state/scheduler/report.go
@@ -90,7 +90,7 @@
 	if u == nil {
 		return
 	}
-	u.polled, u.unreachable, u.closed, u.suspected = true, false, false, false
+	u.polled, u.unreachable, u.closed, u.suspected, u.lossCounted = true, false, false, false, false
 	s.endWaitsForSurvivor(id)
 	for i := range report.Ended {
 		s.applyEnded(now, u, &report.Ended[i])
--- a/internal/state/scheduler/runs.go
+++ b/internal/state/scheduler/runs.go
@@ -183,7 +183,10 @@
 		s.markBegun(r.task.step.job)
 	case Unconfirmed:
 		u.suspected = true
-		u.health.fault(now, 1)
+		if !u.lossCounted { // starts that are lost together have one cause
+			u.lossCounted = true
+			u.health.fault(now, 1)
+		}
 		s.trackUnconfirmedStart(now, id)
 		if r.phase == starting {
 			r.phase, r.since = startUnconfirmed, now
