--- a/internal/state/scheduler/lostcontact_test.go
+++ b/internal/state/scheduler/lostcontact_test.go
@@ -79,6 +79,17 @@
 			sim.lose(u, sim.s.MarkClosed)
 			sim.rejoin(u, true)
 		}},
+		{name: "restarted together with others that were noticed earlier", lose: func(sim *simulation, u *simUpstream) {
+			for _, other := range sim.upstreams {
+				if other != u && other.reg.Rack() == u.reg.Rack() {
+					sim.s.MarkClosed(sim.now, other.reg.ID) // runs no task of the job
+					other.polled = false
+				}
+			}
+			sim.advance(600 * time.Millisecond)
+			sim.lose(u, sim.s.MarkClosed)
+			sim.rejoin(u, true)
+		}},
 		{name: "silent at a takeover, and gone after it", lose: func(sim *simulation, u *simUpstream) {
 			sim.takeOver(u)
 			sim.s.RemoveUpstream(u.reg.ID)
