Count the leases of lost runs from the last answered call

Cause: a loss was a certain crash if another process answered within a lease of the first failed call. The lease counts from the last answered call, up to 1.5 s earlier while a poll is held open, and its 3 percent for slow clocks do not belong in a lower bound.

Change: the scheduler keeps when the newest call was sent that certainly prolonged the leases (a poll that was answered, a start that was accepted); Options.Lease is the least time that runs go on after it.

Result: the new case of TestLostContactFailsNoJob fails before (job failed after 3 losses) and passes; the bounds on starts of tasks that really crash their upstreams hold in the simulations (crash tests of the scheduler pass).

--- a/internal/coordination/dispatch/owner.go
+++ b/internal/coordination/dispatch/owner.go
@@ -202,7 +202,7 @@
 		Lookup:           o.lookup,
 		RunTimes:         o.runTimes,
 		UnconfirmedUntil: logContactTimeout + time.Duration(float64(p.lease)*clockDriftFactor) + commandTimeout,
-		Lease:            time.Duration(float64(p.lease) * clockDriftFactor),
+		Lease:            p.lease,
 	})
 	o.appendedAt.Store(int64(o.now()))
 	o.contactAt.Store(int64(o.clock()))
--- a/internal/state/scheduler/losses.go
+++ b/internal/state/scheduler/losses.go
@@ -92,7 +92,7 @@
 	crash := u.closed && !u.Draining && s.registrationsRead+leaveNotice >= u.unreachableSince
 	evidence := crashes.Confirmed
 	switch {
-	case cause != LossRestarted, s.opts.Lease > 0 && now-u.unreachableSince > s.opts.Lease:
+	case cause != LossRestarted, s.opts.Lease > 0 && now-u.leasedAt > s.opts.Lease:
 		evidence = crashes.Presumed
 	case s.outages.Shared(string(u.ID), u.place(), u.lostContactAt(now)):
 		evidence = crashes.Shared
--- a/internal/state/scheduler/lostcontact_test.go
+++ b/internal/state/scheduler/lostcontact_test.go
@@ -90,6 +90,16 @@
 			sim.lose(u, sim.s.MarkClosed)
 			sim.rejoin(u, true)
 		}},
+		{name: "rejected, then cut off until the leases lapse, and restarted", lose: func(sim *simulation, u *simUpstream) {
+			const unheard = 1500 * time.Millisecond // a poll is held open for as long
+			u.down = true
+			sim.advance(unheard)
+			sim.s.MarkClosed(sim.now, u.reg.ID)
+			sim.advance(simLease - unheard)
+			clear(u.running)
+			sim.advance(time.Second)
+			sim.rejoin(u, true)
+		}},
 		{name: "silent at a takeover, and gone after it", lose: func(sim *simulation, u *simUpstream) {
 			sim.takeOver(u)
 			sim.s.RemoveUpstream(u.reg.ID)
--- a/internal/state/scheduler/report.go
+++ b/internal/state/scheduler/report.go
@@ -91,6 +91,7 @@
 		return
 	}
 	u.polled, u.unreachable, u.closed, u.suspected, u.lossCounted = true, false, false, false, false
+	u.leasedAt = max(u.leasedAt, report.SentAt)
 	s.endWaitsForSurvivor(id)
 	for i := range report.Ended {
 		s.applyEnded(now, u, &report.Ended[i])
--- a/internal/state/scheduler/runs.go
+++ b/internal/state/scheduler/runs.go
@@ -176,7 +176,7 @@
 	u := s.upstreams[id.Upstream]
 	switch outcome {
 	case Accepted:
-		r.accepted = true
+		r.accepted, u.leasedAt = true, max(u.leasedAt, r.startedAt)
 		if r.phase == starting || r.phase == startUnconfirmed {
 			r.phase, r.since = running, now
 		}
--- a/internal/state/scheduler/scheduler.go
+++ b/internal/state/scheduler/scheduler.go
@@ -20,8 +20,8 @@
 	// UnconfirmedUntil is the time from which no run of a previous owner can exist any
 	// more.
 	UnconfirmedUntil state.Time
-	// Lease is the time after the newest answer of an upstream from which none of its runs exists;
-	// 0 if it is not known.
+	// Lease is how long a run goes on at least after a call that prolonged its lease; 0 if it is not
+	// known.
 	Lease state.Time
 	// StartList names the upstreams on which former owners may have started tasks that the
 	// log does not show.
