Count no failed run again whose number was cut from the record

What callers could see: a job `failed` though one task had failed fewer times than its queue allows.

Cause: a record near its bound keeps the number of the newest failed run of each task only. After a takeover an upstream whose end was counted, but not acknowledged, lists it again; its number was not known any more and it counted a second time.

Change: where numbers were cut, an end older than the newest one counts as counted. A task's runs end in the order of their numbers but for copies; what this can miss is one attempt, where the other reading fails a job.

Result: TestFailuresOfCutRecordCountOnce fails before (ended with two failed runs of three) and passes.

--- a/internal/state/scheduler/attempts_test.go
+++ b/internal/state/scheduler/attempts_test.go
@@ -88,3 +88,21 @@
 		})
 	}
 }
+
+// TestFailuresOfCutRecordCountOnce guards against counting a failed run again whose number a large record no longer holds.
+func TestFailuresOfCutRecordCountOnce(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation(t, oneQueue(func(q *workload.Queue, _ *workload.Workspace) { q.MaxAttempts = 3 }))
+	sim.add(2, largeUpstream)
+	job := &workload.Job{ID: jobID(1), Queue: "q", Workspace: "w", Steps: []workload.Step{tasksOf(1, cores(1), 60_000)}}
+	recorded := &ledger.JobState{Phase: ledger.Running, Steps: []ledger.StepState{{Tasks: []ledger.TaskState{{Run: 9, Failed: []int64{-1, 9}}}}}}
+	sim.s.AddJob(sim.now, sim.unix(), job, recorded, false)
+	failed := func(number int64) int {
+		end := EndedRun{Task: workload.TaskID{Job: job.ID}, Run: number, Cause: EndFailed}
+		sim.s.ApplyReport(sim.now, "u000", RunReport{SentAt: sim.now, Ended: []EndedRun{end}})
+		return len(sim.s.Plan(sim.now).Ended)
+	}
+	is.Equal(failed(7), 0) // the number that was cut
+	is.Equal(failed(9), 0)
+	is.Equal(failed(12), 1)
+}
--- a/internal/state/scheduler/report.go
+++ b/internal/state/scheduler/report.go
@@ -337,7 +337,7 @@
 		counted = t.step.task(0)
 		defer t.step.dropIdle(counted)
 	}
-	if slices.Contains(counted.failed, number) {
+	if counted.hasCounted(number) {
 		return
 	}
 	weight := 1.0
@@ -352,6 +352,16 @@
 	}
 }
 
+// hasCounted reports whether a failed run was counted, or may have been: a record that is cut to
+// its bound keeps the number of the newest one only, and negative ones for the others.
+func (t *task) hasCounted(number int64) bool {
+	if len(t.failed) == 0 {
+		return false
+	}
+	cut := slices.Min(t.failed) < 0
+	return slices.Contains(t.failed, number) || (cut && number < slices.Max(t.failed))
+}
+
 // attemptsUsed reports whether as many runs of the task, or of its gang, have failed as the queue
 // allows.
 func (t *task) attemptsUsed(q *workload.Queue) bool {
