--- a/internal/state/scheduler/attempts_test.go
+++ b/internal/state/scheduler/attempts_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -52,3 +53,56 @@
 		})
 	}
 }
+
+// TestOutdatedLimitFailsNoJob guards against failing a job by a limit of attempts that was raised before the takeover.
+func TestOutdatedLimitFailsNoJob(t *testing.T) {
+	for _, failsAgain := range []bool{false, true} {
+		t.Run(fmt.Sprintf("a further attempt fails: %v", failsAgain), func(t *testing.T) {
+			is := is.New(t)
+			limit := func(n int) *workload.Config {
+				return oneQueue(func(q *workload.Queue, _ *workload.Workspace) { q.MaxAttempts = n })
+			}
+			sim := newSimulation(t, limit(5))
+			sim.add(4, largeUpstream)
+			sim.runFails = func(Run) bool { return true }
+			starts := 0
+			sim.onStart = func(Start) { starts++ }
+			sim.submit(&workload.Job{ID: jobID(1), Steps: []workload.Step{tasksOf(1, cores(1), 500)}})
+			for starts < 2 {
+				sim.advance(5 * time.Millisecond)
+			}
+			sim.record()
+			raised := sim.config
+			sim.config = limit(2)
+			sim.config.Index()
+			sim.takeOver()
+			if failsAgain {
+				sim.advance(600 * time.Millisecond)
+			}
+			sim.config = raised
+			sim.s.SetConfig(raised)
+			is.Equal(sim.phaseOf(jobID(1)).Final(), false)
+			sim.advance(10 * time.Second)
+			is.Equal(sim.phaseOf(jobID(1)), ledger.Failed)
+			is.Equal(starts, 5)
+		})
+	}
+}
+
+// TestFailuresOfCutRecordCountOnce guards against counting a failed run again whose number a large record no longer holds.
+func TestFailuresOfCutRecordCountOnce(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation(t, oneQueue(func(q *workload.Queue, _ *workload.Workspace) { q.MaxAttempts = 3 }))
+	sim.add(2, largeUpstream)
+	job := &workload.Job{ID: jobID(1), Queue: "q", Workspace: "w", Steps: []workload.Step{tasksOf(1, cores(1), 60_000)}}
+	recorded := &ledger.JobState{Phase: ledger.Running, Steps: []ledger.StepState{{Tasks: []ledger.TaskState{{Run: 9, Failed: []int64{-1, 9}}}}}}
+	sim.s.AddJob(sim.now, sim.unix(), job, recorded, false)
+	failed := func(number int64) int {
+		end := EndedRun{Task: workload.TaskID{Job: job.ID}, Run: number, Cause: EndFailed}
+		sim.s.ApplyReport(sim.now, "u000", RunReport{SentAt: sim.now, Ended: []EndedRun{end}})
+		return len(sim.s.Plan(sim.now).Ended)
+	}
+	is.Equal(failed(7), 0) // the number that was cut
+	is.Equal(failed(9), 0)
+	is.Equal(failed(12), 1)
+}
--- a/internal/state/scheduler/losses.go
+++ b/internal/state/scheduler/losses.go
@@ -62,6 +62,14 @@
 	age      time.Duration
 }
 
+// ageAt returns the age of a run at a time, or unknownAge.
+func (r *run) ageAt(t state.Time) time.Duration {
+	if r.adopted {
+		return unknownAge
+	}
+	return t - r.startedAt
+}
+
 // loseRuns counts the loss of all runs on an upstream as a crash under their tasks, unless it
 // has another cause. It must be called before the runs are released, and returns the tasks to
 // give up after that.
@@ -73,7 +81,7 @@
 		case r.phase == stopping && r.stopReason == StopUnconfirmed:
 			// The run counted when its start was not answered.
 		default:
-			lost = append(lost, lostRun{r.task, r.Number, r.accepted, u.lostContactAt(now) - r.startedAt})
+			lost = append(lost, lostRun{r.task, r.Number, r.accepted, r.ageAt(u.lostContactAt(now))})
 		}
 	}
 	for _, t := range s.unconfirmed[u.ID] {
@@ -84,7 +92,7 @@
 	crash := u.closed && !u.Draining && s.registrationsRead+leaveNotice >= u.unreachableSince
 	evidence := crashes.Confirmed
 	switch {
-	case cause != LossRestarted, s.opts.Lease > 0 && now-u.unreachableSince > s.opts.Lease:
+	case cause != LossRestarted, s.opts.Lease > 0 && now-u.leasedAt > s.opts.Lease:
 		evidence = crashes.Presumed
 	case s.outages.Shared(string(u.ID), u.place(), u.lostContactAt(now)):
 		evidence = crashes.Shared
@@ -169,6 +177,16 @@
 	return now
 }
 
+// isBlameless reports whether no run on the upstream is a likely cause of its end.
+func (u *upstream) isBlameless(now state.Time) bool {
+	for _, r := range u.runs {
+		if p := (crashes.Presence{Age: r.ageAt(now)}); r.task.isolated || p.JustBegun() {
+			return false
+		}
+	}
+	return true
+}
+
 func (u *upstream) place() crashes.Place {
 	return crashes.Place{Service: string(u.Service), Rack: u.Rack()}
 }
--- a/internal/state/scheduler/lostcontact_test.go
+++ b/internal/state/scheduler/lostcontact_test.go
@@ -79,6 +79,27 @@
 			sim.lose(u, sim.s.MarkClosed)
 			sim.rejoin(u, true)
 		}},
+		{name: "restarted together with others that were noticed earlier", lose: func(sim *simulation, u *simUpstream) {
+			for _, other := range sim.upstreams {
+				if other != u && other.reg.Rack() == u.reg.Rack() {
+					sim.s.MarkClosed(sim.now, other.reg.ID) // runs no task of the job
+					other.polled = false
+				}
+			}
+			sim.advance(600 * time.Millisecond)
+			sim.lose(u, sim.s.MarkClosed)
+			sim.rejoin(u, true)
+		}},
+		{name: "rejected, then cut off until the leases lapse, and restarted", lose: func(sim *simulation, u *simUpstream) {
+			const unheard = 1500 * time.Millisecond // a poll is held open for as long
+			u.down = true
+			sim.advance(unheard)
+			sim.s.MarkClosed(sim.now, u.reg.ID)
+			sim.advance(simLease - unheard)
+			clear(u.running)
+			sim.advance(time.Second)
+			sim.rejoin(u, true)
+		}},
 		{name: "silent at a takeover, and gone after it", lose: func(sim *simulation, u *simUpstream) {
 			sim.takeOver(u)
 			sim.s.RemoveUpstream(u.reg.ID)
@@ -210,3 +231,26 @@
 		})
 	}
 }
+
+// TestAdoptedRunsAreNotTakenForNew guards against giving up a job for rejected connections right after takeovers.
+func TestAdoptedRunsAreNotTakenForNew(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation(t, oneQueue(nil))
+	sim.add(8, largeUpstream)
+	sim.submit(&workload.Job{ID: jobID(1), Steps: []workload.Step{{Count: 1, Each: cores(1), LongRunning: true}}})
+	sim.advance(time.Second)
+	for round := range 5 {
+		sim.advance(6 * time.Second)
+		sim.record()
+		u := sim.firstBusy()
+		sim.takeOver()
+		sim.advance(100 * time.Millisecond)
+		sim.lose(u, sim.s.MarkClosed)
+		sim.advance(3 * time.Second)
+		sim.expire(u)
+		sim.advance(4 * time.Second)
+		t.Logf("round %d: %s", round+1, sim.phaseOf(jobID(1)))
+		is.Equal(sim.running(jobID(1)), 1)
+	}
+	is.Equal(sim.phaseOf(jobID(1)), ledger.Running)
+}
--- a/internal/state/scheduler/model.go
+++ b/internal/state/scheduler/model.go
@@ -155,8 +155,10 @@
 	account *account
 	// since is when the current phase began.
 	since state.Time
-	// startedAt is when the start was sent.
+	// startedAt is when the start was sent, or when a run of a former owner was reported first.
 	startedAt state.Time
+	// adopted is set for a run that a former owner started.
+	adopted bool
 	// accepted is set once the upstream accepted the start or reported the run.
 	accepted bool
 	// ticketUntil is when the ticket of a planned start expires; 0 without a ticket.
@@ -337,9 +339,13 @@
 	// process closed the connections then.
 	unreachableSince state.Time
 	closed           bool
+	// leasedAt is when the newest call was sent that certainly prolonged the leases of its runs.
+	leasedAt state.Time
 	// suspected is set from an unanswered command until the next successful poll.
 	suspected bool
-	used      state.Vector
+	// lossCounted is set from the first start without a response until the next successful poll.
+	lossCounted bool
+	used        state.Vector
 	// bestEffortCPU is the processor share requested by best-effort (Fills) runs, in
 	// thousandths of a core.
 	bestEffortCPU int64
--- a/internal/state/scheduler/report.go
+++ b/internal/state/scheduler/report.go
@@ -90,7 +90,8 @@
 	if u == nil {
 		return
 	}
-	u.polled, u.unreachable, u.closed, u.suspected = true, false, false, false
+	u.polled, u.unreachable, u.closed, u.suspected, u.lossCounted = true, false, false, false, false
+	u.leasedAt = max(u.leasedAt, report.SentAt)
 	s.endWaitsForSurvivor(id)
 	for i := range report.Ended {
 		s.applyEnded(now, u, &report.Ended[i])
@@ -214,7 +215,7 @@
 		return nil
 	}
 	wanted := !t.done && !t.step.job.phase.Final() && len(t.runs) == 0
-	r := &run{Run: Run{reported.Task, reported.Run, u.ID}, task: t, phase: running, since: now, startedAt: now, pace: 100}
+	r := &run{Run: Run{reported.Task, reported.Run, u.ID}, task: t, phase: running, since: now, startedAt: now, adopted: true, pace: 100}
 	s.reserve(u, r)
 	t.lastRun = max(t.lastRun, reported.Run)
 	s.clearUnconfirmed(t)
@@ -329,14 +330,14 @@
 }
 
 // taskFailed counts a failed run. It fails the job once the task has used up its
-// attempts.
+// attempts, unless the limit may be outdated; failUsedUp does so later then.
 func (s *Scheduler) taskFailed(now state.Time, u *upstream, t *task, number int64) {
 	counted := t
 	if t.step.spec.Gang {
 		counted = t.step.task(0)
 		defer t.step.dropIdle(counted)
 	}
-	if slices.Contains(counted.failed, number) {
+	if counted.hasCounted(number) {
 		return
 	}
 	weight := 1.0
@@ -346,11 +347,21 @@
 	u.health.fault(now, weight)
 	t.avoid = u.ID
 	counted.failed = append(slices.Clone(counted.failed), number)
-	if q := s.config.Queue(t.step.job.spec.Queue); q != nil && counted.attemptsUsed(q) {
+	if q := s.config.Queue(t.step.job.spec.Queue); q != nil && counted.attemptsUsed(q) && s.limitsSettled(now) {
 		s.finish(now, t.step.job, ledger.Failed)
 	}
 }
 
+// hasCounted reports whether a failed run was counted, or may have been: a record that is cut to
+// its bound keeps the number of the newest one only, and negative ones for the others.
+func (t *task) hasCounted(number int64) bool {
+	if len(t.failed) == 0 {
+		return false
+	}
+	cut := slices.Min(t.failed) < 0
+	return slices.Contains(t.failed, number) || (cut && number < slices.Max(t.failed))
+}
+
 // attemptsUsed reports whether as many runs of the task, or of its gang, have failed as the queue
 // allows.
 func (t *task) attemptsUsed(q *workload.Queue) bool {
@@ -371,12 +382,18 @@
 	if !slices.ContainsFunc(st.tasks, func(t *task) bool { return t.attemptsUsed(q) }) {
 		return false
 	}
-	if now >= configSettled {
+	if s.limitsSettled(now) {
 		s.finish(now, st.job, ledger.Failed)
 	}
 	return true
 }
 
+// limitsSettled reports whether the owner's configuration is as new as that of its predecessor, if
+// there is one. Without that a lower limit may be one that has been raised.
+func (s *Scheduler) limitsSettled(now state.Time) bool {
+	return now >= configSettled || s.opts.FirstRun <= 1
+}
+
 // task returns a task of a known job, or nil.
 func (s *Scheduler) task(id workload.TaskID) *task {
 	st := s.stepOf(id.StepID())
--- a/internal/state/scheduler/runs.go
+++ b/internal/state/scheduler/runs.go
@@ -176,14 +176,17 @@
 	u := s.upstreams[id.Upstream]
 	switch outcome {
 	case Accepted:
-		r.accepted = true
+		r.accepted, u.leasedAt = true, max(u.leasedAt, r.startedAt)
 		if r.phase == starting || r.phase == startUnconfirmed {
 			r.phase, r.since = running, now
 		}
 		s.markBegun(r.task.step.job)
 	case Unconfirmed:
 		u.suspected = true
-		u.health.fault(now, 1)
+		if !u.lossCounted { // starts that are lost together have one cause
+			u.lossCounted = true
+			u.health.fault(now, 1)
+		}
 		s.trackUnconfirmedStart(now, id)
 		if r.phase == starting {
 			r.phase, r.since = startUnconfirmed, now
@@ -360,7 +363,7 @@
 			s.yieldToNextIncarnation(now, id)
 		}
 		if u.polled { // otherwise this owner never had contact
-			s.outages.Note(string(id), u.place(), now)
+			s.outages.Note(string(id), u.place(), now, u.isBlameless(now))
 		}
 	}
 }
