Wait for a report of the next incarnation before a task starts again

Cause: a task gives way while the next incarnation of an upstream may carry out a late start of it. The wait ended when that incarnation acknowledged the stop. The acknowledgement does not tell whether the start was carried out, to its end, before the stop came; that shows in the first report after it, which may be more than a second later. A start in between breaks TWICE, since the end is taken note of later.

Only its workspace's maximum kept the task from starting in the 1.3 s between.

Change: the wait ends with the first complete report that was requested after the acknowledgement.

Measured: the test fails without the change ("started again after it was done" at 1.606 s) and passes with it.

--- a/internal/state/scheduler/latestarts.go
+++ b/internal/state/scheduler/latestarts.go
@@ -11,7 +11,8 @@
 // holds in the incarnation of the upstream that acknowledged it only: if the upstream ends, its next
 // incarnation may carry out the start beside the run that has replaced it. So the task gives way
 // from the moment that the upstream closes its connections: its run is stopped, and it is not
-// started again until the next incarnation has acknowledged a stop, or can't carry out the start.
+// started again until the next incarnation has acknowledged a stop and made a report after it, or
+// can't carry out the start.
 
 // maxLastingWait is how long a long-running task waits at most for the next incarnation of an
 // upstream: the users' platform counts it as lost after 9 s without a run. An upstream that ends is
@@ -82,6 +83,16 @@
 	}
 }
 
+// endRevokedWaits lets the tasks be started again whose late starts the newest incarnation of an
+// upstream refuses since before a report was requested: the report shows those that it has run.
+func (s *Scheduler) endRevokedWaits(id workload.UpstreamID, sentAt state.Time) {
+	for start, l := range s.unconfirmedStarts[id] {
+		if l.revokedAt > 0 && sentAt > l.revokedAt {
+			s.endWait(start, l)
+		}
+	}
+}
+
 // AwaitsNextIncarnation reports whether an upstream, or its next incarnation, may still carry out a start
 // without a response. It is polled all the while, so that its end is noticed at once.
 func (s *Scheduler) AwaitsNextIncarnation(id workload.UpstreamID) bool {
--- a/internal/state/scheduler/latestarts_test.go
+++ b/internal/state/scheduler/latestarts_test.go
@@ -60,6 +60,33 @@
 	is.Equal(sim.phaseOf(jobID(1)), ledger.Complete)
 }
 
+// TestTaskThatTheNextIncarnationHasRunIsNotStartedAgain guards against a second run of a task whose late start the next incarnation has carried out, to the end, before it acknowledged the stop.
+func TestTaskThatTheNextIncarnationHasRunIsNotStartedAgain(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation(t, oneQueue(nil))
+	sim.add(3, largeUpstream)
+	task := workload.TaskID{Job: jobID(1)}
+	sim.submit(&workload.Job{ID: jobID(1), Steps: []workload.Step{tasksOf(1, cores(1), 8000)}})
+	sim.advance(100 * time.Millisecond)
+	u := sim.firstBusy()
+	other := sim.upstreams[0]
+	if other == u {
+		other = sim.upstreams[1]
+	}
+	late := Run{Task: task, Number: u.running[task].run - 1, Upstream: other.reg.ID}
+	sim.s.trackUnconfirmedStart(sim.now, late)
+	sim.endIncarnation(other, 500*time.Millisecond)
+	sim.at(400*time.Millisecond, func() {
+		is.Equal(sim.running(jobID(1)), 0) // the task gives way
+		other.ended = []EndedRun{{Task: task, Run: late.Number, Cause: EndDone}}
+		sim.jobs[jobID(1)].done[task] = true // the simulation reports a further start
+	})
+	sim.at(490*time.Millisecond, func() { sim.pollEvery = 1 << 20 }) // no report until
+	sim.at(1500*time.Millisecond, func() { sim.pollEvery = 1 })
+	sim.advance(2 * time.Second)
+	is.Equal(sim.phaseOf(jobID(1)), ledger.Complete)
+}
+
 // TestUpstreamThatWasOnlyNotReachedEndsTheWait guards against tasks that wait for a next incarnation that does not come.
 func TestUpstreamThatWasOnlyNotReachedEndsTheWait(t *testing.T) {
 	cases := []struct {
--- a/internal/state/scheduler/report.go
+++ b/internal/state/scheduler/report.go
@@ -104,6 +104,7 @@
 	}
 	if !report.Partial {
 		s.noteUnreported(u, &report)
+		s.endRevokedWaits(id, report.SentAt)
 	}
 	s.confirmUpstream(id, report.Partial)
 	for _, r := range u.sortedRuns() {
--- a/internal/state/scheduler/revoke.go
+++ b/internal/state/scheduler/revoke.go
@@ -32,6 +32,8 @@
 	// passed: it does not wait for the same incarnation again.
 	waitUntil state.Time
 	waited    bool
+	// revokedAt is when that incarnation acknowledged the stop; 0 before.
+	revokedAt state.Time
 	// undelivered says that the upstream closed the connection before a response: what it had
 	// not received by then is not delivered to its next incarnation.
 	undelivered bool
@@ -50,7 +52,7 @@
 // of an upstream.
 func (s *Scheduler) revokeStarts(now state.Time, id workload.UpstreamID) {
 	for _, l := range s.unconfirmedStarts[id] {
-		l.revokeAt, l.inNext, l.waited = now, true, false
+		l.revokeAt, l.revokedAt, l.inNext, l.waited = now, 0, true, false
 	}
 }
 
@@ -85,6 +87,6 @@
 	case !acknowledged:
 		l.revokeAt = now + revokeRetry
 	case l.inNext:
-		s.endWait(id, l)
+		l.revokedAt = now
 	}
 }
