Print the owners and configurations of a failed soak that names no job

Change: the lines on claims, owners, ends of upstreams and applied configurations are printed then. The test has the case.

--- a/internal/soak/evidence_test.go
+++ b/internal/soak/evidence_test.go
@@ -16,8 +16,8 @@
 
 var (
 	jobID = regexp.MustCompile(`\b[0-9a-f]{16}\b`)
-	// evidenceOfAll matches the lines on owners and on the ends of upstreams.
-	evidenceOfAll = regexp.MustCompile(`: (claim|ownership \w+|upstream restarted|upstream poll failed|upstream reachable again): `)
+	// evidenceOfAll matches the lines on owners, the ends of upstreams and the configuration.
+	evidenceOfAll = regexp.MustCompile(`: (claim|ownership \w+|configuration applied|upstream restarted|upstream poll failed|upstream reachable again): `)
 )
 
 // reportProblems fails the test for each problem of a run, and copies what the entries' logs hold about
@@ -38,11 +38,11 @@
 }
 
 // evidence returns the lines of the entries' logs that name the first job in the problems of a run,
-// and those on owners and the ends of upstreams between them, in the order of time.
+// and those of evidenceOfAll between them, all of these if no job is named, in the order of time.
 func evidence(report *Report) (lines []string, err error) {
 	job := jobID.FindString(strings.Join(report.Problems, "\n"))
 	paths, err := filepath.Glob(filepath.Join(report.Dir, "*.log"))
-	if job == "" || err != nil {
+	if err != nil {
 		return nil, err
 	}
 	for _, path := range paths {
@@ -51,7 +51,7 @@
 			return nil, err
 		}
 		for line := range strings.Lines(string(text)) {
-			if strings.Contains(line, job) || evidenceOfAll.MatchString(line) {
+			if job != "" && strings.Contains(line, job) || evidenceOfAll.MatchString(line) {
 				lines = append(lines, strings.TrimSpace(line)+" @"+filepath.Base(path))
 			}
 		}
@@ -78,6 +78,10 @@
 	}
 	lines, err := evidence(&report)
 	is.NoErr(err)
+	report.Problems = report.Problems[:1]
+	ofAll, err := evidence(&report)
+	is.NoErr(err)
+	is.Equal(len(ofAll), 3) // no job is named
 	is.Equal(lines, []string{
 		"2" + prefix + "start: task=df78b44e862716a9.0.1.0 run=1 @entry-0.log",
 		"3" + prefix + "claim: epoch=1 @entry-1.log",
