Record until when leases can last on upstreams that the owner does not reach

Cause: a new owner that can't reach an upstream took every task that the log shows there for possibly running until 10.3 s after its own claim. The log did not show which upstreams its predecessor had reached, so each takeover began the wait anew.

Evidence: TestTakeoversInARowDoNotProlongWaits fails on the former code: the tasks of a cut upstream start 17.5 s after the loss, 10.3 s after the second takeover.

Change: an owner that has not reached an upstream for 1.8 s after a failed poll records the end of all leases there as the time that is left when the append begins, and grants none until the log holds a record without the upstream. The next owner counts from its receipt of the record. It uses only that of its direct predecessor, so a former release in between makes it void, and passes the bound on in its own record.

What is left is the first takeover: an owner that ends within 2.6 to 4.1 s after the loss has recorded nothing. A random search beside cuts, takeovers, a former release, slow clocks and lost answers runs nothing twice; switching off each of eleven safeguards fails a test.

--- a/internal/coordination/dispatch/commands.go
+++ b/internal/coordination/dispatch/commands.go
@@ -45,6 +45,9 @@
 			o.withholdStart(start)
 			continue
 		}
+		if o.refuseWithheld(&start) {
+			continue
+		}
 		if !o.sched.MarkSent(o.now(), start.Run) {
 			continue
 		}
--- a/internal/coordination/dispatch/fakeplatform_test.go
+++ b/internal/coordination/dispatch/fakeplatform_test.go
@@ -73,6 +73,11 @@
 	// hiddenFrom holds the entries that cannot reach it, refuses says that nothing listens.
 	hiddenFrom map[string]bool
 	refuses    bool
+	// mute says that polls are carried out without an answer, delay how long their answers take, and
+	// drift how much slower its clock runs.
+	mute  bool
+	delay time.Duration
+	drift float64
 }
 
 type fakeRun struct {
@@ -88,6 +93,8 @@
 	cancel  context.CancelFunc
 	// cut says that the log turns the entry away.
 	cut atomic.Bool
+	// former says that the entry records no lease ends, as a former release.
+	former bool
 	// paused is the time for which its VM was suspended.
 	paused atomic.Int64
 	ended  chan struct{}
@@ -219,6 +226,9 @@
 	if err := e.reachLog(ctx); err != nil {
 		return 0, err
 	}
+	if e.former {
+		a.Records = slices.DeleteFunc(slices.Clone(a.Records), ledger.IsLeaseEnds)
+	}
 	p.mu.Lock()
 	offset, err := p.append(a)
 	lost := err == nil && p.rand.Float64() < p.lostShare
--- a/internal/coordination/dispatch/fakeupstream_test.go
+++ b/internal/coordination/dispatch/fakeupstream_test.go
@@ -104,10 +104,12 @@
 	return slices.ContainsFunc(u.ended, func(end port.RunEnd) bool { return end.Task == task && end.Cause == scheduler.EndDone })
 }
 
-func (u *fakeUpstream) clock() int64 { return time.Since(u.born).Milliseconds() }
+func (u *fakeUpstream) clock() int64 {
+	return int64(float64(time.Since(u.born).Milliseconds()) * (1 - u.drift))
+}
 
 func (u *fakeUpstream) extend(deadlineMS int64) {
-	if end := u.born.Add(time.Duration(deadlineMS) * time.Millisecond); deadlineMS > 0 && end.After(u.leaseEnd) {
+	if end := u.born.Add(time.Duration(float64(deadlineMS)/(1-u.drift)) * time.Millisecond); deadlineMS > 0 && end.After(u.leaseEnd) {
 		u.leaseEnd = end
 	}
 }
@@ -191,13 +193,24 @@
 			}
 			return end.Number <= command.LastRecorded
 		})
+		if u.mute {
+			e.p.mu.Unlock()
+			<-ctx.Done()
+			return port.RunReport{}, port.Reply{}, ctx.Err()
+		}
 		if len(u.ended) > 0 || !time.Now().Before(until) {
 			report := port.RunReport{ClockMS: u.clock(), StartedUnixMS: u.reg.StartedUnixMS, Ended: slices.Clone(u.ended)}
 			for task, run := range u.runs {
 				report.Running = append(report.Running, scheduler.RunningRun{Task: task, Run: run.number, Percent: int(time.Now().UnixMilli() % 100)})
 			}
+			delay := u.delay
 			e.p.mu.Unlock()
-			return report, port.Reply{ClockMS: report.ClockMS}, nil
+			select {
+			case <-ctx.Done():
+				return port.RunReport{}, port.Reply{}, ctx.Err()
+			case <-time.After(delay):
+				return report, port.Reply{ClockMS: report.ClockMS}, nil
+			}
 		}
 		e.p.mu.Unlock()
 		select {
--- a/internal/coordination/dispatch/flush.go
+++ b/internal/coordination/dispatch/flush.go
@@ -61,8 +61,9 @@
 		return
 	}
 	dirty, urgent := o.sched.Dirty()
-	dirty = dirty || len(o.acks) > 0
-	urgent = urgent || len(o.requests) > 0 || len(o.pendingStarts) > 0
+	recordDue, leaseWaits := o.leaseEndsDue(now)
+	dirty = dirty || recordDue || len(o.acks) > 0
+	urgent = urgent || leaseWaits || len(o.requests) > 0 || len(o.pendingStarts) > 0
 	dirty = dirty || urgent
 	elapsed := now.Sub(o.flushedAt)
 	gap := heartbeatInterval
@@ -124,6 +125,7 @@
 		return
 	}
 	records = o.appendRunTimes(now, records)
+	records, leaseEnds := o.appendLeaseEnds(now, records)
 	acks, starts := o.acks, o.pendingStarts
 	o.acks, o.pendingStarts = nil, nil
 	o.unrecorded.inFlight = slices.Clone(starts)
@@ -141,6 +143,7 @@
 		}
 		o.post(func() {
 			o.finishStartList(now, list)
+			o.finishLeaseEnds(leaseEnds, rejected)
 			o.finishFlush(o.dropRejected(requests, rejected), ended, starts)
 		})
 	})
--- a/internal/coordination/dispatch/link.go
+++ b/internal/coordination/dispatch/link.go
@@ -27,6 +27,8 @@
 	clockAt time.Time
 	// leasesEndAt is when every lease granted so far must have expired.
 	leasesEndAt time.Time
+	// withheld says that no lease may be granted, because the log may hold the end of the leases.
+	withheld bool
 	// reported is the number of the newest run end passed to the scheduler, recorded
 	// that of the newest one in the log.
 	reported, recorded int64
@@ -97,11 +99,11 @@
 const clockSlackMS = 3000
 
 // deadline returns the end of a lease granted now, on the upstream's clock, and
-// extends leasesEndAt accordingly.
+// extends leasesEndAt accordingly. It returns noDeadline if none may be granted.
 func (l *link) deadline(now time.Time, lease time.Duration) int64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.clockMS == 0 {
+	if l.clockMS == 0 || l.withheld {
 		return noDeadline
 	}
 	elapsed := now.Sub(l.clockAt)
--- a/internal/coordination/dispatch/losses.go
+++ b/internal/coordination/dispatch/losses.go
@@ -4,6 +4,7 @@
 	metrics "github.com/rcrowley/go-metrics"
 
 	"github.com/samphirerail/samphirerail/internal/state/scheduler"
+	"github.com/samphirerail/samphirerail/internal/state/workload"
 )
 
 // lossMetrics count what follows from the crashes of upstreams.
@@ -51,3 +52,29 @@
 		o.logger.Info("suspected tasks are tried alone", "job", t.Job, "upstream", t.Upstream, "runs_left", t.Occupied, "trials", t.Trials, "limit", t.Limit, "epoch", o.epoch)
 	}
 }
+
+// handlePollFailure processes a failed poll.
+func (o *owner) handlePollFailure(id workload.UpstreamID, l *link, f pollFailure) {
+	if o.links[id] != l {
+		return
+	}
+	if f.closed {
+		o.sched.MarkClosed(o.now(), id)
+	} else {
+		o.sched.MarkUnreachable(o.now(), id)
+	}
+	o.noteContactLost(id)
+	any, _ := o.sched.HasRuns(id)
+	if f.replaced || (any && f.leasesExpired && o.now() > o.sched.UnconfirmedUntil(id)) {
+		if any {
+			o.logger.Warn("runs declared lost", "upstream", id, "lapsed", f.leasesExpired, "replaced", f.replaced)
+		}
+		cause := scheduler.LossExpired
+		if f.replaced {
+			cause = scheduler.LossRestarted
+		}
+		o.sched.ReleaseRuns(o.now(), id, cause)
+	}
+	o.dropLinkIfUnknown(id, l)
+	o.planDue = true
+}
--- a/internal/coordination/dispatch/owner.go
+++ b/internal/coordination/dispatch/owner.go
@@ -110,6 +110,7 @@
 	unknownEnds map[workload.UpstreamID]*unknownEnds
 	// unrecorded is the state of the starts that are sent before the log holds them.
 	unrecorded unrecordedStarts
+	leaseEnds  leaseEnds
 	// startsInFlight counts the start commands that wait for a response.
 	startsInFlight int
 
@@ -186,6 +187,7 @@
 }
 
 func (p *ownerDeps) newOwner(ctx context.Context, claim ledger.Claim) *owner {
+	clock := p.clock() // before base, so that a pause in between makes times of base later
 	o := &owner{
 		ownerDeps: p, epoch: claim.Epoch, claim: claim, base: time.Now(),
 		submitted: map[workload.JobID]struct{}{}, addedJobs: map[workload.JobID]struct{}{}, setAside: map[workload.JobID]struct{}{}, final: map[workload.JobID]finalPhase{},
@@ -201,7 +203,8 @@
 		Advisors:         []string{p.self},
 		Lookup:           o.lookup,
 		RunTimes:         o.runTimes,
-		UnconfirmedUntil: logContactTimeout + time.Duration(float64(p.lease)*clockDriftFactor) + commandTimeout,
+		UnconfirmedUntil: p.unconfirmedTime(),
+		LeaseEnds:        p.inheritLeaseEnds(claim.Epoch, clock),
 		Lease:            time.Duration(float64(p.lease) * clockDriftFactor),
 	})
 	o.appendedAt.Store(int64(o.now()))
@@ -456,37 +459,13 @@
 	}
 	o.metrics.ends.Inc(int64(len(report.Ended)))
 	o.noteAnswer(id)
+	delete(o.leaseEnds.lost, id)
 	o.sched.ApplyReport(o.now(), id, report)
 	if newestEnd > 0 {
 		o.acks = append(o.acks, ack{l, incarnation, newestEnd})
 	}
 }
 
-// handlePollFailure processes a failed poll.
-func (o *owner) handlePollFailure(id workload.UpstreamID, l *link, f pollFailure) {
-	if o.links[id] != l {
-		return
-	}
-	if f.closed {
-		o.sched.MarkClosed(o.now(), id)
-	} else {
-		o.sched.MarkUnreachable(o.now(), id)
-	}
-	any, _ := o.sched.HasRuns(id)
-	if f.replaced || (any && f.leasesExpired && o.now() > o.sched.UnconfirmedUntil()) {
-		if any {
-			o.logger.Warn("runs declared lost", "upstream", id, "lapsed", f.leasesExpired, "replaced", f.replaced)
-		}
-		cause := scheduler.LossExpired
-		if f.replaced {
-			cause = scheduler.LossRestarted
-		}
-		o.sched.ReleaseRuns(o.now(), id, cause)
-	}
-	o.dropLinkIfUnknown(id, l)
-	o.planDue = true
-}
-
 // handleRestart processes a restart of an upstream that its registration does not
 // show yet.
 func (o *owner) handleRestart(id workload.UpstreamID, startedUnixMS int64) {
--- a/internal/coordination/dispatch/registrations.go
+++ b/internal/coordination/dispatch/registrations.go
@@ -116,6 +116,7 @@
 	isNew := l == nil
 	if isNew {
 		l = newLink()
+		_, l.withheld = o.leaseEnds.withheld[reg.ID]
 		o.links[reg.ID] = l
 	}
 	old, had := o.sched.Registration(reg.ID)
--- a/internal/coordination/replica/replica.go
+++ b/internal/coordination/replica/replica.go
@@ -72,6 +72,8 @@
 	next     int64
 	loaded   bool
 	observer Observer
+	// leaseEndsAt is when the newest record of lease ends was folded, by clock.
+	leaseEndsAt time.Duration
 
 	// loading and locatedAt are used only by the goroutine that follows the ledger.
 	loading   loadProgress
@@ -333,6 +335,9 @@
 	}
 	r.mu.Lock()
 	r.applyLocked(page.Records)
+	if r.loaded { // what the log has dropped meanwhile is not known
+		r.table.ForgetLeaseEnds()
+	}
 	r.mu.Unlock()
 	r.recordSuccess()
 	return page, true
@@ -376,6 +381,9 @@
 		if change.OwnerAlive {
 			r.ownerRecordAt.Store(r.monotonicNow())
 		}
+		if change.LeaseEnds {
+			r.leaseEndsAt = r.clock()
+		}
 		changes = append(changes, change)
 	}
 	if r.observer != nil {
--- a/internal/state/ledger/record.go
+++ b/internal/state/ledger/record.go
@@ -23,7 +23,7 @@
 	Offset int64
 }
 
-// The first byte of a key is the kind of the record, except for keyOwner and keyRunTimes.
+// The first byte of a key is the kind of the record, except for keyOwner and the following keys.
 const (
 	kindJob    = 'j'
 	kindCancel = 'c'
@@ -33,6 +33,8 @@
 	keyOwner = "owner"
 	// keyRunTimes is the key of the learned run times.
 	keyRunTimes = "runtimes"
+	// keyLeaseEnds is the key of the lease ends on upstreams that are not reached.
+	keyLeaseEnds = "leaseends"
 )
 
 // DirectoryPages are the keys after which the pages begin that hold the registered entries
--- a/internal/state/ledger/table.go
+++ b/internal/state/ledger/table.go
@@ -41,7 +41,11 @@
 	firstClaim bool
 	// claimOffset is the offset of the claim that began the newest epoch.
 	claimOffset int64
-	pending     map[workload.QueueName]int
+	// previousEpoch is the epoch of the claim before the newest one.
+	previousEpoch int64
+	// leaseEnds is the newest record of lease ends.
+	leaseEnds LeaseEnds
+	pending   map[workload.QueueName]int
 	// runTimes is the newest record of the learned run times, or nil.
 	runTimes []byte
 }
@@ -114,6 +118,8 @@
 	NewClaim *Claim
 	// OwnerAlive is set for records that only the owner writes.
 	OwnerAlive bool
+	// LeaseEnds is set for a record of lease ends.
+	LeaseEnds bool
 }
 
 // Apply folds one record into the table. It returns an error for a record that can't be
@@ -128,6 +134,9 @@
 		}
 		return Change{OwnerAlive: true}, nil
 	}
+	if r.Key == keyLeaseEnds {
+		return t.applyLeaseEnds(r)
+	}
 	if r.Key == "" {
 		return Change{}, fmt.Errorf("ledger: the record at offset %d has an empty key", r.Offset)
 	}
@@ -154,7 +163,7 @@
 	}
 	change := Change{OwnerAlive: true}
 	if c.Epoch > t.claim.Epoch {
-		t.claimOffset = r.Offset
+		t.claimOffset, t.previousEpoch = r.Offset, t.claim.Epoch
 		t.firstClaim = t.claim.Epoch == 0
 		change.NewClaim = &c
 	}
--- a/internal/state/scheduler/runs.go
+++ b/internal/state/scheduler/runs.go
@@ -421,7 +421,3 @@
 	}
 	return u.Upstream, true
 }
-
-// UnconfirmedUntil returns the time from which no run of a previous owner can exist any
-// more.
-func (s *Scheduler) UnconfirmedUntil() state.Time { return s.opts.UnconfirmedUntil }
--- a/internal/state/scheduler/scheduler.go
+++ b/internal/state/scheduler/scheduler.go
@@ -20,6 +20,9 @@
 	// UnconfirmedUntil is the time from which no run of a previous owner can exist any
 	// more.
 	UnconfirmedUntil state.Time
+	// LeaseEnds holds earlier such times for single upstreams. They hold until this owner reaches
+	// the upstream.
+	LeaseEnds map[workload.UpstreamID]state.Time
 	// Lease is the time after the newest answer of an upstream from which none of its runs exists;
 	// 0 if it is not known.
 	Lease state.Time
@@ -65,6 +68,8 @@
 	// unconfirmed holds the tasks whose newest run is recorded on an upstream that has
 	// not been polled since the takeover. They count against their workspaces.
 	unconfirmed map[workload.UpstreamID][]*task
+	// leaseEnds holds what is left of Options.LeaseEnds.
+	leaseEnds map[workload.UpstreamID]state.Time
 	// freed lists the upstreams of each service by when they last gained capacity, and
 	// freedSeq counts these events.
 	freed    map[workload.ServiceName]*freedLog
@@ -119,6 +124,7 @@
 		shares:            map[workload.WorkspaceName]*share{},
 		ready:             map[*step]struct{}{},
 		unconfirmed:       map[workload.UpstreamID][]*task{},
+		leaseEnds:         opts.LeaseEnds,
 		series:            map[workload.JobID]*job{},
 		unconfirmedStarts: map[workload.UpstreamID]map[Run]*unconfirmedStart{},
 		freed:             map[workload.ServiceName]*freedLog{},
--- a/internal/state/scheduler/unconfirmed.go
+++ b/internal/state/scheduler/unconfirmed.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"maps"
 	"slices"
 
 	"github.com/samphirerail/samphirerail/internal/state"
@@ -41,6 +42,7 @@
 // confirmUpstream notes that a poll of this owner has listed the runs and the ends on an
 // upstream, all of them unless the report was partial.
 func (s *Scheduler) confirmUpstream(id workload.UpstreamID, partial bool) {
+	delete(s.leaseEnds, id) // this owner may grant leases now, also to runs that a partial report lacks
 	if partial {
 		return
 	}
@@ -58,25 +60,61 @@
 	}
 }
 
-// refreshUnconfirmed clears all unconfirmed tasks once no run of a previous owner can
-// exist, and before that counts the quota that tasks without a recorded start may use.
+// refreshUnconfirmed clears the unconfirmed tasks whose runs cannot exist any more, and until that
+// holds for all counts the quota that tasks without a recorded start may use.
 func (s *Scheduler) refreshUnconfirmed(now state.Time) {
+	for id, end := range s.leaseEnds {
+		if now >= end {
+			s.expireUnconfirmedOn(id)
+		}
+	}
 	if now < s.opts.UnconfirmedUntil {
 		s.countPossibleUse()
 		return
 	}
 	s.expireStartList()
-	if len(s.unconfirmed) == 0 {
+	for id := range s.unconfirmed {
+		s.expireUnconfirmedOn(id)
+	}
+}
+
+// expireUnconfirmedOn clears the unconfirmed tasks of an upstream whose leases have ended.
+func (s *Scheduler) expireUnconfirmedOn(id workload.UpstreamID) {
+	tasks, u := s.unconfirmed[id], s.upstreams[id]
+	if len(tasks) == 0 {
 		return
 	}
-	for id, tasks := range s.unconfirmed {
-		u := s.upstreams[id]
-		if u == nil || (!u.listed && !u.Draining) {
-			s.noteInherited(id, tasks, false)
-		}
-		s.clearUnconfirmedOn(id)
-		if u != nil && !u.listed && len(u.runs) == 0 {
-			s.dropUpstream(u)
+	if u == nil || (!u.listed && !u.Draining) {
+		s.noteInherited(id, tasks, false)
+	}
+	for _, t := range tasks {
+		if !t.step.job.phase.Final() {
+			s.markDirty(t.step.job) // the next owner need not wait for it again
 		}
 	}
+	s.clearUnconfirmedOn(id)
+	if u != nil && !u.listed && len(u.runs) == 0 && !s.startList.holds(id) {
+		s.dropUpstream(u)
+	}
+}
+
+// UnconfirmedUntil returns the time from which no run of a previous owner can exist any more on an
+// upstream.
+func (s *Scheduler) UnconfirmedUntil(id workload.UpstreamID) state.Time {
+	if end, ok := s.leaseEnds[id]; ok {
+		return end
+	}
+	return s.opts.UnconfirmedUntil
+}
+
+// UnconfirmedUpstreams returns the upstreams on which the log shows runs that this owner has not
+// found yet.
+func (s *Scheduler) UnconfirmedUpstreams() []workload.UpstreamID {
+	return slices.Collect(maps.Keys(s.unconfirmed))
+}
+
+// MayHaveRuns reports whether runs of this or a previous owner may exist on an upstream.
+func (s *Scheduler) MayHaveRuns(id workload.UpstreamID) bool {
+	u := s.upstreams[id]
+	return len(s.unconfirmed[id]) > 0 || (u != nil && len(u.runs) > 0)
 }
