Apply the registration of a later incarnation only once that one is confirmed

Callers could see a lasting job as `failed` without a crash: an upstream that had announced its leave, ended and registered again under its ID before the owner saw the end was taken for one that had not announced it.

Cause: while the known incarnation still counted as answering polls, a registration that names a later start kept the known start time, but all else of it was applied, among it that the upstream is not leaving. The loss that followed was a confirmed crash; two of them give a job up.

Evidence: TestLaterRegistrationHidesNoAnnouncedLeave and three cases of TestLaterRegistrationAppliesOnceConfirmed fail on the former code (Draining=false, and capacity, address and domain of the later incarnation on the known one).

Change: such a registration is kept with the link, with its address. It is applied once a poll shows its incarnation or a poll of the known one fails, and dropped if the entry is removed or superseded. A smaller capacity counts at once, since a start may reach the later incarnation.

--- a/internal/coordination/dispatch/link.go
+++ b/internal/coordination/dispatch/link.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/samphirerail/samphirerail/internal/coordination/port"
+	"github.com/samphirerail/samphirerail/internal/state/workload"
 )
 
 const (
@@ -52,6 +53,9 @@
 	// doubted is set when a registration names a later start than the incarnation that answers
 	// polls: the next one verifies the incarnation.
 	doubted bool
+	// later is the newest registration if it names a later incarnation that is not confirmed.
+	// Only the control loop uses it.
+	later *workload.Upstream
 	// pollRequested asks for a poll at once; cancelPoll cancels the long poll in
 	// progress, if any.
 	pollRequested bool
@@ -160,21 +164,22 @@
 
 // register applies a registration and returns the start time of the newest incarnation that is
 // known, and whether the registration begins a new one. While the known incarnation answers polls,
-// its next report decides that, since what runs on it would count as lost.
-func (l *link) register(target port.Target, startedUnixMS int64) (newest int64, restarted bool) {
+// its next report decides that, since what runs on it would count as lost: the registration is
+// deferred, and nothing of it applied.
+func (l *link) register(target port.Target, startedUnixMS int64) (newest int64, restarted, deferred bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.target = target
 	restarted = l.startedUnixMS != 0 && startedUnixMS > l.startedUnixMS
 	if restarted && l.answered {
 		l.doubted = true
-		return l.startedUnixMS, false
+		return l.startedUnixMS, false, true
 	}
+	l.target = target
 	l.startedUnixMS = max(l.startedUnixMS, startedUnixMS)
 	if restarted {
 		l.resetEnds() // a poll in between would acknowledge ends of the former incarnation
 	}
-	return l.startedUnixMS, restarted
+	return l.startedUnixMS, restarted, false
 }
 
 // beginIncarnation restarts the numbering of run ends for a new incarnation.
--- a/internal/coordination/dispatch/poller.go
+++ b/internal/coordination/dispatch/poller.go
@@ -262,7 +262,12 @@
 	l.startedUnixMS = report.StartedUnixMS
 	l.mu.Unlock()
 	newStartedUnixMS := report.StartedUnixMS
-	o.post(func() { o.handleRestart(id, newStartedUnixMS) })
+	o.post(func() {
+		o.handleRestart(id, newStartedUnixMS)
+		if l.later != nil && l.later.StartedUnixMS <= newStartedUnixMS {
+			o.applyDeferred(id, l)
+		}
+	})
 	return incarnation
 }
 
@@ -320,5 +325,6 @@
 			o.sched.SettleUpstream(id)
 		}
 		o.handlePollFailure(id, l, failure)
+		o.applyDeferred(id, l)
 	})
 }
--- a/internal/coordination/dispatch/registrations.go
+++ b/internal/coordination/dispatch/registrations.go
@@ -119,14 +119,14 @@
 		o.links[reg.ID] = l
 	}
 	old, had := o.sched.Registration(reg.ID)
-	named, restarted := reg.StartedUnixMS, false
-	reg.StartedUnixMS, restarted = l.register(port.Target{ID: reg.ID, Address: reg.Address}, reg.StartedUnixMS)
-	switch {
-	case restarted:
+	newest, restarted, deferred := l.register(port.Target{ID: reg.ID, Address: reg.Address}, reg.StartedUnixMS)
+	if deferred {
+		o.deferRegistration(l, reg, newest)
+		return
+	}
+	l.later, reg.StartedUnixMS = nil, newest
+	if restarted {
 		l.wake()
-	case had && named > reg.StartedUnixMS:
-		o.logger.Info("registration names a later start than the upstream that answers; it is polled", "upstream", reg.ID, "born", named, "known", reg.StartedUnixMS)
-		l.requestPoll()
 	}
 	if !had || old.Draining != reg.Draining || restarted {
 		o.logger.Info("upstream registered", "upstream", reg.ID, "service", reg.Service, "address", reg.Address, "draining", reg.Draining, "born", reg.StartedUnixMS)
@@ -144,12 +144,36 @@
 	}
 }
 
+// deferRegistration keeps a registration that names a later incarnation than the one that answers
+// polls, until that one is confirmed or the known one is lost: what it says is not true of the known
+// one, whose announced leave it would hide. Only a smaller capacity applies at once, since starts
+// may reach the later one.
+func (o *owner) deferRegistration(l *link, reg workload.Upstream, known int64) {
+	if l.later == nil || l.later.StartedUnixMS != reg.StartedUnixMS {
+		o.logger.Info("registration names a later start than the upstream that answers; it is polled", "upstream", reg.ID, "born", reg.StartedUnixMS, "known", known)
+	}
+	l.later = &reg
+	if change := o.sched.LimitCapacity(o.now(), reg.ID, reg.Capacity); change != nil {
+		o.noteCapacity(change)
+	}
+	l.requestPoll()
+}
+
+// applyDeferred applies the deferred registration of an upstream, if any. It is deferred again if
+// the known incarnation has answered meanwhile.
+func (o *owner) applyDeferred(id workload.UpstreamID, l *link) {
+	if current := o.links[id]; l.later != nil && (current == l || current == nil) {
+		o.updateUpstream(*l.later)
+	}
+}
+
 // removeUpstream processes the removal of an upstream from the platform's list.
 func (o *owner) removeUpstream(id workload.UpstreamID) {
 	l := o.links[id]
 	if l == nil {
 		return
 	}
+	l.later = nil
 	if o.deferRemoval(id, l) {
 		return
 	}
--- a/internal/state/scheduler/runs.go
+++ b/internal/state/scheduler/runs.go
@@ -251,6 +251,18 @@
 	return s.applyCapacity(now, u, before)
 }
 
+// LimitCapacity lowers the capacity of a listed upstream to that of a registration that does not
+// apply to it yet. It returns the change, or nil if there is none.
+func (s *Scheduler) LimitCapacity(now state.Time, id workload.UpstreamID, capacity state.Vector) *CapacityChange {
+	u := s.upstreams[id]
+	if u == nil || !u.listed {
+		return nil
+	}
+	reg := u.Upstream
+	reg.Capacity = reg.Capacity.Min(capacity)
+	return s.SetUpstream(now, reg)
+}
+
 // Restart records a new incarnation of an upstream that its registration does not name yet. An
 // upstream that has left the platform's list stays off it.
 func (s *Scheduler) Restart(now state.Time, id workload.UpstreamID, startedUnixMS int64) {
