Keep an upstream that registers as a new incarnation after it left the list

Callers saw tasks wait though an upstream was free: one whose entry had been removed while runs were left on it, and that registered again as a new incarnation, was in the list of its service but not known by its ID, so no start on it was sent.

Cause: the runs of the former incarnation are released first, and with the last one an upstream off the list is dropped; the registration was then applied to the dropped one.

Evidence: TestRemovedUpstreamIsUsedOnceItRestarts fails on the former code (the upstream has no registration).

Change: the upstream is entered again before its registration is applied.

Result: the test passes.

--- a/internal/state/scheduler/runs.go
+++ b/internal/state/scheduler/runs.go
@@ -240,6 +240,7 @@
 		before = u.Capacity
 		if u.StartedUnixMS != reg.StartedUnixMS {
 			s.handleNewIncarnation(now, u)
+			s.upstreams[reg.ID] = u // it was dropped with its last run if it had left the list
 		}
 		s.unlist(u)
 	}
