Count no crash for an upstream whose announced leave may not have been read

Callers could see a lasting job as `failed` after planned leaves only: `draining` was written and its entry removed while the owner could not read the registrations; the read after that was a full one (first read, or 410), which lists the newest entry of each key, and yet all announcements before it counted as known.

Cause: RegistrationsRead took the time of a full read as that up to which every announcement was read. Entries that were replaced or removed since the last read are not in it.

Change: a full read marks each known upstream; the announcements of a marked one count as read only up to the last read before the gap. The mark goes when the upstream's own entry is read: an incarnation that is listed as not leaving has announced nothing before. That also covers the first seconds of a new owner, whose first read lists its upstreams.

--- a/internal/coordination/dispatch/registrations.go
+++ b/internal/coordination/dispatch/registrations.go
@@ -74,6 +74,9 @@
 // applyRegistrations processes a batch of registrations. A full batch lists all
 // upstreams; those that it does not list are removed.
 func (o *owner) applyRegistrations(batch port.Batch, full bool) {
+	if full {
+		o.sched.RegistrationsReloaded()
+	}
 	listed := map[workload.UpstreamID]bool{}
 	for _, record := range o.listedFirst(batch.Records) {
 		id := workload.UpstreamID(record.Key)
--- a/internal/state/scheduler/losses.go
+++ b/internal/state/scheduler/losses.go
@@ -81,7 +81,7 @@
 	}
 	// Only a process that ends closes its connections; what else shows the loss may be a cut.
 	// One that leaves announces it, which must have been readable.
-	crash := u.closed && !u.Draining && s.registrationsRead+leaveNotice >= u.unreachableSince
+	crash := u.closed && !u.Draining && s.announcedUntil(u)+leaveNotice >= u.unreachableSince
 	evidence := crashes.Confirmed
 	switch {
 	case cause != LossRestarted, s.opts.Lease > 0 && now-u.unreachableSince > s.opts.Lease:
--- a/internal/state/scheduler/model.go
+++ b/internal/state/scheduler/model.go
@@ -337,6 +337,7 @@
 	// process closed the connections then.
 	unreachableSince state.Time
 	closed           bool
+	announced        announcements
 	// suspected is set from an unanswered command until the next successful poll.
 	suspected bool
 	used      state.Vector
--- a/internal/state/scheduler/runs.go
+++ b/internal/state/scheduler/runs.go
@@ -231,6 +231,13 @@
 // none of the runs of the previous one, but may still execute starts that had no
 // response. It returns the change of the capacity, or nil if there is none.
 func (s *Scheduler) SetUpstream(now state.Time, reg workload.Upstream) *CapacityChange {
+	change := s.setUpstream(now, reg)
+	s.upstreams[reg.ID].announced.missed = false
+	return change
+}
+
+// setUpstream is SetUpstream for a registration that was not read.
+func (s *Scheduler) setUpstream(now state.Time, reg workload.Upstream) *CapacityChange {
 	u, before := s.upstreams[reg.ID], reg.Capacity
 	if u == nil {
 		u = &upstream{runs: map[workload.TaskID]*run{}}
@@ -261,7 +268,7 @@
 	}
 	reg := u.Upstream
 	reg.Capacity = reg.Capacity.Min(capacity)
-	return s.SetUpstream(now, reg)
+	return s.setUpstream(now, reg)
 }
 
 // Restart records a new incarnation of an upstream that its registration does not name yet. An
@@ -273,7 +280,7 @@
 	case u.listed:
 		reg := u.Upstream
 		reg.StartedUnixMS = startedUnixMS
-		s.SetUpstream(now, reg)
+		s.setUpstream(now, reg)
 	default:
 		u.StartedUnixMS = startedUnixMS
 		s.handleNewIncarnation(now, u)
@@ -360,11 +367,6 @@
 // a silence may not have been there at its beginning.
 func (s *Scheduler) MarkClosed(now state.Time, id workload.UpstreamID) { s.loseContact(now, id, true) }
 
-// RegistrationsRead records that the registrations were read up to those of a time.
-func (s *Scheduler) RegistrationsRead(at state.Time) {
-	s.registrationsRead = max(s.registrationsRead, at)
-}
-
 func (s *Scheduler) loseContact(now state.Time, id workload.UpstreamID, closed bool) {
 	if u := s.upstreams[id]; u != nil && !u.unreachable {
 		u.unreachable, u.unreachableSince, u.closed = true, now, closed
