Take a start time that becomes known for no restart of the upstream

Callers could see a task run twice: a registration without `born` followed by one with it counted as a restart, though the process was the same, and the runs there were started again elsewhere.

Cause: the scheduler compared the unknown start time with the known one. Looked at for the same class: a run report without a start time counted as one of the known incarnation, so ends could be acknowledged to a later one, and its runs be taken as gone; and where the start time was never known, a clock that began anew did not end the runs.

Change: the start time is taken from the first report if the registration lacks it; one that becomes known is no restart. A report that lacks it where the registration has it is used as a partial one, and the next poll acknowledges nothing. A clock that begins anew ends the runs also where no start time is known.

--- a/internal/coordination/dispatch/laterregistration_test.go
+++ b/internal/coordination/dispatch/laterregistration_test.go
@@ -32,7 +32,7 @@
 	o := &owner{
 		ownerDeps: &ownerDeps{
 			logger: hclog.NewNullLogger(), clock: func() time.Duration { return time.Since(base) },
-			metrics: ownerMetrics{capacity: newCapacityMetrics(registry), losses: newLossMetrics(registry)},
+			metrics: ownerMetrics{ends: metrics.NewCounter(), lostPolls: metrics.NewCounter(), capacity: newCapacityMetrics(registry), losses: newLossMetrics(registry)},
 		},
 		base: base, ctx: t.Context(), signal: make(chan struct{}, 1), links: map[workload.UpstreamID]*link{},
 		expired: map[workload.UpstreamID]struct{}{}, invalid: map[workload.UpstreamID]struct{}{},
--- a/internal/coordination/dispatch/poller.go
+++ b/internal/coordination/dispatch/poller.go
@@ -162,6 +162,8 @@
 	pollFailed pollResult = iota
 	// pollSucceeded means that the report was passed to the control loop.
 	pollSucceeded
+	// pollUnverified means that the report was passed on, but does not say which incarnation made it.
+	pollUnverified
 	// pollInterrupted means that the poll was cancelled without a result, because another
 	// poll was requested or the context ended.
 	pollInterrupted
@@ -221,18 +223,44 @@
 	if report.Invalid != nil {
 		o.logger.Warn("invalid rows of a run report ignored", "upstream", id, "error", report.Invalid)
 	}
-	if o.hasRestarted(id, l, &report, startedUnixMS, now) {
-		incarnation = o.beginIncarnation(id, l, &report, now)
-	}
+	incarnation, verified := o.identify(id, l, &report, startedUnixMS, incarnation, now)
 	if !o.postReport(id, l, &report, sentAt, incarnation) {
 		return pollFailed
 	}
 	if l.recordPoll(now, command.LastRecorded, verify) {
 		o.logger.Info("upstream reachable again", "upstream", id)
 	}
+	if !verified {
+		return pollUnverified
+	}
 	return pollSucceeded
 }
 
+// identify returns the number of the incarnation that made a report, which is the known one unless
+// the upstream has restarted. A report that lacks the start time that the registration names may be
+// of a later incarnation: it is not verified, and does not show that runs are missing.
+func (o *owner) identify(id workload.UpstreamID, l *link, report *port.RunReport, startedUnixMS int64, known int, now time.Time) (incarnation int, verified bool) {
+	verified = startedUnixMS == 0 || report.StartedUnixMS != 0
+	report.Partial = report.Partial || !verified
+	switch {
+	case o.hasRestarted(id, l, report, startedUnixMS, now):
+		return o.beginIncarnation(id, l, report, now), verified
+	case startedUnixMS == 0 && report.StartedUnixMS != 0:
+		o.learnStart(id, l, report.StartedUnixMS)
+	}
+	return known, verified
+}
+
+// learnStart records when an upstream began whose registration does not say so.
+func (o *owner) learnStart(id workload.UpstreamID, l *link, startedUnixMS int64) {
+	l.mu.Lock()
+	if l.startedUnixMS == 0 {
+		l.startedUnixMS = startedUnixMS
+	}
+	l.mu.Unlock()
+	o.post(func() { o.sched.LearnStart(id, startedUnixMS) })
+}
+
 // recordLostPoll records that a short poll had no answer, which was due at the given time.
 func (o *owner) recordLostPoll(id workload.UpstreamID, l *link, due time.Time) {
 	l.mu.Lock()
--- a/internal/state/scheduler/runs.go
+++ b/internal/state/scheduler/runs.go
@@ -245,7 +245,7 @@
 		s.revokeStarts(now, reg.ID)
 	} else {
 		before = u.Capacity
-		if u.StartedUnixMS != reg.StartedUnixMS {
+		if u.StartedUnixMS != 0 && u.StartedUnixMS != reg.StartedUnixMS {
 			s.handleNewIncarnation(now, u)
 			s.upstreams[reg.ID] = u // it was dropped with its last run if it had left the list
 		}
@@ -276,10 +276,13 @@
 func (s *Scheduler) Restart(now state.Time, id workload.UpstreamID, startedUnixMS int64) {
 	u := s.upstreams[id]
 	switch {
-	case u == nil, u.StartedUnixMS == startedUnixMS:
+	case u == nil, u.StartedUnixMS == startedUnixMS && startedUnixMS != 0:
 	case u.listed:
 		reg := u.Upstream
 		reg.StartedUnixMS = startedUnixMS
+		if u.StartedUnixMS == 0 { // setUpstream sees no difference
+			s.handleNewIncarnation(now, u)
+		}
 		s.setUpstream(now, reg)
 	default:
 		u.StartedUnixMS = startedUnixMS
@@ -287,6 +290,13 @@
 	}
 }
 
+// LearnStart records when an upstream began whose registration does not say so.
+func (s *Scheduler) LearnStart(id workload.UpstreamID, startedUnixMS int64) {
+	if u := s.upstreams[id]; u != nil && u.StartedUnixMS == 0 {
+		u.StartedUnixMS = startedUnixMS
+	}
+}
+
 // handleNewIncarnation releases the runs of an upstream's previous incarnation and
 // revokes the unconfirmed starts.
 func (s *Scheduler) handleNewIncarnation(now state.Time, u *upstream) {
