--- a/internal/state/scheduler/model.go
+++ b/internal/state/scheduler/model.go
@@ -341,6 +341,7 @@
 	closed           bool
 	// leasedAt is when the newest call was sent that certainly prolonged the leases of its runs.
 	leasedAt state.Time
+	announced        announcements
 	// suspected is set from an unanswered command until the next successful poll.
 	suspected bool
 	// lossCounted is set from the first start without a response until the next successful poll.
--- a/internal/state/scheduler/runs.go
+++ b/internal/state/scheduler/runs.go
@@ -234,6 +234,13 @@
 // none of the runs of the previous one, but may still execute starts that had no
 // response. It returns the change of the capacity, or nil if there is none.
 func (s *Scheduler) SetUpstream(now state.Time, reg workload.Upstream) *CapacityChange {
+	change := s.setUpstream(now, reg)
+	s.upstreams[reg.ID].announced.missed = false
+	return change
+}
+
+// setUpstream is SetUpstream for a registration that was not read.
+func (s *Scheduler) setUpstream(now state.Time, reg workload.Upstream) *CapacityChange {
 	u, before := s.upstreams[reg.ID], reg.Capacity
 	if u == nil {
 		u = &upstream{runs: map[workload.TaskID]*run{}}
@@ -241,7 +248,7 @@
 		s.revokeStarts(now, reg.ID)
 	} else {
 		before = u.Capacity
-		if u.StartedUnixMS != reg.StartedUnixMS {
+		if u.StartedUnixMS != 0 && u.StartedUnixMS != reg.StartedUnixMS {
 			s.handleNewIncarnation(now, u)
 			s.upstreams[reg.ID] = u // one off the list is dropped with its last run
 		}
@@ -255,22 +262,44 @@
 	return s.applyCapacity(now, u, before)
 }
 
+// LimitCapacity lowers the capacity of a listed upstream to that of a registration that does not
+// apply to it yet. It returns the change, or nil if there is none.
+func (s *Scheduler) LimitCapacity(now state.Time, id workload.UpstreamID, capacity state.Vector) *CapacityChange {
+	u := s.upstreams[id]
+	if u == nil || !u.listed {
+		return nil
+	}
+	reg := u.Upstream
+	reg.Capacity = reg.Capacity.Min(capacity)
+	return s.setUpstream(now, reg)
+}
+
 // Restart records a new incarnation of an upstream that its registration does not name yet. An
 // upstream that has left the platform's list stays off it.
 func (s *Scheduler) Restart(now state.Time, id workload.UpstreamID, startedUnixMS int64) {
 	u := s.upstreams[id]
 	switch {
-	case u == nil, u.StartedUnixMS == startedUnixMS:
+	case u == nil, u.StartedUnixMS == startedUnixMS && startedUnixMS != 0:
 	case u.listed:
 		reg := u.Upstream
 		reg.StartedUnixMS = startedUnixMS
-		s.SetUpstream(now, reg)
+		if u.StartedUnixMS == 0 { // setUpstream sees no difference
+			s.handleNewIncarnation(now, u)
+		}
+		s.setUpstream(now, reg)
 	default:
 		u.StartedUnixMS = startedUnixMS
 		s.handleNewIncarnation(now, u)
 	}
 }
 
+// LearnStart records when an upstream began whose registration does not say so.
+func (s *Scheduler) LearnStart(id workload.UpstreamID, startedUnixMS int64) {
+	if u := s.upstreams[id]; u != nil && u.StartedUnixMS == 0 {
+		u.StartedUnixMS = startedUnixMS
+	}
+}
+
 // handleNewIncarnation releases the runs of an upstream's previous incarnation and
 // revokes the unconfirmed starts.
 func (s *Scheduler) handleNewIncarnation(now state.Time, u *upstream) {
@@ -351,11 +380,6 @@
 // a silence may not have been there at its beginning.
 func (s *Scheduler) MarkClosed(now state.Time, id workload.UpstreamID) { s.loseContact(now, id, true) }
 
-// RegistrationsRead records that the registrations were read up to those of a time.
-func (s *Scheduler) RegistrationsRead(at state.Time) {
-	s.registrationsRead = max(s.registrationsRead, at)
-}
-
 func (s *Scheduler) loseContact(now state.Time, id workload.UpstreamID, closed bool) {
 	if u := s.upstreams[id]; u != nil && !u.unreachable {
 		u.unreachable, u.unreachableSince, u.closed = true, now, closed
