Acknowledge no ends that the scheduler ignores

What callers could see: a task that is started again though its end was acknowledged (TWICE).

Cause: handleReport passed a report to the scheduler and had its ends acknowledged also where the scheduler does not know the upstream any more and ignores the report.

Change: a report on a forgotten upstream is dropped with its link, so that a new link reads the ends again.

Result: TestEndsOnForgottenUpstreamAreKept fails before (1 acknowledgement, 0 wanted) and passes.

--- a/internal/coordination/dispatch/owner.go
+++ b/internal/coordination/dispatch/owner.go
@@ -454,6 +454,9 @@
 	if o.links[id] != l {
 		return
 	}
+	if o.dropLinkIfUnknown(id, l) {
+		return // the scheduler would ignore the ends
+	}
 	for _, e := range report.Ended {
 		o.logger.Info("run ended", "task", e.Task, "run", e.Run, "upstream", id, "how", e.Cause)
 	}
--- a/internal/coordination/dispatch/registrations.go
+++ b/internal/coordination/dispatch/registrations.go
@@ -186,14 +186,16 @@
 	o.dropLinkIfUnknown(id, l)
 }
 
-// dropLinkIfUnknown stops polling an upstream that the scheduler has dropped.
-func (o *owner) dropLinkIfUnknown(id workload.UpstreamID, l *link) {
+// dropLinkIfUnknown stops polling an upstream that the scheduler has dropped, and reports whether
+// it has.
+func (o *owner) dropLinkIfUnknown(id workload.UpstreamID, l *link) bool {
 	if _, ok := o.sched.Registration(id); ok {
-		return
+		return false
 	}
 	l.mu.Lock()
 	l.removed = true
 	l.mu.Unlock()
 	l.wake()
 	delete(o.links, id)
+	return true
 }
