Check the lengths in a ledger record before it is decoded

Callers would have seen every entry end, and end again at each start: a record of 8 bytes in the log of jobs with a length of 2^32 makes the decoder allocate 512 GB. Every entry reads that topic.

Cause: the msgpack decoder allocates what a length in the data says before it reads on. Its own limit is off: decodeSliceValue tests the flag against 1, which it never equals.

What was nested deeply was already refused.

Change: splitValue walks the encoded value without allocating and refuses lengths beyond the data and nesting beyond 32 levels. All four decoders of the ledger use it.

--- a/internal/state/ledger/crashes.go
+++ b/internal/state/ledger/crashes.go
@@ -1,7 +1,6 @@
 package ledger
 
 import (
-	"bytes"
 	"fmt"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -40,15 +39,14 @@
 	if err != nil || len(rest) == 0 {
 		return err
 	}
-	in := bytes.NewReader(rest)
-	decoder := msgpack.NewDecoder(in)
-	if err := decoder.Decode(&into.Crashes); err != nil {
-		return unreadable(r, err)
+	crashes := rest
+	if rest, err = splitValue(crashes); err == nil {
+		err = msgpack.Unmarshal(crashes, &into.Crashes)
 	}
-	if in.Len() == 0 {
-		return nil
+	if err == nil && len(rest) > 0 {
+		err = decodeSeries(rest, into)
 	}
-	if err := decodeSeries(decoder, into); err != nil {
+	if err != nil {
 		return unreadable(r, err)
 	}
 	return nil
--- a/internal/state/ledger/record.go
+++ b/internal/state/ledger/record.go
@@ -245,6 +245,10 @@
 		return nil, nil
 	}
 	job := &workload.Job{}
+	addition, err := splitValue(r.Value)
+	if err != nil {
+		return nil, unreadable(r, err)
+	}
 	value := bytes.NewReader(r.Value)
 	decoder := msgpack.GetDecoder()
 	defer msgpack.PutDecoder(decoder)
@@ -253,7 +257,7 @@
 	if err := decoder.Decode(job); err != nil {
 		return nil, unreadable(r, err)
 	}
-	if value.Len() > 0 {
+	if _, err := splitValue(addition); err == nil {
 		if domain, err := decoder.DecodeString(); err == nil {
 			job.Domain = state.DomainID(domain) // else it is an addition of a newer version
 		}
@@ -286,12 +290,14 @@
 // decodePrefix decodes the value at the beginning of a record and returns what follows it, nil
 // if nothing does.
 func decodePrefix(r Record, into any) (rest []byte, err error) {
-	in := bytes.NewReader(r.Value)
-	if err := msgpack.NewDecoder(in).Decode(into); err != nil {
+	if rest, err = splitValue(r.Value); err == nil {
+		err = msgpack.Unmarshal(r.Value, into)
+	}
+	if err != nil {
 		return nil, unreadable(r, err)
 	}
-	if in.Len() > 0 {
-		rest = r.Value[len(r.Value)-in.Len():]
+	if len(rest) == 0 {
+		return nil, nil
 	}
 	return rest, nil
 }
--- a/internal/state/ledger/series.go
+++ b/internal/state/ledger/series.go
@@ -80,9 +80,12 @@
 
 // decodeSeries decodes a series and applies it to the state: complete occurrences, which are listed
 // for entries of a former release, are left out.
-func decodeSeries(decoder *msgpack.Decoder, into *JobState) error {
+func decodeSeries(data []byte, into *JobState) error {
+	if _, err := splitValue(data); err != nil {
+		return err
+	}
 	var stored storedSeries
-	if err := decoder.Decode(&stored); err != nil {
+	if err := msgpack.Unmarshal(data, &stored); err != nil {
 		return err
 	}
 	into.Phase = stored.Phase
--- a/internal/state/ledger/table.go
+++ b/internal/state/ledger/table.go
@@ -5,8 +5,6 @@
 	"fmt"
 	"slices"
 
-	"github.com/vmihailenco/msgpack/v5"
-
 	"github.com/samphirerail/samphirerail/internal/state/workload"
 )
 
@@ -168,7 +166,7 @@
 		return nil
 	}
 	var e Entry
-	if err := decode(r, &e); err != nil {
+	if _, err := decodePrefix(r, &e); err != nil {
 		return err
 	}
 	t.entries[e.Name] = e
@@ -228,13 +226,6 @@
 	}
 }
 
-func decode(r Record, into any) error {
-	if err := msgpack.Unmarshal(r.Value, into); err != nil {
-		return unreadable(r, err)
-	}
-	return nil
-}
-
 func unreadable(r Record, cause error) error {
 	return fmt.Errorf("ledger: the record %q at offset %d cannot be read: %w", r.Key, r.Offset, cause)
 }
