Write names of other writers on one line of the log

An operator who follows the log line by line saw lines that no process wrote: a key of the operators' or the runners' topic with a line break ended its line, and the rest began a new one. The logger escapes line breaks in strings, but not in the types of names, such as an upstream's ID and a failure domain.

Change: values whose type is any string are escaped. The new test failed before, with 5 lines instead of 1.

--- a/internal/telemetry/log.go
+++ b/internal/telemetry/log.go
@@ -4,6 +4,7 @@
 import (
 	"fmt"
 	"io"
+	"reflect"
 	"strconv"
 	"strings"
 	"time"
@@ -72,9 +73,11 @@
 		return oneLine(v.String())
 	case []byte:
 		return oneLine(string(v))
-	default:
-		return arg
 	}
+	if v := reflect.ValueOf(arg); v.Kind() == reflect.String {
+		return oneLine(v.String()) // names have types of their own
+	}
+	return arg
 }
 
 // oneLine escapes s as a Go string without quotes if it contains line breaks.
