Ignore a claim whose epoch leaves no room for a later one

A claim with an epoch near 2^63 in the ledger would leave the system without an owner for good: the epoch of each later claim overflows and counts as older. No release writes one; another writer, or a damaged record, may.

Change: claims with an epoch above 2^61 are not read. A claim adds some 2^16, so that is 3.5 * 10^13 claims.

Evidence: TestHugeEpochIsNotClaimed failed before: the table took the claim.

--- a/internal/state/ledger/lengths_test.go
+++ b/internal/state/ledger/lengths_test.go
@@ -92,3 +92,19 @@
 		}
 	})
 }
+
+// TestHugeEpochIsNotClaimed guards against a claim after which no entry can become the owner,
+// because a later epoch would overflow.
+func TestHugeEpochIsNotClaimed(t *testing.T) {
+	is := is.New(t)
+	table := NewTable()
+	for _, epoch := range []int64{7, math.MaxInt64, maxEpoch + 1} {
+		record := must(ClaimRecord(&Claim{Epoch: epoch, Entry: "a"}))
+		_, err := table.Apply(record)
+		is.Equal(err == nil, epoch == 7)
+		_, ok := ClaimOf(record)
+		is.Equal(ok, epoch == 7)
+		claim, _ := table.Claim()
+		is.Equal(claim.Epoch, int64(7))
+	}
+}
--- a/internal/state/ledger/record.go
+++ b/internal/state/ledger/record.go
@@ -284,9 +284,16 @@
 func decodeClaim(r Record, into *Claim) error {
 	rest, err := decodePrefix(r, into)
 	into.StartList = rest
+	if err == nil && into.Epoch > maxEpoch {
+		return fmt.Errorf("ledger: ignoring the claim of %q at offset %d: its epoch is %d, the most is %d", into.Entry, r.Offset, into.Epoch, int64(maxEpoch))
+	}
 	return err
 }
 
+// maxEpoch bounds the epoch of a claim, so that epochs of later claims do not overflow. Each claim
+// adds some 2^16.
+const maxEpoch = 1 << 61
+
 // decodePrefix decodes the value at the beginning of a record and returns what follows it, nil
 // if nothing does.
 func decodePrefix(r Record, into any) (rest []byte, err error) {
