--- a/internal/state/ledger/record.go
+++ b/internal/state/ledger/record.go
@@ -247,6 +247,10 @@
 		return nil, nil
 	}
 	job := &workload.Job{}
+	addition, err := splitValue(r.Value)
+	if err != nil {
+		return nil, unreadable(r, err)
+	}
 	value := bytes.NewReader(r.Value)
 	decoder := msgpack.GetDecoder()
 	defer msgpack.PutDecoder(decoder)
@@ -255,7 +259,7 @@
 	if err := decoder.Decode(job); err != nil {
 		return nil, unreadable(r, err)
 	}
-	if value.Len() > 0 {
+	if _, err := splitValue(addition); err == nil {
 		if domain, err := decoder.DecodeString(); err == nil {
 			job.Domain = state.DomainID(domain) // else it is an addition of a newer version
 		}
@@ -282,18 +286,27 @@
 func decodeClaim(r Record, into *Claim) error {
 	rest, err := decodePrefix(r, into)
 	into.StartList = rest
+	if err == nil && into.Epoch > maxEpoch {
+		return fmt.Errorf("ledger: ignoring the claim of %q at offset %d: its epoch is %d, the most is %d", into.Entry, r.Offset, into.Epoch, int64(maxEpoch))
+	}
 	return err
 }
 
+// maxEpoch bounds the epoch of a claim, so that epochs of later claims do not overflow. Each claim
+// adds some 2^16.
+const maxEpoch = 1 << 61
+
 // decodePrefix decodes the value at the beginning of a record and returns what follows it, nil
 // if nothing does.
 func decodePrefix(r Record, into any) (rest []byte, err error) {
-	in := bytes.NewReader(r.Value)
-	if err := msgpack.NewDecoder(in).Decode(into); err != nil {
+	if rest, err = splitValue(r.Value); err == nil {
+		err = msgpack.Unmarshal(r.Value, into)
+	}
+	if err != nil {
 		return nil, unreadable(r, err)
 	}
-	if in.Len() > 0 {
-		rest = r.Value[len(r.Value)-in.Len():]
+	if len(rest) == 0 {
+		return nil, nil
 	}
 	return rest, nil
 }
