Let a trial last that waits beside older runs of its job

Cause: a trial begins once a run of its job was started on its upstream. Older runs of the job there counted too; they had lasted for long enough, so that the trial was over with the next plan and began again.

Change: only runs that were started since the trial was decided begin it.

--- a/internal/state/scheduler/trials.go
+++ b/internal/state/scheduler/trials.go
@@ -24,7 +24,8 @@
 type trial struct {
 	job       *job
 	upstreams []*upstream
-	// begun is set once a start was sent there. The trial ends when each run of the job there has
+	since     state.Time
+	// begun is set once a start was sent there since then. The trial ends when each run of the job there has
 	// ended or has lasted long enough.
 	begun bool
 	// gang is set for the trial of a gang, which is placed at once.
@@ -44,7 +45,7 @@
 // refreshTrials ends the trials that are decided, have lost their upstream or were of no use.
 func (s *Scheduler) refreshTrials(now state.Time) {
 	for _, tr := range s.trials {
-		if !tr.begun && slices.ContainsFunc(tr.upstreams, func(u *upstream) bool { return u.hasStarted(tr.job) }) {
+		if !tr.begun && slices.ContainsFunc(tr.upstreams, func(u *upstream) bool { return u.hasStartedSince(tr.since, tr.job) }) {
 			tr.begun = true
 		}
 		if s.trialOver(now, tr) {
@@ -84,10 +85,10 @@
 	return false
 }
 
-// hasStarted reports whether the start of a run of a job was sent to the upstream.
-func (u *upstream) hasStarted(j *job) bool {
+// hasStartedSince reports whether the start of a run of a job was sent to the upstream since a time.
+func (u *upstream) hasStartedSince(since state.Time, j *job) bool {
 	for _, r := range u.runs {
-		if r.task.step.job == j && r.startedAt > 0 {
+		if r.task.step.job == j && r.startedAt > 0 && r.startedAt >= since {
 			return true
 		}
 	}
@@ -245,7 +246,7 @@
 		p.searchUpstreams(len(suspects))
 		return nil
 	}
-	tr := &trial{job: p.step.job}
+	tr := &trial{job: p.step.job, since: p.now}
 	p.s.addTrial(tr, best)
 	p.plan.Trials = append(p.plan.Trials, Trial{Job: tr.job.id, Upstream: best.u.ID, Occupied: len(best.u.runs), Trials: trials + 1, Limit: limit})
 	return tr
@@ -304,7 +305,7 @@
 	if !st.isolatedGang() {
 		return
 	}
-	tr := &trial{job: st.job, gang: true}
+	tr := &trial{job: st.job, since: p.now, gang: true}
 	for _, t := range st.tasks {
 		for _, r := range t.runs {
 			if u := p.s.upstreams[r.Upstream]; u.trial == nil && u.member != nil {
--- a/internal/state/scheduler/trials_test.go
+++ b/internal/state/scheduler/trials_test.go
@@ -76,3 +76,23 @@
 		})
 	}
 }
+
+// TestTrialLastsBesideOlderRunsOfTheJob guards against a trial that ends and begins with each plan while its task can't be started.
+func TestTrialLastsBesideOlderRunsOfTheJob(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation(t, oneQueue(nil))
+	sim.add(1, state.Vector{CPUMilli: 2000, MemoryMB: 8000})
+	sim.submit(&workload.Job{ID: jobID(1), Steps: []workload.Step{tasksOf(2, cores(1), 60_000)}})
+	sim.advance(15 * time.Second)
+	suspect, u := workload.TaskID{Job: jobID(1)}, sim.upstreams[0]
+	sim.resize(u, state.Vector{CPUMilli: 1000, MemoryMB: 8000}) // the other task needs it all
+	end := EndedRun{Task: suspect, Run: u.running[suspect].run, Cause: EndFailed}
+	sim.s.ApplyReport(sim.now, u.reg.ID, RunReport{SentAt: sim.now, Ended: []EndedRun{end}, Partial: true})
+	sim.s.task(suspect).isolated = true
+	trials := 0
+	for range 10 {
+		sim.now += 50 * time.Millisecond
+		trials += len(sim.s.Plan(sim.now).Trials)
+	}
+	is.Equal(trials, 1)
+}
