Guard the fakes' settings in two tests of dispatch by their locks

The race detector reported TestLostCallsDelayNoJobForLong and TestSlowUpstreamKeepsItsLease: the tests change fields of their fakes while polls read them. Only test code is concerned.

The checks are unchanged.

--- a/internal/coordination/dispatch/fakeupstream_test.go
+++ b/internal/coordination/dispatch/fakeupstream_test.go
@@ -167,7 +167,10 @@
 // Poll implements port.Upstreams.
 func (e *fakeEntry) Poll(ctx context.Context, to port.Target, command port.PollCommand) (port.RunReport, port.Reply, error) {
 	time.Sleep(2 * time.Millisecond)
-	if e.p.losePoll != nil && e.p.losePoll() {
+	e.p.mu.Lock()
+	lost := e.p.losePoll
+	e.p.mu.Unlock()
+	if lost != nil && lost() {
 		<-ctx.Done()
 		return port.RunReport{}, port.Reply{}, ctx.Err()
 	}
--- a/internal/coordination/dispatch/lostcalls_test.go
+++ b/internal/coordination/dispatch/lostcalls_test.go
@@ -11,6 +11,13 @@
 	"github.com/samphirerail/samphirerail/internal/state/workload"
 )
 
+// loseCalls sets which polls get no response and by how much starts are delayed.
+func (p *fakePlatform) loseCalls(poll func() bool, start func() time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.losePoll, p.startDelay = poll, start
+}
+
 // TestLostCallsDelayNoJobForLong guards against jobs whose run ends stay unknown until a lost
 // long poll has timed out, and against late repetitions of lost starts.
 func TestLostCallsDelayNoJobForLong(t *testing.T) {
@@ -32,13 +39,12 @@
 			defer mu.Unlock()
 			return r.Float64() < lostShare
 		}
-		p.losePoll = lost
-		p.startDelay = func() time.Duration {
+		p.loseCalls(lost, func() time.Duration {
 			if lost() {
 				return 5 * time.Second
 			}
 			return 0
-		}
+		})
 		lateJobs := 0
 		var group sync.WaitGroup
 		for n := range jobs {
@@ -63,7 +69,7 @@
 		if lateJobs > jobs/10 {
 			t.Errorf("%d of %d jobs are late", lateJobs, jobs)
 		}
-		p.losePoll, p.startDelay = nil, nil
+		p.loseCalls(nil, nil)
 		p.stop()
 		if len(p.violations) > 0 {
 			t.Error(p.violations)
--- a/internal/coordination/dispatch/slowupstream_test.go
+++ b/internal/coordination/dispatch/slowupstream_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -22,21 +23,24 @@
 type delayedUpstream struct {
 	port.Upstreams
 	began time.Time
-	delay time.Duration
+	delay atomic.Int64 // in nanoseconds
 	// leaseEnd is the end of the lease on the upstream's clock; lapsed is set once it has
 	// passed.
 	leaseEnd int64
-	lapsed   bool
+	lapsed   atomic.Bool
 }
 
 func (u *delayedUpstream) clock() int64 { return 1000 + time.Since(u.began).Milliseconds() }
 
 func (u *delayedUpstream) Poll(ctx context.Context, _ port.Target, command port.PollCommand) (port.RunReport, port.Reply, error) {
-	time.Sleep(u.delay / 2)
-	u.lapsed = u.lapsed || (u.leaseEnd > 0 && u.clock() > u.leaseEnd)
+	delay := time.Duration(u.delay.Load())
+	time.Sleep(delay / 2)
+	if u.leaseEnd > 0 && u.clock() > u.leaseEnd {
+		u.lapsed.Store(true)
+	}
 	u.leaseEnd = max(u.leaseEnd, command.DeadlineMS)
 	select {
-	case <-time.After(command.Wait + u.delay/2):
+	case <-time.After(command.Wait + delay/2):
 		return port.RunReport{ClockMS: u.clock()}, port.Reply{Outcome: scheduler.Accepted}, nil
 	case <-ctx.Done():
 		return port.RunReport{}, port.Reply{}, ctx.Err()
@@ -49,7 +53,8 @@
 	for _, delay := range []time.Duration{10 * time.Millisecond, time.Second, 1500 * time.Millisecond} {
 		t.Run(delay.String(), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				u := &delayedUpstream{began: time.Now(), delay: 10 * time.Millisecond}
+				u := &delayedUpstream{began: time.Now()}
+				u.delay.Store(int64(10 * time.Millisecond))
 				o := &owner{
 					ownerDeps: &ownerDeps{upstreams: u, lease: 5 * time.Second, logger: hclog.NewNullLogger(), clock: bootclock.Now},
 					base:      time.Now(), signal: make(chan struct{}, 1), links: map[workload.UpstreamID]*link{},
@@ -63,9 +68,9 @@
 				done := make(chan struct{})
 				go func() { o.pollLoop(ctx, "u", l); close(done) }()
 				time.Sleep(3 * time.Second)
-				u.delay = delay
+				u.delay.Store(int64(delay))
 				time.Sleep(time.Minute)
-				if u.lapsed {
+				if u.lapsed.Load() {
 					t.Errorf("the lease of an upstream that responds after %s has expired", delay)
 				}
 				cancel()
