Await no next incarnation for a start that was reported as carried out

Its start had had no answer, but the upstream had listed the run as at work; when it crashed, the task gave way to the next incarnation for the start.

Cause: an unanswered start was tracked for 13 s whatever reports said of its run.

Change: a report that lists the run, at work or ended, settles the start.

Result: TestReportedStartIsNotAwaited fails in both cases before (no run within 2 s) and passes; the tests of late starts pass.

--- a/internal/state/scheduler/latestarts_test.go
+++ b/internal/state/scheduler/latestarts_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -131,3 +132,28 @@
 		})
 	}
 }
+
+// TestReportedStartIsNotAwaited guards against a task that gives way to a next incarnation for a start that was carried out long ago.
+func TestReportedStartIsNotAwaited(t *testing.T) {
+	for _, ended := range []bool{false, true} {
+		t.Run(fmt.Sprintf("the run has ended: %v", ended), func(t *testing.T) {
+			is := is.New(t)
+			sim := newSimulation(t, oneQueue(nil))
+			sim.add(3, largeUpstream)
+			sim.submit(&workload.Job{ID: jobID(1), Steps: []workload.Step{{Count: 1, Each: cores(1), LongRunning: true}}})
+			sim.advance(100 * time.Millisecond)
+			first := sim.firstBusy()
+			task := workload.TaskID{Job: jobID(1)}
+			sim.s.trackUnconfirmedStart(sim.now, Run{Task: task, Number: first.running[task].run, Upstream: first.reg.ID})
+			if ended {
+				sim.end(first, task, EndFailed)
+			}
+			sim.advance(100 * time.Millisecond)
+			is.Equal(sim.running(jobID(1)), 1)
+			sim.endIncarnation(first, 20*time.Second)
+			sim.s.ReleaseRuns(sim.now, first.reg.ID, LossExpired)
+			sim.advance(2 * time.Second)
+			is.Equal(sim.running(jobID(1)), 1)
+		})
+	}
+}
--- a/internal/state/scheduler/report.go
+++ b/internal/state/scheduler/report.go
@@ -94,12 +94,14 @@
 	u.leasedAt = max(u.leasedAt, report.SentAt)
 	s.endWaitsForSurvivor(id)
 	for i := range report.Ended {
+		s.settleStart(Run{report.Ended[i].Task, report.Ended[i].Run, id})
 		s.applyEnded(now, u, &report.Ended[i])
 	}
 	listed := make(map[workload.TaskID]int64, len(report.Running))
 	for i := range report.Running {
 		reported := &report.Running[i]
 		listed[reported.Task] = reported.Run
+		s.settleStart(Run{reported.Task, reported.Run, id})
 		s.applyRunning(now, u, reported, report.Clock)
 	}
 	if !report.Partial {
--- a/internal/state/scheduler/revoke.go
+++ b/internal/state/scheduler/revoke.go
@@ -79,6 +79,15 @@
 	}
 }
 
+// settleStart ends the tracking of an unconfirmed start that its upstream reports as carried out: it
+// is not carried out again.
+func (s *Scheduler) settleStart(id Run) {
+	if l := s.unconfirmedStarts[id.Upstream][id]; l != nil {
+		s.endWait(id, l)
+		delete(s.unconfirmedStarts[id.Upstream], id)
+	}
+}
+
 // revocationResult applies the result of a stop that revokes an unconfirmed start.
 func (s *Scheduler) revocationResult(now state.Time, id Run, acknowledged bool) {
 	l := s.unconfirmedStarts[id.Upstream][id]
