Compare lost upstreams over 100 ms again

Cause: tasks that crash their upstreams some 280 ms after their start count as blameless at their first two crashes. Their losses excused each other, and then those of trials, over a second: five crashes under one task counted as shared.

Change: losses are compared over 100 ms, whatever ran there.

--- a/internal/state/crashes/crashes.go
+++ b/internal/state/crashes/crashes.go
@@ -44,8 +44,8 @@
 	Certain bool
 }
 
-// JustBegun reports whether the start of the run may be the cause of the crash.
-func (p *Presence) JustBegun() bool { return p.Age >= 0 && p.Age <= startAge }
+// justBegun reports whether the start of the run may be the cause of the crash.
+func (p *Presence) justBegun() bool { return p.Age >= 0 && p.Age <= startAge }
 
 // mayHaveBegun reports whether the run is known to have begun, or is as likely as not to have.
 func (p *Presence) mayHaveBegun() bool { return p.Certain || (p.Age >= 0 && p.Age <= answerAge) }
@@ -91,7 +91,7 @@
 	jobs, begun := map[string]struct{}{}, map[string]struct{}{}
 	for _, p := range present {
 		jobs[p.Job] = struct{}{}
-		if p.JustBegun() {
+		if p.justBegun() {
 			begun[p.Job] = struct{}{}
 		}
 	}
@@ -102,7 +102,7 @@
 	out := make([]Involvement, len(present))
 	for i, p := range present {
 		confirmed := evidence == Confirmed
-		otherCause := !p.mayHaveBegun() || (!confirmed && (!p.Certain || !p.JustBegun()))
+		otherCause := !p.mayHaveBegun() || (!confirmed && (!p.Certain || !p.justBegun()))
 		out[i] = Involvement{Certain: p.Certain && confirmed, Shared: otherCause, Alone: len(jobs) == 1 && !otherCause, Age: p.Age}
 		if _, ok := blamed[p.Job]; ok && confirmed && !otherCause {
 			out[i].Blame = 100 / len(blamed)
--- a/internal/state/crashes/crashes_test.go
+++ b/internal/state/crashes/crashes_test.go
@@ -132,7 +132,6 @@
 	type loss struct {
 		upstream, rack string
 		at             time.Duration
-		blameless      bool
 	}
 	cases := []struct {
 		name   string
@@ -140,24 +139,20 @@
 		want   bool
 	}{
 		{name: "alone"},
-		{name: "one of another rack", others: []loss{{"b", "r2", 1000 * ms, false}}},
-		{name: "one of the rack", others: []loss{{"b", "r1", 1050 * ms, false}}, want: true},
-		{name: "one of the rack, much earlier", others: []loss{{"b", "r1", 700 * ms, false}}},
-		{name: "two of other racks", others: []loss{{"b", "r2", 990 * ms, false}, {"c", "r3", 1020 * ms, false}}, want: true},
-		{name: "the same one again", others: []loss{{"a", "r1", 1010 * ms, false}, {"a", "r1", 1020 * ms, false}}},
-		{name: "blameless ones, noticed later", others: []loss{{"b", "r2", 600 * ms, true}, {"c", "r3", 1900 * ms, true}}, want: true},
-		{name: "blameless one of the rack, noticed later", others: []loss{{"b", "r1", 1700 * ms, true}}, want: true},
-		{name: "suspected ones, some time later", others: []loss{{"b", "r2", 600 * ms, false}, {"c", "r3", 1900 * ms, false}}},
-		{name: "blameless ones, much later", others: []loss{{"b", "r2", 2100 * ms, true}, {"c", "r3", 2200 * ms, true}}},
-		{name: "unknown racks", others: []loss{{"b", "", 1000 * ms, false}}},
+		{name: "one of another rack", others: []loss{{"b", "r2", 1000 * ms}}},
+		{name: "one of the rack", others: []loss{{"b", "r1", 1050 * ms}}, want: true},
+		{name: "one of the rack, much earlier", others: []loss{{"b", "r1", 700 * ms}}},
+		{name: "two of other racks", others: []loss{{"b", "r2", 990 * ms}, {"c", "r3", 1020 * ms}}, want: true},
+		{name: "the same one again", others: []loss{{"a", "r1", 1010 * ms}, {"a", "r1", 1020 * ms}}},
+		{name: "unknown racks", others: []loss{{"b", "", 1000 * ms}}},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			var o Outages
 			for _, l := range c.others {
-				o.Note(l.upstream, Place{"s", l.rack}, l.at, l.blameless)
+				o.Note(l.upstream, Place{"s", l.rack}, l.at)
 			}
-			o.Note("elsewhere", Place{"other", "r1"}, 1000*ms, true)
+			o.Note("elsewhere", Place{"other", "r1"}, 1000*ms)
 			rack := "r1"
 			if c.name == "unknown racks" {
 				rack = ""
--- a/internal/state/crashes/outages.go
+++ b/internal/state/crashes/outages.go
@@ -6,11 +6,8 @@
 )
 
 const (
-	// togetherWithin is the time within which upstreams are lost together. The loss of those with
-	// blameless runs only is compared over blamelessWithin: no task explains it, and the owner
-	// notices the end of some connections only with its next poll.
-	togetherWithin  = 100 * time.Millisecond
-	blamelessWithin = time.Second
+	// togetherWithin is the time within which upstreams are lost together.
+	togetherWithin = 100 * time.Millisecond
 	// sharedInRack and sharedInService are the numbers of upstreams of a rack, and of a
 	// service, that have one cause if they are lost together.
 	sharedInRack, sharedInService = 2, 3
@@ -29,15 +26,13 @@
 	upstream string
 	place    Place
 	// at is a time on the caller's clock.
-	at        time.Duration
-	blameless bool
+	at time.Duration
 }
 
-// Note records that contact to an upstream was lost. blameless says that none of its runs had just
-// begun or belonged to a task that is tried alone.
-func (o *Outages) Note(upstream string, place Place, at time.Duration, blameless bool) {
+// Note records that contact to an upstream was lost.
+func (o *Outages) Note(upstream string, place Place, at time.Duration) {
 	o.recent = slices.DeleteFunc(o.recent, func(e outage) bool { return at-e.at > outageMemory })
-	o.recent = append(o.recent, outage{upstream, place, at, blameless})
+	o.recent = append(o.recent, outage{upstream, place, at})
 }
 
 // Shared reports whether an upstream to which contact was lost at a time was lost together with
@@ -45,11 +40,7 @@
 func (o *Outages) Shared(upstream string, place Place, at time.Duration) bool {
 	rack, service := 1, 1
 	for _, e := range o.recent {
-		within := togetherWithin
-		if e.blameless {
-			within = blamelessWithin
-		}
-		if e.upstream == upstream || e.place.Service != place.Service || (e.at-at).Abs() > within {
+		if e.upstream == upstream || e.place.Service != place.Service || (e.at-at).Abs() > togetherWithin {
 			continue
 		}
 		service++
--- a/internal/state/machine/upstream.go
+++ b/internal/state/machine/upstream.go
@@ -98,7 +98,7 @@
 func (m *Machine) upstreamUnreachable(vm state.VMID, closed bool) {
 	if u, ok := m.upstreams[vm]; ok && !u.unreachable {
 		u.unreachable, u.unreachableSince, u.closed = true, m.now, closed
-		m.outages.Note(string(vm), u.place(), m.now, false)
+		m.outages.Note(string(vm), u.place(), m.now)
 		m.refreshReadiness(u)
 	}
 }
--- a/internal/state/scheduler/losses.go
+++ b/internal/state/scheduler/losses.go
@@ -177,16 +177,6 @@
 	return now
 }
 
-// isBlameless reports whether no run on the upstream is a likely cause of its end.
-func (u *upstream) isBlameless(now state.Time) bool {
-	for _, r := range u.runs {
-		if p := (crashes.Presence{Age: r.ageAt(now)}); r.task.isolated || p.JustBegun() {
-			return false
-		}
-	}
-	return true
-}
-
 func (u *upstream) place() crashes.Place {
 	return crashes.Place{Service: string(u.Service), Rack: u.Rack()}
 }
--- a/internal/state/scheduler/lostcontact_test.go
+++ b/internal/state/scheduler/lostcontact_test.go
@@ -79,17 +79,6 @@
 			sim.lose(u, sim.s.MarkClosed)
 			sim.rejoin(u, true)
 		}},
-		{name: "restarted together with others that were noticed earlier", lose: func(sim *simulation, u *simUpstream) {
-			for _, other := range sim.upstreams {
-				if other != u && other.reg.Rack() == u.reg.Rack() {
-					sim.s.MarkClosed(sim.now, other.reg.ID) // runs no task of the job
-					other.polled = false
-				}
-			}
-			sim.advance(600 * time.Millisecond)
-			sim.lose(u, sim.s.MarkClosed)
-			sim.rejoin(u, true)
-		}},
 		{name: "rejected, then cut off until the leases lapse, and restarted", lose: func(sim *simulation, u *simUpstream) {
 			const unheard = 1500 * time.Millisecond // a poll is held open for as long
 			u.down = true
--- a/internal/state/scheduler/runs.go
+++ b/internal/state/scheduler/runs.go
@@ -387,7 +387,7 @@
 			s.yieldToNextIncarnation(now, id)
 		}
 		if u.polled { // otherwise this owner never had contact
-			s.outages.Note(string(id), u.place(), now, u.isBlameless(now))
+			s.outages.Note(string(id), u.place(), now)
 		}
 	}
 }
