Ignore lease ends that precede the newest claim

What callers could see (by reading; the replica's part is shown by a test): a task started while an owner's leases may last (TWICE).

Cause: an entry whose read position expires reads the newest records, among them the newest claim, and then from an offset before them. The claims in between do not count any more, so that the record of an owner two terms ago looked like that of the direct predecessor, which may have granted leases.

Change: a record at an offset before that of the newest claim is dropped.

Result: TestLeaseEndsBeforeAMissedClaimAreIgnored fails before (1 upstream inherited) and passes.

--- a/internal/coordination/replica/leaseends_test.go
+++ b/internal/coordination/replica/leaseends_test.go
@@ -78,3 +78,31 @@
 		})
 	}
 }
+
+// TestLeaseEndsBeforeAMissedClaimAreIgnored guards against lease ends of an owner that is not the direct predecessor, after a read that skipped a claim.
+func TestLeaseEndsBeforeAMissedClaimAreIgnored(t *testing.T) {
+	is := is.New(t)
+	record := func(offset int64, r ledger.Record, err error) ledger.Record {
+		is.NoErr(err)
+		r.Offset = offset
+		return r
+	}
+	claim := func(offset, epoch int64) ledger.Record {
+		r, err := ledger.ClaimRecord(&ledger.Claim{Epoch: epoch})
+		return record(offset, r, err)
+	}
+	r, err := ledger.LeaseEndsRecord(&ledger.LeaseEnds{Epoch: 1, Upstreams: []ledger.LeaseEnd{{Upstream: "u", LeftMS: 5}}})
+	ends := record(2, r, err)
+	log := &expiringLog{
+		batches: [][]ledger.Record{{claim(1, 1)}, {}, {ends, claim(3, 2), claim(4, 3)}},
+		newest:  []ledger.Record{claim(4, 3), ends}, answer: func() {},
+	}
+	follower := New(log, configDecoder{}, hclog.NewNullLogger(), metrics.NewRegistry())
+	follower.SetClock(func() time.Duration { return time.Minute })
+	follower.loaded = true
+	for len(log.batches) > 0 {
+		is.True(follower.readNext(t.Context()))
+	}
+	got, _ := follower.LeaseEnds(3)
+	is.Equal(len(got), 0) // owner 2 may have granted leases
+}
--- a/internal/state/ledger/leaseends.go
+++ b/internal/state/ledger/leaseends.go
@@ -35,7 +35,7 @@
 // read may be the withdrawal of an older one, so that one is dropped.
 func (t *Table) applyLeaseEnds(r Record) (Change, error) {
 	t.leaseEnds = LeaseEnds{}
-	if len(r.Value) == 0 {
+	if len(r.Value) == 0 || r.Offset < t.claimOffset { // claims between them may not have been read
 		return Change{}, nil
 	}
 	var l LeaseEnds
