Repeat a withdrawal of lease ends that the log has refused

Cause: after a refusal for good (400, 413) of the empty record nothing was due any more, while the upstreams stayed withheld.

Result: TestRefusedWithdrawalIsRepeated fails before and passes; the tests of the lease ends pass.

--- a/internal/coordination/dispatch/leaseends.go
+++ b/internal/coordination/dispatch/leaseends.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -114,7 +115,7 @@
 func (o *owner) leaseEndsDue(now time.Time) (due, urgent bool) {
 	e := &o.leaseEnds
 	for id := range e.newest {
-		if l := o.links[id]; l != nil && l.isReached() {
+		if l := o.links[id]; !e.rejected && l != nil && l.isReached() {
 			return true, true
 		}
 	}
@@ -214,7 +215,7 @@
 	e := &o.leaseEnds
 	for i := range rejected {
 		if ledger.IsLeaseEnds(rejected[i]) {
-			e.rejected = true
+			e.rejected, e.newest = true, maps.Clone(e.withheld) // until a withdrawal is recorded
 			return
 		}
 	}
--- a/internal/coordination/dispatch/leaseends_test.go
+++ b/internal/coordination/dispatch/leaseends_test.go
@@ -449,3 +449,21 @@
 		is.Equal(len(p.starts), 24)
 	})
 }
+
+// TestRefusedWithdrawalIsRepeated guards against an upstream that gets no lease any more because the log has refused a withdrawal.
+func TestRefusedWithdrawalIsRepeated(t *testing.T) {
+	is := is.New(t)
+	o, l := newLostUpstream(t)
+	_, list := writeLeaseEnds(t, o)
+	is.Equal(len(list), 1)
+	o.finishLeaseEnds(list, nil)
+	l.recordPoll(time.Now(), 0, true) // reached again
+	delete(o.leaseEnds.lost, "u")
+	_, list = writeLeaseEnds(t, o)
+	is.True(list != nil)
+	is.Equal(len(list), 0)
+	o.finishLeaseEnds(list, []ledger.Record{must(ledger.LeaseEndsRecord(&ledger.LeaseEnds{}))})
+	o.leaseEnds.checked, o.leaseEnds.writtenAt = time.Time{}, time.Time{}
+	due, _ := o.leaseEndsDue(time.Now())
+	is.True(due)
+}
