Apply a deferred registration when its upstream is forgotten

What callers could see (in the review's tests): an upstream that has registered is not used until its next heartbeat changes its entry; or one that was removed stays listed, since the failed poll of its former link registers it again.

Cause: the registration of a later incarnation is kept at the link. If an incarnation in between ended the last run of an upstream off the list, the link was dropped with it.

Change: dropLinkIfUnknown takes the registration from the link and applies it.

--- a/internal/coordination/dispatch/laterregistration_test.go
+++ b/internal/coordination/dispatch/laterregistration_test.go
@@ -1,6 +1,9 @@
 package dispatch
 
 import (
+	"context"
+	"fmt"
+	"os"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -169,3 +172,33 @@
 		})
 	}
 }
+
+// TestDeferredRegistrationOfForgottenUpstreamApplies guards against a registration that is lost with the link of an incarnation that has ended.
+func TestDeferredRegistrationOfForgottenUpstreamApplies(t *testing.T) {
+	for _, removed := range []bool{false, true} {
+		t.Run(fmt.Sprintf("removed later: %v", removed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				o := newLossOwner(t)
+				ctx, cancel := context.WithCancel(t.Context())
+				cancel()
+				l := o.add(registered("u", 5))
+				o.startOn(t, "u")
+				o.removeUpstream("u")                // kept off the list for its run
+				o.updateUpstream(registered("u", 9)) // deferred
+				o.ctx = ctx                          // no polls
+				o.restart("u", 7)
+				_, known := o.sched.Registration("u")
+				is.True(known)
+				if !removed {
+					return
+				}
+				o.removeUpstream("u")
+				o.recordPollFailure("u", l, port.Reply{}, os.ErrDeadlineExceeded) // of the former link
+				o.runEvents()
+				_, known = o.sched.Registration("u")
+				is.True(!known)
+			})
+		})
+	}
+}
--- a/internal/coordination/dispatch/registrations.go
+++ b/internal/coordination/dispatch/registrations.go
@@ -187,7 +187,7 @@
 }
 
 // dropLinkIfUnknown stops polling an upstream that the scheduler has dropped, and reports whether
-// it has.
+// it has. A deferred registration applies then: nothing else would apply it.
 func (o *owner) dropLinkIfUnknown(id workload.UpstreamID, l *link) bool {
 	if _, ok := o.sched.Registration(id); ok {
 		return false
@@ -197,5 +197,9 @@
 	l.mu.Unlock()
 	l.wake()
 	delete(o.links, id)
+	if later := l.later; later != nil {
+		l.later = nil
+		o.updateUpstream(*later)
+	}
 	return true
 }
