Count run reports that are requested in the instant of an answer

Seen: TestLostCallsDelayNoJobForLong had 9 of 80 jobs late in 4 of 100 runs.

Cause: a start that times out, and the acknowledgement of the stop that revokes it, each request a poll at once. Its report counted only if the poll was sent later than the event. Under synctest's clock both happen in the same instant, so the report was ignored, and the run waited for the next held poll (300 ms, and 150 ms more if that is lost), twice for each lost start. A clock of nanoseconds hardly shows this: the fault matters where the clock does not advance between the two readings.

Change: a report counts if it was requested no earlier than the start's time-out or the acknowledgement. That stays safe: the time of the acknowledgement is read after the upstream's answer has arrived, so a poll of the same instant was sent after the stop was carried out, unless the whole call took less than a tick of the clock. A poll sent earlier still does not count; the new test holds both, and failed before for the same instant.

--- a/internal/state/scheduler/report.go
+++ b/internal/state/scheduler/report.go
@@ -117,7 +117,9 @@
 }
 
 // notListed handles a run that its upstream's report does not list. A report counts
-// only if it was requested after the run entered its phase.
+// only if it was requested after the run entered its phase. Where an upstream's answer
+// begins the phase, a request of the same instant came after it: the answer took longer
+// than a tick of the clock.
 func (s *Scheduler) notListed(now state.Time, r *run, sentAt state.Time) {
 	switch r.phase {
 	case running:
@@ -125,11 +127,11 @@
 			s.release(now, r, false)
 		}
 	case startUnconfirmed:
-		if sentAt > r.since {
+		if sentAt >= r.since {
 			s.stop(now, r, StopUnconfirmed)
 		}
 	case stopping:
-		if r.stopAckedAt > 0 && sentAt > r.stopAckedAt {
+		if r.stopAckedAt > 0 && sentAt >= r.stopAckedAt {
 			s.release(now, r, false)
 		}
 	case awaitingTicket, planned, starting, finished:
--- a/internal/state/scheduler/stall_test.go
+++ b/internal/state/scheduler/stall_test.go
@@ -49,6 +49,14 @@
 
 // startedRun returns a scheduler with one run, which was started at time 1.
 func startedRun(t *testing.T) (*Scheduler, Run) {
+	t.Helper()
+	s, id := sentRun(t)
+	s.StartResult(1, id, Accepted)
+	return s, id
+}
+
+// sentRun returns a scheduler with one run, whose start was sent at time 1.
+func sentRun(t *testing.T) (*Scheduler, Run) {
 	t.Helper()
 	config := oneQueue(nil)
 	config.Index()
@@ -61,6 +69,5 @@
 	if len(starts) != 1 || !s.MarkSent(1, starts[0].Run) {
 		t.Fatalf("planned %d starts, want 1", len(starts))
 	}
-	s.StartResult(1, starts[0].Run, Accepted)
 	return s, starts[0].Run
 }
--- a/internal/state/scheduler/unconfirmed_test.go
+++ b/internal/state/scheduler/unconfirmed_test.go
@@ -38,3 +38,33 @@
 		})
 	}
 }
+
+// TestReportCountsFromTheTimeOfTheAnswer guards against a lost start that waits for a long poll twice:
+// the poll that is requested at its time-out, or when its stop is acknowledged, leaves in the same
+// instant. A poll that was sent before does not show what its upstream has done since.
+func TestReportCountsFromTheTimeOfTheAnswer(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		after  state.Time
+		counts bool
+	}{
+		{"sent before", -1, false},
+		{"sent in the same instant", 0, true},
+		{"sent after", 1, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			const lostAt, stoppedAt = 150 * time.Millisecond, 300 * time.Millisecond
+			s, id := sentRun(t)
+			s.StartResult(lostAt, id, Unconfirmed)
+			s.ApplyReport(lostAt+2*time.Millisecond, id.Upstream, RunReport{SentAt: lostAt + c.after})
+			is.Equal(len(s.Plan(lostAt+2*time.Millisecond).Stops) == 1, c.counts) // the start is revoked
+
+			s.ApplyReport(stoppedAt-time.Millisecond, id.Upstream, RunReport{SentAt: stoppedAt - time.Millisecond})
+			s.Plan(stoppedAt - time.Millisecond)
+			s.StopResult(stoppedAt, id, true)
+			s.ApplyReport(stoppedAt+2*time.Millisecond, id.Upstream, RunReport{SentAt: stoppedAt + c.after})
+			is.Equal(s.find(id) == nil, c.counts) // the task may run elsewhere
+		})
+	}
+}
