Let the soak submit jobs at the bounds of what is accepted and over them

The soak knew only jobs of up to five tasks that run once, and took no note of entries that ended by themselves.

--large-jobs submits jobs at the bounds in docs/CONFIGURATION.md, jobs that repeat, and jobs just over a bound. Those over a bound must be answered 400 and never start; no occurrence may start before it is due; the others are cancelled at the end. In every run, an end of an entry's process that no signal of the soak explains is a violation now. mayHaveFailed looks at all tasks of a job. The random sequences without the option are unchanged.

--- a/internal/command/soak.go
+++ b/internal/command/soak.go
@@ -29,6 +29,7 @@
 			&cli.BoolFlag{Name: "lasting-jobs", Usage: "submit long-running jobs, cut runners off in waves and kill the owner"},
 			&cli.BoolFlag{Name: "failing-lasting-jobs", Usage: "let tasks of long-running jobs fail by themselves", Value: true},
 			&cli.BoolFlag{Name: "unknown-keys", Usage: "submit jobs with unknown keys to a queue that needs none", Value: true},
+			&cli.BoolFlag{Name: "large-jobs", Usage: "submit jobs at the bounds of what is accepted, jobs that repeat, and jobs over a bound"},
 			&cli.BoolFlag{Name: "quiet", Usage: "inject no faults"},
 			&cli.BoolFlag{Name: "faults", Usage: "print each fault"},
 		},
@@ -45,7 +46,7 @@
 					StartsWithoutRecord: cmd.Bool("starts-without-record"),
 					CrashingTasks:       cmd.Bool("crashing-tasks"), ChangingCapacities: cmd.Bool("changing-capacities"),
 					LastingJobs: cmd.Bool("lasting-jobs"), FailingLastingJobs: cmd.Bool("failing-lasting-jobs"),
-					UnknownKeys: cmd.Bool("unknown-keys"),
+					UnknownKeys: cmd.Bool("unknown-keys"), LargeJobs: cmd.Bool("large-jobs"),
 				}
 				if cmd.Bool("faults") {
 					opts.Out = cmd.Root().Writer
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -45,6 +45,12 @@
 	prefix, key string
 	// unauthorized is set by a refusal of the key.
 	unauthorized bool
+	// occurrences is the number of times that the job repeats.
+	occurrences int
+	// large is set for a job that doesn't end before it is cancelled, overBound for one that must be
+	// refused, invalid once it was; statuses are the answers to such a job.
+	large, overBound, invalid bool
+	statuses                  []int
 }
 
 const (
@@ -122,7 +128,7 @@
 }
 
 // Streams of random numbers of the further submissions, which leave that of the others alone.
-const lateStream, crashingStream, lastingStream, openStream = 4, 5, 7, 20
+const lateStream, crashingStream, lastingStream, openStream, largeStream = 4, 5, 7, 20, 21
 
 // submitRegularly submits a job that next makes after each interval, until stop is closed, and
 // then waits for the calls in flight.
@@ -160,10 +166,15 @@
 			job.rejected = true
 		case status == http.StatusUnauthorized:
 			job.unauthorized = true
+		case job.overBound && status == http.StatusBadRequest:
+			job.invalid = true
 		default:
 			job.unknown = true
 		}
-		answered := job.acked || job.unauthorized
+		if job.overBound {
+			job.statuses = append(job.statuses, status)
+		}
+		answered := job.acked || job.unauthorized || job.invalid
 		c.mu.Unlock()
 		if answered {
 			break
@@ -269,6 +280,10 @@
 			c.checkUnknownKey(&report, id, job)
 			continue
 		}
+		if job.overBound {
+			c.checkOverBound(&report, id, job)
+			continue
+		}
 		if job.acked {
 			report.Accepted++
 		} else if job.rejected && !job.unknown {
@@ -282,7 +297,7 @@
 		state := c.finalState(id, deadline)
 		switch {
 		case job.cancelSent && state == "cancelled", job.cancelled && state == "complete":
-		case state == "failed" && c.mayHaveFailed(id, job):
+		case state == "failed" && c.mayHaveFailed(id):
 			report.GivenUp++
 			if !job.crashes {
 				report.Innocent++
@@ -307,9 +322,11 @@
 // checkComplete checks that every task of a job reported as complete was started and
 // that none is still running.
 func (c *callers) checkComplete(report *Report, id string, job *sentJob) {
-	for i := range job.tasks {
-		if c.cluster.fleet.Starts(fmt.Sprintf("%s.0.0.%d", id, i)) == 0 {
-			report.Problems = append(report.Problems, fmt.Sprintf("MIXED: job %s is reported complete but its task %d was never started", id, i))
+	for occurrence := range max(1, job.occurrences) {
+		for i := range job.tasks {
+			if c.cluster.fleet.Starts(fmt.Sprintf("%s.%d.0.%d", id, occurrence, i)) == 0 {
+				report.Problems = append(report.Problems, fmt.Sprintf("MIXED: job %s is reported complete but its task %d of occurrence %d was never started", id, i, occurrence))
+			}
 		}
 	}
 	if n := c.cluster.fleet.Running(id); n > 0 {
--- a/internal/soak/cluster.go
+++ b/internal/soak/cluster.go
@@ -78,6 +78,9 @@
 	// exited is closed when process has exited.
 	exited  chan struct{}
 	closing bool
+	// sent holds the signals that the process was sent, ownEnds the ends that none of them explains.
+	sent    map[syscall.Signal]bool
+	ownEnds []string
 }
 
 func startCluster(opts Options, accepted func(job string) bool) (*cluster, error) {
@@ -218,7 +221,7 @@
 	if err := cmd.Start(); err != nil {
 		return fmt.Errorf("soak: can't start the process of %s: %w", e.name, err)
 	}
-	e.process, e.exited = cmd, make(chan struct{})
+	e.process, e.exited, e.sent = cmd, make(chan struct{}), map[syscall.Signal]bool{}
 	go e.restartOnExit(cmd, e.exited)
 	return nil
 }
@@ -226,6 +229,7 @@
 // restartOnExit waits for the process to exit and then restarts the entry.
 func (e *entry) restartOnExit(cmd *exec.Cmd, exited chan struct{}) {
 	_ = cmd.Wait() // killed processes report an error
+	e.noteEnd(cmd.ProcessState)
 	close(exited)
 	time.Sleep(restartDelay)
 	if err := e.start(); err != nil {
@@ -238,10 +242,37 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.process != nil {
+		e.sent[s] = true
 		_ = e.process.Process.Signal(s) // the process may have exited already
 	}
 }
 
+// panicStatus is the exit status of a Go program that panics.
+const panicStatus = 2
+
+// noteEnd records the end of the process if no signal of the soak explains it.
+func (e *entry) noteEnd(state *os.ProcessState) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	status, ok := state.Sys().(syscall.WaitStatus)
+	switch {
+	case ok && status.Signaled() && e.sent[status.Signal()]:
+	case ok && status.Exited() && status.ExitStatus() != panicStatus && e.sent[syscall.SIGTERM]:
+	default:
+		e.ownEnds = append(e.ownEnds, fmt.Sprintf("ENDED: the process of %s ended by itself: %s", e.name, state))
+	}
+}
+
+// ownEnds describes the ends of processes that the soak did not cause.
+func (c *cluster) ownEnds() (problems []string) {
+	for _, e := range c.entries {
+		e.mu.Lock()
+		problems = append(problems, e.ownEnds...)
+		e.mu.Unlock()
+	}
+	return problems
+}
+
 // close kills the process, also one that is stopped by SIGSTOP, and waits for its exit.
 func (e *entry) close() {
 	e.mu.Lock()
--- a/internal/soak/lasting.go
+++ b/internal/soak/lasting.go
@@ -100,7 +100,7 @@
 		time.Sleep(lastingSampleInterval)
 	}
 	switch {
-	case state == "failed" && c.mayHaveFailed(id, job):
+	case state == "failed" && c.mayHaveFailed(id):
 		report.GivenUp++
 		report.Innocent++
 		return
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -49,6 +49,8 @@
 	FailingLastingJobs bool
 	// UnknownKeys submits jobs without a key and with unknown keys to a queue that needs none.
 	UnknownKeys bool
+	// LargeJobs submits jobs at the bounds of what is accepted, jobs that repeat, and jobs over a bound.
+	LargeJobs bool
 }
 
 // Report is the outcome of a run.
@@ -68,6 +70,8 @@
 	Resumed int
 	// Unauthorized counts the jobs that were refused for their unknown keys.
 	Unauthorized int
+	// Invalid counts the jobs that were refused because they are over a bound.
+	Invalid int
 	// LongestIdle is the longest time for which a task of a long-running job had no run.
 	LongestIdle time.Duration
 	// Problems describes each violated guarantee.
@@ -129,6 +133,7 @@
 	evacuated := <-evacuations
 	c.clearFaults()
 	c.restoreCapacities()
+	callers.cancelLarge()
 	problems := callers.checkConfiguration()
 	close(settled)
 	<-watched
@@ -137,6 +142,7 @@
 	report.Seed, report.Dir, report.Evacuations, report.Resumed = opts.Seed, c.dir, evacuated, c.fleet.Resumed()
 	report.Problems = append(report.Problems, problems...)
 	report.Problems = append(report.Problems, c.fleet.Problems()...)
+	report.Problems = append(report.Problems, c.ownEnds()...)
 	err = c.close()
 	if len(report.Problems) == 0 {
 		if rmErr := os.RemoveAll(c.dir); err == nil {
@@ -163,6 +169,9 @@
 	if c.opts.UnknownKeys {
 		further.Go(func() { c.runOpen(stop) })
 	}
+	if c.opts.LargeJobs {
+		further.Go(func() { c.runLarge(stop) })
+	}
 	if c.opts.LastingJobs {
 		further.Go(func() { c.cluster.disturb(c.lasting, stop, start) })
 	}
@@ -289,5 +298,5 @@
 	if len(r.Problems) > 0 {
 		outcome = fmt.Sprintf("%d problems: %s; logs in %s", len(r.Problems), strings.Join(r.Problems[:min(len(r.Problems), 5)], "; "), r.Dir)
 	}
-	return fmt.Sprintf("seed %d: accepted %d, rejected %d, unknown %d, complete %d, given up %d (innocent %d), evacuations %d, resumed %d, unauthorized %d, longest idle %s: %s", r.Seed, r.Accepted, r.Rejected, r.Unknown, r.Complete, r.GivenUp, r.Innocent, r.Evacuations, r.Resumed, r.Unauthorized, r.LongestIdle.Round(time.Millisecond), outcome)
+	return fmt.Sprintf("seed %d: accepted %d, rejected %d, unknown %d, complete %d, given up %d (innocent %d), evacuations %d, resumed %d, unauthorized %d, invalid %d, longest idle %s: %s", r.Seed, r.Accepted, r.Rejected, r.Unknown, r.Complete, r.GivenUp, r.Innocent, r.Evacuations, r.Resumed, r.Unauthorized, r.Invalid, r.LongestIdle.Round(time.Millisecond), outcome)
 }
--- a/internal/soak/trouble.go
+++ b/internal/soak/trouble.go
@@ -26,15 +26,10 @@
 	})
 }
 
-// mayHaveFailed reports whether enough runners crashed under a task of a job, in either of its
-// steps, that its owner may have given it up.
-func (c *callers) mayHaveFailed(id string, job *sentJob) bool {
-	for i := range job.tasks {
-		if c.cluster.fleet.Crashes(fmt.Sprintf("%s.0.0.%d", id, i)) >= fewestCrashes {
-			return true
-		}
-	}
-	return c.cluster.fleet.Crashes(id+".0.1.0") >= fewestCrashes
+// mayHaveFailed reports whether enough runners crashed under a task of a job that its owner may have
+// given it up.
+func (c *callers) mayHaveFailed(id string) bool {
+	return c.cluster.fleet.MostCrashes(id) >= fewestCrashes
 }
 
 const (
