Let runners of the soak carry starts out in their next life

A start without a response that the next life of its runner carries out came up in the soak only by chance.

--late-starts delays a start every 0.5 to 1.5 s, ends its runner within the delay, and lets the next life carry it out up to 0.4 s after its begin. The report counts those that were carried out. The random sequences without the option are unchanged.

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -128,7 +128,7 @@
 }
 
 // Streams of random numbers of the further submissions, which leave that of the others alone.
-const lateStream, crashingStream, lastingStream, openStream, largeStream = 4, 5, 7, 20, 21
+const lateStream, crashingStream, lastingStream, openStream, largeStream, lateOrdersStream = 4, 5, 7, 20, 21, 22
 
 // submitRegularly submits a job that next makes after each interval, until stop is closed, and
 // then waits for the calls in flight.
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -49,6 +49,8 @@
 	FailingLastingJobs bool
 	// UnknownKeys submits jobs without a key and with unknown keys to a queue that needs none.
 	UnknownKeys bool
+	// LateStarts lets runners carry starts without a response out in their next life.
+	LateStarts bool
 	// LargeJobs submits jobs at the bounds of what is accepted, jobs that repeat, and jobs over a bound.
 	LargeJobs bool
 }
@@ -72,6 +74,8 @@
 	Unauthorized int
 	// Invalid counts the jobs that were refused because they are over a bound.
 	Invalid int
+	// LateStarts counts the late starts that a next life of a runner carried out.
+	LateStarts int
 	// LongestIdle is the longest time for which a task of a long-running job had no run.
 	LongestIdle time.Duration
 	// Problems describes each violated guarantee.
@@ -138,7 +142,7 @@
 	close(settled)
 	<-watched
 	report := callers.verify(settleTimeout)
-	report.LongestIdle = callers.longestIdle
+	report.LongestIdle, report.LateStarts = callers.longestIdle, c.fleet.LateStarts()
 	report.Seed, report.Dir, report.Evacuations, report.Resumed = opts.Seed, c.dir, evacuated, c.fleet.Resumed()
 	report.Problems = append(report.Problems, problems...)
 	report.Problems = append(report.Problems, c.fleet.Problems()...)
@@ -172,6 +176,9 @@
 	if c.opts.LargeJobs {
 		further.Go(func() { c.runLarge(stop) })
 	}
+	if c.opts.LateStarts {
+		further.Go(func() { c.cluster.delayStarts(stop, start) })
+	}
 	if c.opts.LastingJobs {
 		further.Go(func() { c.cluster.disturb(c.lasting, stop, start) })
 	}
@@ -298,5 +305,5 @@
 	if len(r.Problems) > 0 {
 		outcome = fmt.Sprintf("%d problems: %s; logs in %s", len(r.Problems), strings.Join(r.Problems[:min(len(r.Problems), 5)], "; "), r.Dir)
 	}
-	return fmt.Sprintf("seed %d: accepted %d, rejected %d, unknown %d, complete %d, given up %d (innocent %d), evacuations %d, resumed %d, unauthorized %d, invalid %d, longest idle %s: %s", r.Seed, r.Accepted, r.Rejected, r.Unknown, r.Complete, r.GivenUp, r.Innocent, r.Evacuations, r.Resumed, r.Unauthorized, r.Invalid, r.LongestIdle.Round(time.Millisecond), outcome)
+	return fmt.Sprintf("seed %d: accepted %d, rejected %d, unknown %d, complete %d, given up %d (innocent %d), evacuations %d, resumed %d, unauthorized %d, invalid %d, late starts %d, longest idle %s: %s", r.Seed, r.Accepted, r.Rejected, r.Unknown, r.Complete, r.GivenUp, r.Innocent, r.Evacuations, r.Resumed, r.Unauthorized, r.Invalid, r.LateStarts, r.LongestIdle.Round(time.Millisecond), outcome)
 }
