End the connections of a fake runner with its incarnation

Cause: connections to a fake runner outlived its restart. A call that had waited in one was served by the next incarnation, with the former one's acknowledgement. A process that ends takes its connections along.

Change: a connection belongs to the incarnation that accepted it; a later one closes it at the next call.

--- a/internal/soak/cluster.go
+++ b/internal/soak/cluster.go
@@ -134,7 +134,7 @@
 		r.SetSpeed(unevenSpeed(i))
 	}
 	c.runners = append(c.runners, r)
-	server := &http.Server{Handler: r, ReadHeaderTimeout: time.Minute}
+	server := &http.Server{Handler: r, ReadHeaderTimeout: time.Minute, ConnContext: fakewire.ConnContext}
 	c.servers = append(c.servers, server)
 	go func() { _ = server.Serve(listener) }() // ends when the soak closes it
 	return nil
