Read the age of an unread replica before its follower starts

Cause: the test started the follower in a goroutine and then read the age; if the follower ran first, it had read the log. No product fault.

Change: the age is read of a replica whose follower was never started, which is what the check means; the bound is the same.

That the former order was the cause is by reading: it needs the scheduler to run the goroutine first.

--- a/internal/coordination/replica/evacuation_test.go
+++ b/internal/coordination/replica/evacuation_test.go
@@ -151,9 +151,9 @@
 	log := &operatorsLog{}
 	log.put("config", "1")
 	log.put("z2", "{}")
+	_, age := New(log, evacuationDecoder{}, hclog.NewNullLogger(), metrics.NewRegistry()).Evacuation()
+	is.New(t).Equal(age, neverRead)
 	followOperators(t, log, func(is *is.I, r *Replica, _ *bytes.Buffer) {
-		_, age := r.Evacuation()
-		is.Equal(age, neverRead)
 		time.Sleep(20 * time.Millisecond)
 		is.Equal(r.evacuated(), []state.DomainID{"z2"})
 		log.put("z1", "{}")
