--- a/internal/transport/apiclient/property_test.go
+++ b/internal/transport/apiclient/property_test.go
@@ -157,6 +157,7 @@
 	rapid.Check(t, func(r *rapid.T) {
 		script := scripts().Draw(r, "script")
 		if violation := submitWithScript(t.Context(), script, func(*Client) {}); violation != "" {
+			t.Logf("script %v: %s", script, violation) // package rapid drops the text if the failure does not repeat
 			r.Fatal(violation)
 		}
 	})
