Use no upstream with an invalid entry after an outage either

What a test saw (platform, TestUpstreamWithOddNewestEntryIsNotUsed, once at a load of 50): two starts on an upstream whose newest entry names no runner.

Cause (by reading, shown in a unit test): if the registrations were not read for 2 s, upstreams whose entries expired meanwhile stay in use for 2 s while they answer polls. An upstream whose newest entry is invalid was treated in the same way, though it has not expired. At that load the test's own process is paused for as long. The failing run itself had no logs.

Change: an invalid entry takes its upstream off the list at once; only removals are deferred.

Result: TestUpstreamWithInvalidEntryIsNotKeptAfterAnOutage fails before and passes; the tests of dispatch and platform pass.

--- a/internal/coordination/dispatch/laterregistration_test.go
+++ b/internal/coordination/dispatch/laterregistration_test.go
@@ -202,3 +202,17 @@
 		})
 	}
 }
+
+// TestUpstreamWithInvalidEntryIsNotKeptAfterAnOutage guards against starts on an upstream whose newest entry is invalid, right after the log was down.
+func TestUpstreamWithInvalidEntryIsNotKeptAfterAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		o := newLossOwner(t)
+		l := o.add(registered("u", 5))
+		l.recordPoll(time.Now(), 0, true)
+		o.noteLogReturn(outageTime)
+		o.rejectRegistration("u", 7, os.ErrInvalid)
+		_, known := o.sched.Registration("u")
+		is.True(!known)
+	})
+}
--- a/internal/coordination/dispatch/registrations.go
+++ b/internal/coordination/dispatch/registrations.go
@@ -110,7 +110,10 @@
 		o.invalid[id] = struct{}{}
 		o.logger.Warn("invalid upstream registration ignored", "upstream", id, "offset", offset, "error", cause)
 	}
-	o.removeUpstream(id)
+	if l := o.links[id]; l != nil { // it has not expired, so that nothing is deferred
+		delete(o.expired, id)
+		o.unlist(id, l)
+	}
 }
 
 func (o *owner) updateUpstream(reg workload.Upstream) {
@@ -177,10 +180,16 @@
 	if l == nil {
 		return
 	}
-	l.later = nil
 	if o.deferRemoval(id, l) {
+		l.later = nil
 		return
 	}
+	o.unlist(id, l)
+}
+
+// unlist removes an upstream from those that are used.
+func (o *owner) unlist(id workload.UpstreamID, l *link) {
+	l.later = nil
 	o.sched.RemoveUpstream(id)
 	o.logger.Info("upstream removed", "upstream", id)
 	o.dropLinkIfUnknown(id, l)
