Keep places in a job's record for its long-running tasks and for steps at rest

What callers saw: nothing yet; found by comparing the bound on tasks at work with the users' pages. A job with a step of 16,000 tasks and a long-running one got none of its long-running tasks started for as long as the wide step's lasted (LOST holds for each task that lasts).

Cause: the 3,000 places that the record of a job has were given to whichever step came first. In the same way, single tasks never ran beside 3,000 long-running ones, nothing of a job went on once tasks that had lost their upstreams held all places, and occurrences with a long-running step were accepted that could never begin.

Change: long-running tasks have places of their own from the start, and the last 256 go to steps of which nothing is placed, one to each. What still can't have its turn is refused at acceptance.

--- a/internal/state/scheduler/model.go
+++ b/internal/state/scheduler/model.go
@@ -297,10 +297,13 @@
 	// next is the first occurrence that has not begun.
 	next int
 	// atWork is the number of tasks that the steps hold.
-	atWork    int
-	phase     ledger.Phase
-	cancelled bool
-	begun     bool
+	atWork int
+	// lastingToCome is the number of long-running tasks that the steps do not hold, also of
+	// occurrences that have not begun.
+	lastingToCome int
+	phase         ledger.Phase
+	cancelled     bool
+	begun         bool
 	// endedBeforeTakeover marks a job that is kept only because runs of it are still
 	// being stopped. Nothing is recorded about it.
 	endedBeforeTakeover bool
--- a/internal/state/scheduler/scheduler.go
+++ b/internal/state/scheduler/scheduler.go
@@ -165,7 +165,7 @@
 		return false
 	}
 	waited := time.Duration(max(0, unixNow-spec.SubmittedUnixMS)) * time.Millisecond
-	j := &job{id: spec.ID, spec: spec, arrived: now - waited, phase: recorded.Phase, begun: recorded.Phase == ledger.Running, admission: admission, steps: map[int][]*step{}}
+	j := &job{id: spec.ID, spec: spec, arrived: now - waited, phase: recorded.Phase, begun: recorded.Phase == ledger.Running, admission: admission, steps: map[int][]*step{}, lastingToCome: int(spec.LastingTasks())}
 	j.restoreOccurrences(recorded)
 	for i := range recorded.Steps {
 		s.restore(j, &recorded.Steps[i])
--- a/internal/state/scheduler/tasks.go
+++ b/internal/state/scheduler/tasks.go
@@ -22,6 +22,7 @@
 	if !found {
 		st.tasks = slices.Insert(st.tasks, i, &task{step: st, index: index, done: st.isDone(index)})
 		st.job.atWork++
+		st.job.lastingToCome -= boolInt(st.spec.LongRunning)
 	}
 	return st.tasks[i]
 }
@@ -64,6 +65,7 @@
 	}
 	st.tasks = slices.Delete(st.tasks, i, i+1)
 	st.job.atWork--
+	st.job.lastingToCome += boolInt(st.spec.LongRunning)
 	if len(st.tasks) == 0 {
 		st.tasks = nil
 		st.job.dropOccurrence(st.occurrence)
@@ -90,13 +92,13 @@
 }
 
 // startable returns how many of the waiting tasks may be placed: of those that were never placed no
-// more than the state of the job may hold, and those of a gang together.
+// more than the step has room for, and those of a gang together.
 func (st *step) startable(waiting int) int {
 	if waiting == 0 {
 		return 0
 	}
 	untouched := st.untouched()
-	room := max(0, workload.MaxTasksAtWork-st.job.atWork)
+	room := st.room()
 	switch {
 	case untouched <= room:
 		return waiting
@@ -106,6 +108,23 @@
 	return waiting - untouched + room
 }
 
+// room returns how many tasks that were never placed the step may hold, so that the state of the
+// job fits a record. The long-running tasks that are to come have places of their own. Steps of
+// single tasks leave the spare places to those that hold none.
+func (st *step) room() int {
+	j := st.job
+	room := workload.MaxTasksAtWork - j.atWork
+	if !st.spec.LongRunning {
+		// A former release has accepted more long-running tasks than may be at work.
+		room -= min(j.lastingToCome, workload.MaxTasksAtWork-1)
+		if !st.spec.Gang {
+			least := min(room, boolInt(len(st.tasks) == 0))
+			room = max(least, room-workload.SparePlaces)
+		}
+	}
+	return max(0, room)
+}
+
 // waitingTasks returns the tasks that have no run and may get one. With touch, it includes those
 // that were never placed, which the step holds from now on.
 func (st *step) waitingTasks(touch bool) []*task {
--- a/internal/state/workload/bounds.go
+++ b/internal/state/workload/bounds.go
@@ -9,6 +9,9 @@
 	// At 66 bytes each, with upstream IDs of 32 bytes and nine failed runs, they take 198,000
 	// bytes of a record.
 	MaxTasksAtWork = 3000
+	// SparePlaces is how many of these are left to steps of which no task was placed, one to each, so
+	// that a step goes on beside others whose tasks can't run.
+	SparePlaces = maxSteps
 	// MaxProgressBytes bounds the rest of a job's state in a record, in bytes.
 	MaxProgressBytes = 36 << 10
 	// stepBytes is the most that a step takes there beside its bits: the numbers of the
@@ -38,8 +41,8 @@
 	return n
 }
 
-// lasting returns the number of long-running tasks of all occurrences.
-func (j *Job) lasting() (n int64) {
+// LastingTasks returns the number of long-running tasks of all occurrences.
+func (j *Job) LastingTasks() (n int64) {
 	for i := range j.Steps {
 		if j.Steps[i].LongRunning {
 			n += int64(j.Steps[i].Count) * int64(j.Occurrences())
@@ -48,6 +51,17 @@
 	return n
 }
 
+// atOnce returns the most tasks of a step that are not long-running and must be at work together.
+func (j *Job) atOnce() (n int) {
+	n = j.largestGang(false)
+	for i := range j.Steps {
+		if !j.Steps[i].LongRunning {
+			n = max(n, 1)
+		}
+	}
+	return n
+}
+
 // CheckHeld returns an *InvalidJobError for a job that an owner can't hold, whichever release has
 // accepted it.
 func (j *Job) CheckHeld() error {
@@ -61,13 +75,17 @@
 }
 
 // checkBounds returns an *InvalidJobError for a job that can't be held, or whose tasks can't all
-// have their turn: long-running tasks and the members of a gang are at work together.
+// have their turn: long-running tasks are at work together and beside those of another step, and
+// their occurrences stay open.
 func (j *Job) checkBounds() error {
 	if err := j.CheckHeld(); err != nil {
 		return err
 	}
-	if lasting, gang := j.lasting(), j.largestGang(false); lasting+int64(gang) > MaxTasksAtWork {
-		return &InvalidJobError{fmt.Sprintf("%d long-running tasks in all occurrences beside a gang of %d, the most together is %d", lasting, gang, MaxTasksAtWork)}
+	if lasting, others := j.LastingTasks(), j.atOnce(); lasting+int64(others) > MaxTasksAtWork {
+		return &InvalidJobError{fmt.Sprintf("%d long-running tasks in all occurrences, beside %d others that must be at work together, the most is %d", lasting, others, MaxTasksAtWork)}
+	}
+	if n := int64(j.Occurrences()) * int64(j.ProgressBytes()); j.LongRunning() && n > MaxProgressBytes {
+		return &InvalidJobError{fmt.Sprintf("the state of its %d occurrences, none of which ends, takes up to %d bytes, the most is %d", j.Occurrences(), n, MaxProgressBytes)}
 	}
 	for i := range j.Steps {
 		if n := len(j.Steps[i].After); n > maxAfter {
--- a/internal/state/workload/bounds_test.go
+++ b/internal/state/workload/bounds_test.go
@@ -33,6 +33,10 @@
 		{name: "a gang beside long-running tasks", job: Job{Steps: []Step{{Count: 2000, Gang: true}, {Count: 2000, LongRunning: true}}}, former: true},
 		{name: "a long-running gang", job: Job{Steps: []Step{{Count: MaxTasksAtWork, Gang: true, LongRunning: true}}}, ok: true, former: true},
 		{name: "long-running tasks in each occurrence", job: Job{Steps: []Step{{Count: 10, LongRunning: true}}, Repeat: 1000, PeriodMS: 1}, former: true},
+		{name: "a task beside as many long-running ones as may be", job: Job{Steps: []Step{{Count: 1}, {Count: MaxTasksAtWork - 1, LongRunning: true}}}, ok: true, former: true},
+		{name: "a task beside more long-running ones", job: Job{Steps: []Step{{Count: 1}, {Count: MaxTasksAtWork, LongRunning: true}}}, former: true},
+		{name: "as many occurrences that last as can be open", job: Job{Steps: []Step{{Count: 1, LongRunning: true}}, Repeat: 1474, PeriodMS: 1}, ok: true, former: true},
+		{name: "more occurrences that last", job: Job{Steps: []Step{{Count: 1, LongRunning: true}}, Repeat: 1475, PeriodMS: 1}, former: true},
 		{name: "a step that waits for another one many times", job: Job{Steps: []Step{{Count: 1}, {Count: 1, After: make([]int, 1000)}}}, former: true},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
