--- a/internal/coordination/dispatch/appends_test.go
+++ b/internal/coordination/dispatch/appends_test.go
@@ -163,10 +163,13 @@
 	})
 }
 
-// TestWideJobIsRecorded guards against the state of an accepted job at work that exceeds a record:
-// 16,000 tasks for which there is room (review case 2).
+// TestWideJobIsRecorded guards against the state of an accepted job of many tasks at work that exceeds a record.
 func TestWideJobIsRecorded(t *testing.T) {
-	withOwner(t, func(p *fakePlatform) { p.addUpstreams(30); p.limits = ledger.Limits{}.WithDefaults() }, func(p *fakePlatform, e *fakeEntry) {
+	withOwner(t, func(p *fakePlatform) {
+		p.idPrefix = "i-7f3a0" // IDs as long as on the users' platform
+		p.addUpstreams(30)
+		p.limits = ledger.Limits{}.WithDefaults()
+	}, func(p *fakePlatform, e *fakeEntry) {
 		is := is.New(t)
 		is.NoErr(p.record(e, newJob(1, 16_000, 5000, 10)))
 		time.Sleep(2 * time.Second)
--- a/internal/coordination/dispatch/fakeplatform_test.go
+++ b/internal/coordination/dispatch/fakeplatform_test.go
@@ -28,13 +28,15 @@
 // fakePlatform is a log, upstreams and entries in one process. Its upstreams report tasks
 // that run twice, or again after they were done.
 type fakePlatform struct {
-	t         *testing.T
-	mu        sync.Mutex
-	records   map[port.Topic][]ledger.Record
-	fence     int64
-	seqs      map[int64]int64 // offset by sequence number of the newest epoch
-	changed   chan struct{}
-	silent    bool
+	t       *testing.T
+	mu      sync.Mutex
+	records map[port.Topic][]ledger.Record
+	fence   int64
+	seqs    map[int64]int64 // offset by sequence number of the newest epoch
+	changed chan struct{}
+	silent  bool
+	// idPrefix begins the IDs of upstreams.
+	idPrefix  string
 	lostShare float64 // of the answers to appends
 	// limits are those of appends; larger ones are refused for good and counted.
 	limits    ledger.Limits
@@ -120,7 +122,7 @@
 // addUpstreams registers n more upstreams. It must be called before the first entry starts.
 func (p *fakePlatform) addUpstreams(n int) {
 	for i := len(p.upstreams); n > 0; i, n = i+1, n-1 {
-		id := workload.UpstreamID(fmt.Sprintf("u%02d", i))
+		id := workload.UpstreamID(fmt.Sprintf("%su%02d", p.idPrefix, i))
 		p.upstreams[id] = &fakeUpstream{
 			reg:  workload.Upstream{ID: id, Service: "s", Address: string(id), StartedUnixMS: 1, Capacity: state.Vector{CPUMilli: 8000, MemoryMB: 64000}},
 			born: time.Now().Add(-time.Hour), runs: map[workload.TaskID]fakeRun{}, revoked: map[workload.TaskID]int64{}, hiddenFrom: map[string]bool{},
