Bound the commands to upstreams that are in flight

Twenty wide jobs of three workspaces beside kills of the owner take each entry over its memory limit.

Cause: an owner sent each start and stop in a goroutine of its own as soon as it was recorded. Of hundreds to one upstream most timed out while they waited for one of its 12 connections; each counted as perhaps carried out and was stopped before the task was started again, and the stops timed out likewise.

Ruled out: slow upstreams (answered starts take a few milliseconds) and a slow log (appends go on).

Change: commands wait in the owner, in flight are 8 to an upstream and 1,024 in all at most, upstreams in turn; stops first, then gangs, whose members wait 3 s for each other, then by the queue's priority. What must hold when a start is sent is checked then.

--- a/internal/coordination/dispatch/commands.go
+++ b/internal/coordination/dispatch/commands.go
@@ -21,18 +21,23 @@
 		if stop.Preemption != nil {
 			o.notePreemption(&stop)
 		}
-		o.spawn(func() { o.stop(stop) })
+		if l := o.links[stop.Upstream]; l != nil {
+			o.enqueue(l, command{urgency: urgency{kind: stopCommand}, send: func() func() { return func() { o.stop(stop) } }})
+		}
 	}
 	o.logDomainMoves(plan.DomainMoves)
 	for _, pace := range plan.Paces {
-		o.spawn(func() { o.pace(pace) })
+		if l := o.links[pace.Upstream]; l != nil {
+			o.enqueue(l, command{urgency: urgency{kind: paceCommand}, send: func() func() { return func() { o.pace(pace) } }})
+		}
 	}
+	o.sendCommands()
 	for i := range plan.AdviceRequests {
 		o.requestAdvice(&plan.AdviceRequests[i])
 	}
 }
 
-// sendStarts sends the starts that the log holds.
+// sendStarts sends the starts that the log holds, or has them wait for their turn.
 func (o *owner) sendStarts(starts []scheduler.Start) {
 	o.applyEvacuations()
 	if !o.mayStart() {
@@ -40,38 +45,53 @@
 		return
 	}
 	for i := range starts {
-		start := starts[i]
-		if !o.mayAct() {
-			o.withholdStart(start)
-			continue
-		}
-		if o.refuseWithheld(&start) {
-			continue
-		}
-		if !o.sched.MarkSent(o.now(), start.Run) {
-			continue
-		}
+		start := &starts[i]
 		l := o.links[start.Upstream]
 		if l == nil {
 			o.sched.StartResult(o.now(), start.Run, scheduler.Refused)
 			continue
 		}
-		l.mu.Lock()
-		target := l.target
-		l.active = true
-		l.mu.Unlock()
-		// The deadline is computed before the last check of the permission, so that a pause
-		// in between makes the lease end earlier and not later.
-		now := time.Now()
-		lease, renew := o.startLease()
-		command := port.StartCommand{Start: start, Epoch: o.epoch, DeadlineMS: l.deadline(now, lease)}
-		o.startsInFlight++
-		o.spawn(func() {
-			o.start(target, l, command)
-			if renew {
-				l.requestPoll()
-			}
-		})
+		u := urgency{kind: singleStart, priority: start.Priority}
+		if start.Gang {
+			u = urgency{kind: gangStart}
+		}
+		o.enqueue(l, command{urgency: u, start: start, send: func() func() { return o.prepareStart(*start) }})
+	}
+	o.sendCommands()
+}
+
+// prepareStart returns the call that sends a start, or nil if it is not to be sent now.
+func (o *owner) prepareStart(start scheduler.Start) (call func()) {
+	switch {
+	case !o.mayStart():
+		o.holdStarts([]scheduler.Start{start})
+		return nil
+	case !o.mayAct():
+		o.withholdStart(start)
+		return nil
+	case o.refuseWithheld(&start), !o.sched.MarkSent(o.now(), start.Run):
+		return nil
+	}
+	l := o.links[start.Upstream]
+	if l == nil {
+		o.sched.StartResult(o.now(), start.Run, scheduler.Refused)
+		return nil
+	}
+	l.mu.Lock()
+	target := l.target
+	l.active = true
+	l.mu.Unlock()
+	// The deadline is computed before the last check of the permission, so that a pause
+	// in between makes the lease end earlier and not later.
+	now := time.Now()
+	lease, renew := o.startLease()
+	command := port.StartCommand{Start: start, Epoch: o.epoch, DeadlineMS: l.deadline(now, lease)}
+	o.startsInFlight++
+	return func() {
+		o.start(target, l, command)
+		if renew {
+			l.requestPoll()
+		}
 	}
 }
 
--- a/internal/coordination/dispatch/fakeplatform_test.go
+++ b/internal/coordination/dispatch/fakeplatform_test.go
@@ -35,6 +35,8 @@
 	seqs    map[int64]int64 // offset by sequence number of the newest epoch
 	changed chan struct{}
 	silent  bool
+	// callTime is how long a start takes one of an upstream's connections; 0 if they don't matter.
+	callTime time.Duration
 	// idPrefix begins the IDs of upstreams.
 	idPrefix  string
 	lostShare float64 // of the answers to appends
@@ -80,6 +82,9 @@
 	mute  bool
 	delay time.Duration
 	drift float64
+	// starting holds the starts that have a connection, inFlight counts those that wait for one too.
+	starting               chan struct{}
+	inFlight, mostInFlight int
 }
 
 type fakeRun struct {
--- a/internal/coordination/dispatch/fakeupstream_test.go
+++ b/internal/coordination/dispatch/fakeupstream_test.go
@@ -31,9 +31,45 @@
 	return port.Reply{}, ctx.Err()
 }
 
+// connections is how many connections an entry opens to an upstream.
+const connections = 12
+
+// connect waits for a connection to an upstream and takes it for the time of a call. It returns what
+// ends the call.
+func (p *fakePlatform) connect(ctx context.Context, to port.Target) (end func(), err error) {
+	p.mu.Lock()
+	u := p.upstreams[to.ID]
+	if u.starting == nil {
+		u.starting = make(chan struct{}, connections)
+	}
+	u.inFlight++
+	u.mostInFlight = max(u.mostInFlight, u.inFlight)
+	p.mu.Unlock()
+	ended := func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		u.inFlight--
+	}
+	select {
+	case u.starting <- struct{}{}:
+		time.Sleep(p.callTime)
+		return func() { <-u.starting; ended() }, nil
+	case <-ctx.Done():
+		ended()
+		return nil, ctx.Err()
+	}
+}
+
 // Start implements port.Upstreams.
 func (e *fakeEntry) Start(ctx context.Context, to port.Target, command port.StartCommand) (port.Reply, error) {
 	p := e.p
+	if p.callTime > 0 {
+		end, err := p.connect(ctx, to)
+		if err != nil {
+			return port.Reply{}, err
+		}
+		defer end()
+	}
 	time.Sleep(time.Millisecond)
 	p.mu.Lock()
 	u, delay := e.reach(to), time.Duration(0)
--- a/internal/coordination/dispatch/link.go
+++ b/internal/coordination/dispatch/link.go
@@ -57,7 +57,8 @@
 	doubted bool
 	// later is the newest registration if it names a later incarnation that is not confirmed.
 	// Only the control loop uses it.
-	later *workload.Upstream
+	later    *workload.Upstream
+	commands linkCommands
 	// pollRequested asks for a poll at once; cancelPoll cancels the long poll in
 	// progress, if any.
 	pollRequested bool
--- a/internal/coordination/dispatch/owner.go
+++ b/internal/coordination/dispatch/owner.go
@@ -111,6 +111,7 @@
 	// unrecorded is the state of the starts that are sent before the log holds them.
 	unrecorded unrecordedStarts
 	leaseEnds  leaseEnds
+	commands   commandQueue
 	// startsInFlight counts the start commands that wait for a response.
 	startsInFlight int
 
@@ -436,6 +437,7 @@
 	o.metrics.runs.Update(int64(c.Runs))
 	o.metrics.ready.Update(int64(c.Ready))
 	o.metrics.unreachable.Update(int64(c.Unreachable))
+	o.metrics.commandsWaiting.Update(int64(o.commands.waiting))
 	o.metrics.preemption.headroom.Update(c.Headroom.CPUMilli)
 	if now.Sub(o.loggedAt) >= stateLogInterval {
 		o.loggedAt = now
@@ -445,7 +447,7 @@
 		w := c.Waiting
 		o.logger.Info("placement", "epoch", o.epoch, "jobs", c.Jobs, "ready_steps", c.Ready, "runs", c.Runs, "upstreams", c.Upstreams,
 			"silent", c.Unreachable, "avoided", c.Avoided, "wait_held", w.Unconfirmed, "wait_maximum", w.Maximum, "wait_room", w.Capacity,
-			"wait_advice", w.Advice, "wait_speed", w.Speed, "promoted", c.Promoted, "plan_pause_ms", o.planPause.Milliseconds(), "headroom", c.Headroom)
+			"wait_advice", w.Advice, "wait_speed", w.Speed, "promoted", c.Promoted, "plan_pause_ms", o.planPause.Milliseconds(), "commands_waiting", o.commands.waiting, "headroom", c.Headroom)
 	}
 }
 
--- a/internal/coordination/dispatch/ownermetrics.go
+++ b/internal/coordination/dispatch/ownermetrics.go
@@ -7,11 +7,13 @@
 	starts, ends, appends, appendFails, adviceCalls, adviceFailures metrics.Counter
 	startLatency, planTime                                          metrics.Histogram
 	jobs, runs, ready, unreachable                                  metrics.Gauge
-	evacuation                                                      evacuationMetrics
-	refused                                                         refusalCounters
-	forecastError                                                   metrics.Histogram
-	preemption                                                      preemptionMetrics
-	unrecorded                                                      unrecordedMetrics
+	// commandsWaiting counts the commands to upstreams that wait to be sent.
+	commandsWaiting metrics.Gauge
+	evacuation      evacuationMetrics
+	refused         refusalCounters
+	forecastError   metrics.Histogram
+	preemption      preemptionMetrics
+	unrecorded      unrecordedMetrics
 	// moves and copies count the moved runs and the copies of late tasks, learned the upstreams
 	// with a learned speed; factors are those of the fastest and the slowest upstream of each
 	// kind, in percent.
--- a/internal/coordination/dispatch/release.go
+++ b/internal/coordination/dispatch/release.go
@@ -80,7 +80,8 @@
 	}
 	// Wait for the starts in flight: a gang of which only some members were started would
 	// wait for the others in vain.
-	awaitStarts := o.startsInFlight > 0 && time.Since(o.releaseBegan) < commandTimeout
+	gangsWait := o.withdrawStarts(false)
+	awaitStarts := (o.startsInFlight > 0 || gangsWait) && time.Since(o.releaseBegan) < commandTimeout
 	o.releasing = true
 	if !o.flushing && len(o.requests) > 0 {
 		o.startFlush(time.Now())
@@ -93,6 +94,7 @@
 		o.sched.StartResult(o.now(), start.Run, scheduler.Refused)
 	}
 	o.pendingStarts = nil
+	o.withdrawStarts(true)
 	o.returnHeldStarts()
 	successor := o.successor()
 	o.claim.Released, o.claim.Successor = true, successor.Name
--- a/internal/state/scheduler/model.go
+++ b/internal/state/scheduler/model.go
@@ -31,6 +31,9 @@
 	Payload    string
 	Checkpoint string
 	Ticket     string
+	// Priority is that of the task's queue, and Gang is set for a member of a gang.
+	Priority int
+	Gang     bool
 }
 
 // StopReason is the reason why a run is stopped.
--- a/internal/state/scheduler/place.go
+++ b/internal/state/scheduler/place.go
@@ -253,6 +253,7 @@
 	p.s.markDirty(p.step.job)
 	p.plan.Starts = append(p.plan.Starts, Start{
 		Run: r.Run, Payload: p.step.job.spec.Payload, Checkpoint: r.task.checkpoint, Ticket: tk.token,
+		Priority: p.step.priority, Gang: p.step.spec.Gang,
 	})
 }
 
