Send paces before waiting starts

Cause: paces waited behind all starts to their upstream, so that a queue of starts could delay the protection of serving tasks, whose response times are bounded.

Change: paces come right after stops.

--- a/internal/coordination/dispatch/commandqueue.go
+++ b/internal/coordination/dispatch/commandqueue.go
@@ -41,11 +41,12 @@
 const (
 	// stopCommand comes first: stops have time bounds and free capacity.
 	stopCommand commandKind = iota
+	// paceCommand protects running work.
+	paceCommand
 	// gangStart comes before other starts: the members of a gang wait for each other on their
 	// upstreams for a limited time only.
 	gangStart
 	singleStart
-	paceCommand
 )
 
 func (a urgency) compare(b urgency) int {
