--- a/internal/coordination/dispatch/commandqueue.go
+++ b/internal/coordination/dispatch/commandqueue.go
@@ -142,8 +142,8 @@
 	o.sendCommands()
 }
 
-// withdrawStarts takes the waiting starts of single tasks, and with gangs those of gangs too, out of
-// the queue and releases their runs. It reports whether starts of gangs wait.
+// withdrawStarts takes waiting starts out of the queue and releases their runs: all of them, or
+// without gangs those of single tasks. It reports whether starts of gangs are left.
 func (o *owner) withdrawStarts(gangs bool) (gangsWait bool) {
 	for _, l := range o.links {
 		waiting := &l.commands.waiting
