--- a/internal/coordination/dispatch/fakeupstream_test.go
+++ b/internal/coordination/dispatch/fakeupstream_test.go
@@ -34,8 +34,8 @@
 // connections is how many connections an entry opens to an upstream.
 const connections = 12
 
-// connect waits for a connection to an upstream and takes it for the time of a call. It returns what
-// ends the call.
+// connect waits for a connection to an upstream and takes it for the time of a call. It returns
+// the function that ends the call.
 func (p *fakePlatform) connect(ctx context.Context, to port.Target) (end func(), err error) {
 	p.mu.Lock()
 	u := p.upstreams[to.ID]
