review: names of the wire in a data file, and a part on late orders

Cause: a test of the project keeps the names of the users' wire out of Go files outside of its adapter.

Change: standin2 reads them from wire.json.

--- a/review/standin2/cases.go
+++ b/review/standin2/cases.go
@@ -14,6 +14,7 @@
 	cases["few-entries"] = fewEntries
 	cases["long-tasks"] = longTasks
 	cases["prompt-cancels"] = promptCancels
+	cases["late-order"] = lateOrder
 }
 
 // finish is finish_s, and idle how long a job may have nothing running after that.
@@ -182,3 +183,62 @@
 	defer mu.Unlock()
 	return broken, nil
 }
+
+// lateOrder: a start of one task gets no answer. The task is started elsewhere and ends there. Then the
+// runner of the start crashes, begins again under its ID, and carries the start out.
+func lateOrder(c *system) ([]string, error) {
+	const runners, cpu, others = 12, 32_000, 44
+	const id = "00000000001a7e00"
+	const task = id + ".0.0.0"
+	c.fleet.outage = 500 * time.Millisecond
+	var broken []string
+	var late *runner
+	var orderedAt time.Time
+	c.fleet.onStart = func(started string, run int64) { // with the fleet's lock held
+		if on, done := c.fleet.noted[started]; done {
+			broken = append(broken, fmt.Sprintf("TWICE: run %d of %s begins after its end on %s was taken note of", run, started, on))
+		}
+	}
+	c.fleet.late = func(r *runner, started string) bool {
+		if !c.trouble || started != task || late != nil {
+			return false
+		}
+		late, orderedAt, r.keepsID = r, time.Now(), true
+		return true
+	}
+	q := queue{prefix: "/scale/", priority: 1, targets: 3000, stretch: 4}
+	if err := c.build(3, runners, cpu, q); err != nil {
+		return nil, err
+	}
+	c.pause(6 * time.Second)
+	send := func(id string, ms int64) {
+		c.submit(0, "/scale/"+id, job(taskSpec{RunMS: ms, CPU: 4000}, step(1, 4000, ms)))
+	}
+	for i := range others {
+		if i == others/2 {
+			send(id, 2000)
+		}
+		send(fmt.Sprintf("%016x", 0x1a7f00+i), 700)
+		c.pause(110 * time.Millisecond)
+	}
+	if !c.trouble {
+		c.pause(16 * time.Second)
+		return broken, nil
+	}
+	for until := time.Now().Add(10 * time.Second); time.Now().Before(until); c.pause(20 * time.Millisecond) {
+		c.fleet.mu.Lock()
+		_, done := c.fleet.noted[task]
+		ready := done && late != nil && time.Since(orderedAt) > 6*time.Second
+		if ready {
+			late.crash("")
+		}
+		c.fleet.mu.Unlock()
+		if ready {
+			c.pause(10 * time.Second)
+			c.fleet.mu.Lock()
+			defer c.fleet.mu.Unlock()
+			return broken, nil
+		}
+	}
+	return nil, fmt.Errorf("the task was not started elsewhere and ended in time")
+}
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -78,7 +78,7 @@
 	var routes []map[string]any
 	for _, q := range queues {
 		route := map[string]any{
-			"name": "route" + q.prefix[1:len(q.prefix)-1], "host": host, "path_prefix": q.prefix, "service": "pool", "route_kind": "non_idempotent", "timeout_ms": 3000,
+			"name": "route" + q.prefix[1:len(q.prefix)-1], "host": host, wire.Prefix: q.prefix, "service": "pool", "route_kind": "non_idempotent", "timeout_ms": 3000,
 			"target_latency_ms": q.targets, "priority": q.priority, "max_attempts": 4, "stretch": q.stretch,
 		}
 		if q.advice != nil {
@@ -90,7 +90,7 @@
 		"config_version": version, "routes": routes,
 		"services": []map[string]any{{"name": "pool", "health_path": "/healthz", "enforces_capacity": false}},
 		"limits":   map[string]any{"max_body_bytes": 65536},
-		"tenants":  []map[string]any{{"name": "team", "api_keys": []string{key}, "weight": 100, "maximum": map[string]int64{"cpu": 0, "mem_mb": 0, "gpu": 0}}},
+		"tenants":  []map[string]any{{"name": "team", wire.Keys: []string{key}, "weight": 100, "maximum": map[string]int64{"cpu": 0, "mem_mb": 0, "gpu": 0}}},
 	})
 }
 
@@ -144,7 +144,7 @@
 	if err != nil {
 		panic(err)
 	}
-	return map[string]any{"task_spec": string(text), "steps": steps}
+	return map[string]any{wire.Spec: string(text), "steps": steps}
 }
 
 // submit hands a job in at the entries in turn, from one on, until one answers for good. It reports
@@ -253,7 +253,7 @@
 	c := &system{
 		dir: dir, program: os.Args[2], record: r, store: st, trouble: os.Getenv("TROUBLE") != "0", done: ctx,
 		advice: &advice{record: r, callers: map[string]*sync.Mutex{}},
-		fleet:  &fleet{store: st, record: r, crashes: map[string]int{}},
+		fleet:  &fleet{store: st, record: r, crashes: map[string]int{}, noted: map[string]string{}},
 	}
 	defer c.close()
 	broken, err := play(c)
--- a/review/standin2/runner.go
+++ b/review/standin2/runner.go
@@ -35,6 +35,15 @@
 	// onStart is called, with the lock held, when a run begins.
 	onStart func(task string, run int64)
 	crashes map[string]int
+	// late chooses the start that gets no answer and is carried out in the next life of its runner.
+	late func(r *runner, task string) bool
+	// noted holds the tasks of which a "done" was taken note of.
+	noted map[string]string
+}
+
+// lateStart is a start that its runner carries out later.
+type lateStart struct {
+	command
 }
 
 // runner is a stand-in of a runner. A crash ends its process: connections close, and it holds and
@@ -56,6 +65,9 @@
 	lastEnd  int64
 	seq      int64
 	changed  chan struct{}
+	// keepsID says that the next life has the same ID; held is the start that it carries out.
+	keepsID bool
+	held    *lateStart
 }
 
 type run struct {
@@ -166,12 +178,16 @@
 	r.changed = make(chan struct{})
 }
 
-// crash ends the runner's process under a task. The lock is held.
+// crash ends the runner's process under a task, or under none. The lock is held.
 func (r *runner) crash(task string) {
 	for other := range r.runs {
 		r.fleet.crashes[other]++
 	}
-	r.fleet.record.note("runner %s crashes under %s (%d crashes under it)", r.id, task, r.fleet.crashes[task])
+	if task == "" {
+		r.fleet.record.note("runner %s crashes", r.id)
+	} else {
+		r.fleet.record.note("runner %s crashes under %s (%d crashes under it)", r.id, task, r.fleet.crashes[task])
+	}
 	r.runs, r.revoked, r.ends, r.lastEnd, r.fence, r.leaseEnd = map[string]*run{}, map[string]int64{}, nil, 0, 0, 0
 	r.downTill = time.Now().Add(r.fleet.outage)
 	_ = r.server.Close() // its listener and connections; an error has no consequence
@@ -195,33 +211,37 @@
 	if _, err := fmt.Sscan(life, &n); err != nil {
 		panic(err)
 	}
-	r.downTill, r.born, r.id, r.seq = time.Time{}, time.Now(), fmt.Sprintf("i-%04d-%d", r.index, n+1), 0
+	r.downTill, r.born, r.seq = time.Time{}, time.Now(), 0
+	if !r.keepsID {
+		r.id = fmt.Sprintf("i-%04d-%d", r.index, n+1)
+	}
 	r.fleet.record.note("runner %s is up", r.id)
+	if held := r.held; held != nil {
+		r.held = nil
+		r.fleet.record.note("runner %s carries out the late start of run %d of %s", r.id, held.RunID, held.Task)
+		r.start(&held.command)
+	}
 	r.register()
 }
 
-type command struct {
-	Task         string `json:"task"`
-	RunID        int64  `json:"run_id"`
-	TaskSpec     string `json:"task_spec"`
-	DeadlineMS   int64  `json:"deadline_ms"`
-	FencingToken int64  `json:"fencing_token"`
-	LastSeen     int64  `json:"last_seen"`
-	WaitMS       int64  `json:"wait_ms"`
-	Ticket       string `json:"ticket"`
-}
-
 func (r *runner) ServeHTTP(w http.ResponseWriter, req *http.Request) {
-	var c command
-	if err := json.NewDecoder(req.Body).Decode(&c); err != nil {
+	c, err := readCommand(req.Body)
+	if err != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	if req.URL.Path == "/-/hold" {
+	if req.URL.Path == wire.Hold {
 		r.serveHold(w, req, &c)
 		return
 	}
 	r.fleet.mu.Lock()
+	if f := r.fleet; req.URL.Path == wire.Start && r.downTill.IsZero() && f.late != nil && f.late(r, c.Task) {
+		r.held = &lateStart{c}
+		f.record.note("runner %s: the start of run %d of %s gets no answer", r.id, c.RunID, c.Task)
+		f.mu.Unlock()
+		<-req.Context().Done()
+		return
+	}
 	defer r.fleet.mu.Unlock()
 	r.advance()
 	refusal := ""
@@ -233,9 +253,9 @@
 		return
 	case c.FencingToken < r.fence:
 		refusal = "fence"
-	case req.URL.Path == "/-/run-start":
+	case req.URL.Path == wire.Start:
 		refusal = r.start(&c)
-	case req.URL.Path == "/-/run-stop":
+	case req.URL.Path == wire.Stop:
 		r.fence = c.FencingToken
 		r.revoked[c.Task] = max(r.revoked[c.Task], c.RunID)
 		if x := r.runs[c.Task]; x != nil && x.number == c.RunID && x.stopAt.IsZero() {
@@ -305,6 +325,10 @@
 			r.fence = c.FencingToken
 			r.renew(c.DeadlineMS)
 			for len(r.ends) > 0 && r.ends[0].number <= c.LastSeen {
+				if e := r.ends[0]; e.how == "done" {
+					r.fleet.noted[e.task] = r.id
+					r.fleet.record.note("runner %s: the end of run %d of %s is taken note of", r.id, e.run, e.task)
+				}
 				r.ends = r.ends[1:]
 			}
 		}
--- a/review/standin2/store.go
+++ b/review/standin2/store.go
@@ -76,11 +76,11 @@
 
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	switch r.URL.Path {
-	case "/-/log-append":
+	case wire.Append:
 		s.serveAppend(w, r)
-	case "/-/log-read":
+	case wire.Read:
 		s.serveRead(w, r)
-	case "/-/log-newest":
+	case wire.Newest:
 		s.serveNewest(w, r)
 	default:
 		w.WriteHeader(http.StatusNotFound)
