review: loopback addresses of their own for scripts that run side by side

Cause: one of fifteen runs side by side ended with 2, as an entry ended at its start again and again. Its log was not kept; scripts could choose the same port.

Change: the addresses follow from the process ID.

--- a/review/standin2/entry.go
+++ b/review/standin2/entry.go
@@ -28,6 +28,13 @@
 	ended   chan struct{}
 }
 
+// loopback returns one of the loopback addresses of this process, so that cases that are played side by
+// side don't take each other's ports.
+func loopback(n int) string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 1+pid/250%250, 1+pid%250, n)
+}
+
 // freePort returns a port that is free at an address.
 func freePort(ip string) (int, error) {
 	l, err := net.Listen("tcp4", ip+":0")
@@ -41,7 +48,7 @@
 // addEntries writes the settings of n entries, as the template of the deploy file does, and starts them.
 func (c *system) addEntries(n int) error {
 	for i := range n {
-		e := &entry{name: fmt.Sprintf("frontend-z%d-%d", i%3, i/3+1), ip: fmt.Sprintf("127.0.0.%d", 11+i)}
+		e := &entry{name: fmt.Sprintf("frontend-z%d-%d", i%3, i/3+1), ip: loopback(11 + i)}
 		addresses := []*string{&e.callers, &e.ready, &e.control}
 		for _, a := range addresses {
 			port, err := freePort(e.ip)
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -182,10 +182,10 @@
 // build starts the surroundings and n entries, and waits until these take callers.
 func (c *system) build(entries, runners int, cpu int64, queues ...queue) error {
 	var err error
-	if c.storeAddress, err = serve("127.0.0.2", c.store); err != nil {
+	if c.storeAddress, err = serve(loopback(2), c.store); err != nil {
 		return err
 	}
-	if c.adviceAddress, err = serve("127.0.0.3", c.advice); err != nil {
+	if c.adviceAddress, err = serve(loopback(3), c.advice); err != nil {
 		return err
 	}
 	c.configure(1, queues...)
--- a/review/standin2/runner.go
+++ b/review/standin2/runner.go
@@ -86,7 +86,7 @@
 
 func (f *fleet) add(i int, cpu int64) error {
 	r := &runner{fleet: f, index: i, id: fmt.Sprintf("i-%04d-0", i), cpu: cpu, born: time.Now(), runs: map[string]*run{}, revoked: map[string]int64{}, changed: make(chan struct{})}
-	if err := r.listen(fmt.Sprintf("127.0.1.%d:0", 10+i)); err != nil {
+	if err := r.listen(loopback(100+i) + ":0"); err != nil {
 		return err
 	}
 	f.mu.Lock()
