--- a/internal/crowd/callers_test.go
+++ b/internal/crowd/callers_test.go
@@ -125,6 +125,13 @@
 // text returns n bytes of JSON that are no job.
 func text(n int) []byte { return []byte(`{"` + strings.Repeat("x", n-5) + `":1`)[:n] }
 
+// emptySteps returns a body of the largest size with as many empty steps as fit.
+func emptySteps() []byte {
+	const begin, end = `{"steps":[{}`, `]}`
+	const steps = (bodyBytes - len(begin) - len(end)) / len(",{}")
+	return []byte(begin + strings.Repeat(",{}", steps) + end)
+}
+
 // manyFields returns n bytes of header lines with different names.
 func manyFields(n int) string {
 	var out strings.Builder
--- a/internal/crowd/node_test.go
+++ b/internal/crowd/node_test.go
@@ -35,6 +35,8 @@
 		{"headers of many fields without an end", crowd{callers: 500, request: always([]byte(header(jobPath(0), manyFields(60_000))))}},
 		{"headers of many fields with an unfinished body", crowd{callers: 500, request: always([]byte(header(jobPath(0), length(100), manyFields(headerBytes-300))))}},
 		{"a header of one line without an end", crowd{callers: 500, request: always([]byte("POST /" + strings.Repeat("x", bodyBytes)))}},
+		{"bodies of many empty steps", crowd{callers: 20, request: byLength(emptySteps(), 0)}},
+		{"bodies of many empty steps without their last bytes", crowd{callers: 500, request: byLength(emptySteps(), 2)}},
 		{"unfinished bodies that return after each close", crowd{callers: 500, request: byLength(large, 3), returns: 20}},
 		{"calls whose answers nobody reads", crowd{callers: 500, silent: true, request: always([]byte(strings.Repeat(strings.Replace(header(jobPath(0)), "POST", "GET", 1), 20_000)))}},
 	}
@@ -57,6 +59,8 @@
 	kinds := []crowd{
 		{callers: 120, returns: 10, request: byLength(large, 3)},
 		{callers: 120, returns: 10, request: inChunks(large, 500)},
+		{callers: 60, returns: 10, request: byLength(emptySteps(), 2)},
+		{callers: 10, returns: 2, request: byLength(emptySteps(), 0)},
 		{callers: 120, returns: 10, request: always([]byte(header(jobPath(0), length(100), manyFields(headerBytes-300))))},
 	}
 	stops := make([]func() usage, len(s.entries))
--- a/internal/state/workload/bounds.go
+++ b/internal/state/workload/bounds.go
@@ -11,14 +11,14 @@
 	MaxTasksAtWork = 3000
 	// SparePlaces is how many of these are left to steps of which no task was placed, one to each, so
 	// that a step goes on beside others whose tasks can't run.
-	SparePlaces = maxSteps
+	SparePlaces = MaxSteps
 	// MaxProgressBytes bounds the rest of a job's state in a record, in bytes.
 	MaxProgressBytes = 36 << 10
 	// stepBytes is the most that a step takes there beside its bits: the numbers of the
 	// occurrence and the step, and the lengths of the bits and of the list of tasks.
 	stepBytes = 24
 	// maxAfter bounds how often a step may name earlier ones.
-	maxAfter = maxSteps
+	maxAfter = MaxSteps
 )
 
 // ProgressBytes returns the most that the state of one occurrence takes in a record beside the
--- a/internal/state/workload/job.go
+++ b/internal/state/workload/job.go
@@ -135,7 +135,8 @@
 
 // Limits of the form of a job.
 const (
-	maxSteps        = 256
+	// MaxSteps is the largest number of steps.
+	MaxSteps        = 256
 	maxTasksPerStep = 20_000
 	maxRepeat       = 1_000_000
 	maxPayload      = 4_000
@@ -162,8 +163,8 @@
 	switch {
 	case len(j.Payload) > maxPayload:
 		return &InvalidJobError{fmt.Sprintf("the payload has %d bytes, the most is %d", len(j.Payload), maxPayload)}
-	case len(j.Steps) == 0 || len(j.Steps) > maxSteps:
-		return &InvalidJobError{fmt.Sprintf("%d steps, want 1 to %d", len(j.Steps), maxSteps)}
+	case len(j.Steps) == 0 || len(j.Steps) > MaxSteps:
+		return &InvalidJobError{fmt.Sprintf("%d steps, want 1 to %d", len(j.Steps), MaxSteps)}
 	case j.Repeat < 0 || j.Repeat > maxRepeat || (j.Repeat > 1 && j.PeriodMS <= 0):
 		return &InvalidJobError{fmt.Sprintf("%d occurrences every %d ms", j.Repeat, j.PeriodMS)}
 	}
