Take ports that no outgoing connection uses in the tests with crowds

Cause: a crowd test took a free port from the range of outgoing connections; in one run of several, a connection of the crowd had it when the entry started ("address already in use").

Change: the soak's pool of ports below that range moves to a package of its own, which both use.

--- a/internal/crowd/system_test.go
+++ b/internal/crowd/system_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"github.com/samphirerail/samphirerail/internal/portpool"
 	"github.com/samphirerail/samphirerail/platform/fakewire"
 )
 
@@ -100,7 +101,8 @@
 
 func startEntry(t *testing.T, name, logAddress string) *process {
 	t.Helper()
-	p := &process{name: name, callers: freeAddress(t), ready: freeAddress(t), internal: freeAddress(t), metrics: freeAddress(t)}
+	addresses := takeAddresses(t, 4)
+	p := &process{name: name, callers: addresses[0], ready: addresses[1], internal: addresses[2], metrics: addresses[3]}
 	path := filepath.Join(t.TempDir(), name+".toml")
 	text := fmt.Sprintf(`[entry]
 name = %q
@@ -234,12 +236,18 @@
 	return listener
 }
 
-// freeAddress returns a loopback address on which nothing listens.
-func freeAddress(t *testing.T) string {
+// ports holds the ports of the entries.
+var ports portpool.Pool
+
+// takeAddresses returns n loopback addresses that no other process takes until the end of the test.
+func takeAddresses(t *testing.T, n int) []string {
 	t.Helper()
-	listener := listen(t)
-	defer listener.Close()
-	return listener.Addr().String()
+	addresses, err := ports.Take(n)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ports.Release(addresses) })
+	return addresses
 }
 
 func serve(t *testing.T, handler http.Handler) string {
--- a/internal/soak/ports.go
+++ b/internal/portpool/portpool.go
@@ -1,4 +1,7 @@
-package soak
+// Package portpool gives out loopback ports for processes that tests and the soak start. A port stays
+// taken while its process restarts, also for pools of other processes, and no outgoing connection
+// takes it.
+package portpool
 
 import (
 	"errors"
@@ -8,27 +11,23 @@
 	"sync"
 )
 
-// The ports on which entries listen lie below the range from which operating systems
+// The ports lie below the range from which operating systems
 // take the ports of outgoing connections.
 const firstPort, lastPort = 20000, 30000
 
 // portsOfBlock is the number of ports in a block, of which the first reserves the others.
 const portsOfBlock = 64
 
-// ports holds the ports of this process's entries.
-var ports = &portPool{}
-
-// portPool gives out loopback ports. A port stays taken while its entry restarts, also for the
-// soak runs of other processes.
-type portPool struct {
+// Pool gives out loopback ports. The zero value is ready to use. It is safe for concurrent use.
+type Pool struct {
 	mu sync.Mutex
 	// blocks listen on the first port of each block that the pool has reserved.
 	blocks []net.Listener
 	free   []int
 }
 
-// take returns n loopback addresses on which no process listens.
-func (p *portPool) take(n int) (addresses []string, err error) {
+// Take returns n loopback addresses on which no process listens.
+func (p *Pool) Take(n int) (addresses []string, err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for len(addresses) < n {
@@ -47,8 +46,8 @@
 	return addresses, nil
 }
 
-// release gives back addresses on which no process of this run listens any more.
-func (p *portPool) release(addresses []string) {
+// Release gives back addresses on which no process of this pool listens any more.
+func (p *Pool) Release(addresses []string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, address := range addresses {
@@ -59,7 +58,7 @@
 }
 
 // reserveBlock adds the ports of a block that no other process has reserved.
-func (p *portPool) reserveBlock() error {
+func (p *Pool) reserveBlock() error {
 	const blocks = (lastPort - firstPort) / portsOfBlock
 	for i := range blocks {
 		first := firstPort + (os.Getpid()+i)%blocks*portsOfBlock
@@ -73,9 +72,9 @@
 		}
 		return nil
 	}
-	return fmt.Errorf("soak: all %d blocks of ports from %d to %d are taken: %w", blocks, firstPort, lastPort, errPorts)
+	return fmt.Errorf("portpool: all %d blocks of ports from %d to %d are taken: %w", blocks, firstPort, lastPort, errPorts)
 }
 
-var errPorts = errors.New("stop other soak runs")
+var errPorts = errors.New("stop other soak runs and tests")
 
 func loopback(port int) string { return fmt.Sprintf("127.0.0.1:%d", port) }
--- a/internal/soak/ports_test.go
+++ b/internal/portpool/portpool_test.go
@@ -1,4 +1,4 @@
-package soak
+package portpool
 
 import (
 	"net"
@@ -10,7 +10,7 @@
 // Another run took the port of an entry that was restarting, and the entry never came back.
 func TestPortsOfRestartingEntriesStayTaken(t *testing.T) {
 	is := is.New(t)
-	var one, other portPool
+	var one, other Pool
 	defer func() {
 		for _, l := range append(one.blocks, other.blocks...) {
 			is.NoErr(l.Close())
@@ -18,8 +18,8 @@
 	}()
 	taken := map[string]bool{}
 	for range 2 * portsOfBlock {
-		for _, p := range []*portPool{&one, &other} {
-			addresses, err := p.take(3)
+		for _, p := range []*Pool{&one, &other} {
+			addresses, err := p.Take(3)
 			is.NoErr(err)
 			for _, a := range addresses {
 				is.True(!taken[a])
@@ -34,11 +34,11 @@
 
 func TestReleasedPortsAreTakenAgain(t *testing.T) {
 	is := is.New(t)
-	var p portPool
+	var p Pool
 	for range 10 * portsOfBlock {
-		addresses, err := p.take(3)
+		addresses, err := p.Take(3)
 		is.NoErr(err)
-		p.release(addresses)
+		p.Release(addresses)
 	}
 	is.Equal(len(p.blocks), 1)
 	is.NoErr(p.blocks[0].Close())
--- a/internal/soak/cluster.go
+++ b/internal/soak/cluster.go
@@ -14,6 +14,7 @@
 	"syscall"
 	"time"
 
+	"github.com/samphirerail/samphirerail/internal/portpool"
 	"github.com/samphirerail/samphirerail/platform/fakewire"
 )
 
@@ -41,6 +42,9 @@
 // each other's entries.
 var host = fmt.Sprintf("soak-%d.example", os.Getpid())
 
+// ports holds the ports of this process's entries.
+var ports portpool.Pool
+
 // cluster is a fake platform with the entry processes that run on it.
 type cluster struct {
 	opts    Options
@@ -171,7 +175,7 @@
 	if err != nil {
 		return err
 	}
-	addresses, err := ports.take(3)
+	addresses, err := ports.Take(3)
 	if err != nil {
 		return err
 	}
@@ -286,7 +290,7 @@
 	}
 	_ = e.output.Close()
 	_ = e.proxy.close()
-	ports.release([]string{e.callers, e.ready, e.internal})
+	ports.Release([]string{e.callers, e.ready, e.internal})
 }
 
 // awaitReady waits until every entry is ready. It closes the cluster on a timeout.
