Bound connections, and close those that wait longest for their caller

Cause: nothing bounded connections, so the listener and the owner's dials got no descriptor.

Evidence, new tests with 700 descriptors and 900 callers on: unfinished bodies and wrong keys with unfinished bodies, no ordinary answer within the 90 s of the test; connections that idle or send nothing, 691 sockets of 500; the same at the readiness and metrics listeners (691 sockets, and 107 MB unread at the latter).

Change: a listener has a bound of connections. The connection that has waited longest for its caller makes room for a new one; requests in work do not. The queue of connections that are not yet accepted is bounded as well.

--- a/internal/crowd/node_test.go
+++ b/internal/crowd/node_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/samphirerail/samphirerail/platform/fakewire"
 )
@@ -19,11 +21,14 @@
 	if sum := used.residentMB + used.unreadMB; sum > memoryMB {
 		t.Errorf("%s held %.0f MB resident and %.1f MB unread, the VM has %d MB", p.name, used.residentMB, used.unreadMB, memoryMB)
 	}
+	if used.sockets > descriptors-reservedFiles {
+		t.Errorf("%s held %d sockets, the VM has %d descriptors for them", p.name, used.sockets, descriptors-reservedFiles)
+	}
 }
 
 // TestEntryOutlivesCrowd plays one crowd after the other, each against a new entry.
 func TestEntryOutlivesCrowd(t *testing.T) {
-	large := text(bodyBytes)
+	large, small := text(bodyBytes), text(2000)
 	cases := []struct {
 		name  string
 		crowd crowd
@@ -35,8 +40,12 @@
 		{"headers of many fields without an end", crowd{callers: 500, request: always([]byte(header(jobPath(0), manyFields(60_000))))}},
 		{"headers of many fields with an unfinished body", crowd{callers: 500, request: always([]byte(header(jobPath(0), length(100), manyFields(headerBytes-300))))}},
 		{"a header of one line without an end", crowd{callers: 500, request: always([]byte("POST /" + strings.Repeat("x", bodyBytes)))}},
+		{"wrong keys with unfinished bodies", crowd{callers: 900, request: always([]byte(strings.Replace(header(jobPath(0), length(bodyBytes)), fakewire.Key, "wrong", 1) + string(large[:bodyBytes-3])))}},
 		{"bodies of many empty steps", crowd{callers: 20, request: byLength(emptySteps(), 0)}},
 		{"bodies of many empty steps without their last bytes", crowd{callers: 500, request: byLength(emptySteps(), 2)}},
+		{"more unfinished bodies than descriptors", crowd{callers: 900, request: byLength(small, 3)}},
+		{"more idle connections than descriptors", crowd{callers: 900, request: always([]byte(strings.Replace(header(jobPath(0)), "POST", "GET", 1)))}},
+		{"more connections than descriptors that send nothing", crowd{callers: 900, request: always(nil)}},
 		{"unfinished bodies that return after each close", crowd{callers: 500, request: byLength(large, 3), returns: 20}},
 		{"calls whose answers nobody reads", crowd{callers: 500, silent: true, request: always([]byte(strings.Repeat(strings.Replace(header(jobPath(0)), "POST", "GET", 1), 20_000)))}},
 	}
@@ -62,6 +71,7 @@
 		{callers: 60, returns: 10, request: byLength(emptySteps(), 2)},
 		{callers: 10, returns: 2, request: byLength(emptySteps(), 0)},
 		{callers: 120, returns: 10, request: always([]byte(header(jobPath(0), length(100), manyFields(headerBytes-300))))},
+		{callers: 400, returns: 10, request: always(nil)},
 	}
 	stops := make([]func() usage, len(s.entries))
 	for i, e := range s.entries {
@@ -79,6 +89,40 @@
 	}
 }
 
+// TestOtherListenersOutliveCrowd plays connections without an end at the listeners that callers
+// are not meant to reach.
+func TestOtherListenersOutliveCrowd(t *testing.T) {
+	ready := func(p *process) func() bool {
+		return func() bool {
+			client := &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+			response, err := client.Get("http://" + p.ready + "/-/readyz")
+			if err != nil {
+				return false
+			}
+			_ = response.Body.Close()
+			return response.StatusCode == http.StatusOK
+		}
+	}
+	cases := []struct {
+		name    string
+		address func(*process) string
+		request []byte
+	}{
+		{"ready", func(p *process) string { return p.ready }, []byte("GET / HTTP/1.1\r\nHost: x\r\n")},
+		{"metrics", func(p *process) string { return p.metrics }, []byte("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 1000000\r\n\r\n" + string(text(200_000)))},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := startSystem(t, 1)
+			p := s.entries[0]
+			stop := p.watch(t)
+			crowd{callers: 900, address: c.address(p), request: always(c.request)}.start(t)
+			p.eventually(t, ready(p), func() string { return p.name + " is not ready while a crowd holds" })
+			check(t, p, stop)
+		})
+	}
+}
+
 // TestLargeRequestsAreServedInCalm checks that one request of the largest legal size is accepted,
 // however its body arrives.
 func TestLargeRequestsAreServedInCalm(t *testing.T) {
--- a/internal/node/limits.go
+++ b/internal/node/limits.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"fmt"
+	"syscall"
 	"time"
 
 	"github.com/samphirerail/samphirerail/internal/settings"
@@ -15,21 +17,56 @@
 )
 
 const (
-	// callerMemoryShare is the part of the VM's memory that requests of callers may take, 1/n.
+	// reservedDescriptors is the number of descriptors that sockets may not use.
+	reservedDescriptors = 200
+	// callerDescriptorShare is the part of the others that callers may use, 1/n. The owner needs
+	// many for its upstreams.
+	callerDescriptorShare = 4
+	// callerMemoryShare is the part of the VM's memory that connections of callers may take, and
+	// the part for their requests, 1/n each.
 	callerMemoryShare = 8
+	// connectionBytes is the memory of a connection without its request.
+	connectionBytes = 24 << 10
 	// defaultMemoryBytes is the memory of a VM whose size is not set.
 	defaultMemoryBytes = 512 << 20
+	// minConnections is the smallest bound of a listener.
+	minConnections = 32
+	// monitorConnections and monitorBytes bound what callers of the ready and metrics listeners hold.
+	monitorConnections = 32
+	monitorBytes       = 1 << 20
 )
 
-// callerLimits derives the bounds from the memory of the VM.
-func callerLimits(s settings.NodeLimits) callerlimit.Limits {
+// limits bounds what callers of each listener hold.
+type limits struct {
+	callers, monitors callerlimit.Limits
+}
+
+// listenerLimits derives the bounds from the memory and the descriptors of the VM.
+func listenerLimits(s settings.NodeLimits) (limits, error) {
 	memory := int64(s.MemoryMB) << 20
 	if memory == 0 {
 		memory = defaultMemoryBytes
 	}
-	return callerlimit.Limits{RequestBytes: memory / callerMemoryShare}
+	descriptors := s.Descriptors
+	if descriptors == 0 {
+		var process syscall.Rlimit
+		if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &process); err != nil {
+			return limits{}, fmt.Errorf("node: cannot read the limit of open files: %w; set limits.descriptors", err)
+		}
+		descriptors = int(min(process.Cur, maxDescriptors))
+	}
+	return limits{
+		callers: callerlimit.Limits{
+			Connections:  max(minConnections, min((descriptors-reservedDescriptors)/callerDescriptorShare, int(memory/callerMemoryShare/connectionBytes))),
+			RequestBytes: memory / callerMemoryShare,
+		},
+		monitors: callerlimit.Limits{Connections: monitorConnections, RequestBytes: monitorBytes},
+	}, nil
 }
 
+// maxDescriptors is the most that a limit of open files counts, where it is not bounded.
+const maxDescriptors = 1 << 20
+
 // requestLimits returns the limits of a request that the configuration sets.
 func (p *parts) requestLimits() callerlimit.RequestLimits {
 	out := callerlimit.RequestLimits{HeaderBytes: defaultHeaderBytes, HeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout}
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -23,21 +23,23 @@
 func listen(p *parts) (*servers, error) {
 	s := p.settings.Load()
 	out := &servers{}
-	var err error
+	limits, err := listenerLimits(s.Limits)
+	if err != nil {
+		return nil, err
+	}
+	p.logger.Info("limits of callers", "connections", limits.callers.Connections, "request_bytes", limits.callers.RequestBytes)
 	if out.peer, err = peer.Serve(s.Listen.Internal, p, p.logger); err != nil {
 		return nil, err
 	}
-	limits := callerLimits(s.Limits)
-	p.logger.Info("limits of callers", "request_bytes", limits.RequestBytes)
 	callerAPI := platform.NewCallerAPI(p.intake, p.replica.Config, p.logger)
-	if out.callers, err = out.serve(p, "callers", s.Listen.Callers, limits, p.closeWhenStopping(callerAPI)); err != nil {
+	if out.callers, err = out.serve(p, "callers", s.Listen.Callers, limits.callers, p.closeWhenStopping(callerAPI)); err != nil {
 		return nil, err
 	}
-	if _, err = out.serve(p, "ready", s.Listen.Ready, limits, http.HandlerFunc(p.serveReady)); err != nil {
+	if _, err = out.serve(p, "ready", s.Listen.Ready, limits.monitors, http.HandlerFunc(p.serveReady)); err != nil {
 		return nil, err
 	}
 	if s.Listen.Metrics != "" {
-		if _, err = out.serve(p, "metrics", s.Listen.Metrics, limits, http.HandlerFunc(p.serveMetrics)); err != nil {
+		if _, err = out.serve(p, "metrics", s.Listen.Metrics, limits.monitors, http.HandlerFunc(p.serveMetrics)); err != nil {
 			return nil, err
 		}
 	}
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -81,6 +81,9 @@
 	MemoryMB int `toml:"memory_mb"`
 	// CPUShare is the share of processor time, where 1 is one whole processor.
 	CPUShare float64 `toml:"cpu_share"`
+	// Descriptors is the number of files that the process may have open; with 0 it is the
+	// process's limit of open files.
+	Descriptors int `toml:"descriptors"`
 }
 
 // NodeUpstream configures the commands sent to upstreams.
@@ -157,6 +160,7 @@
 	c.addresses("peers.seeds", s.Peers.Seeds, 0)
 	c.number("limits.memory_mb", float64(s.Limits.MemoryMB), 0, 1<<20)
 	c.number("limits.cpu_share", s.Limits.CPUShare, 0, 1024)
+	c.number("limits.descriptors", float64(s.Limits.Descriptors), 0, 1<<20)
 	c.duration("upstream.lease", s.Upstream.Lease, time.Second, time.Minute)
 	c.duration("upstream.max_lease", s.Upstream.MaxLease, time.Second, 10*time.Minute)
 	c.duration("upstream.retention", s.Upstream.Retention, time.Second, 24*time.Hour)
--- a/internal/transport/callerlimit/guard.go
+++ b/internal/transport/callerlimit/guard.go
@@ -1,15 +1,17 @@
-// Package callerlimit bounds what callers hold of a process: the memory of requests that are being
-// read or handled, and received bytes that were not read. When the bound is reached, the requests
-// that have waited longest for their caller make room, so that a crowd that holds requests open
-// takes nothing from callers that send whole ones.
+// Package callerlimit bounds what callers hold of a process: connections, the memory of requests
+// that are being read or handled, and received bytes that were not read. When a bound is reached,
+// the connections that have waited longest for their caller make room, so that a crowd that holds
+// connections or requests open takes nothing from callers that send whole requests.
 package callerlimit
 
 import (
 	"container/list"
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -30,6 +32,8 @@
 
 // Limits bounds what callers hold together.
 type Limits struct {
+	// Connections is the number of open connections.
+	Connections int
 	// RequestBytes is the memory for requests from the first byte to the answer.
 	RequestBytes int64
 }
@@ -54,11 +58,11 @@
 	// waiting holds the connections that wait for their caller, by the beginning of the wait.
 	waiting list.List
 	// evicted counts the connections closed to make room since the last log line at reportedAt.
-	evicted    int
-	reportedAt time.Time
+	evicted, refused int
+	reportedAt       time.Time
 
 	connections                   metrics.Gauge
-	evictedTotal                  metrics.Counter
+	evictedTotal, refusedTotal    metrics.Counter
 	expiredTotal, fullMemoryTotal metrics.Counter
 }
 
@@ -71,7 +75,7 @@
 	return &Guard{
 		limits: limits, request: request, memory: semaphore.NewWeighted(limits.RequestBytes), logger: logger.With("listener", name),
 		connections: metrics.GetOrRegisterGauge(name+".connections", registry), evictedTotal: counter("evicted"),
-		expiredTotal: counter("expired"), fullMemoryTotal: counter("memory_full"),
+		refusedTotal: counter("refused"), expiredTotal: counter("expired"), fullMemoryTotal: counter("memory_full"),
 	}
 }
 
@@ -97,17 +101,37 @@
 	guard *Guard
 }
 
-// Accept implements net.Listener.
+// Accept implements net.Listener. If all connections are in use and none waits for its caller,
+// further ones are closed.
 func (l *listener) Accept() (net.Conn, error) {
-	inner, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		inner, err := l.Listener.Accept()
+		if err != nil {
+			if errors.Is(err, syscall.EMFILE) && l.guard.evictOldest() {
+				continue
+			}
+			return nil, err
+		}
+		if c := l.guard.admit(inner); c != nil {
+			return c, nil
+		}
+		_ = inner.Close() // the caller tries another entry
 	}
-	return l.guard.admit(inner), nil
 }
 
-// admit counts a connection.
+// admit counts a connection, or returns nil if there is no room for it.
 func (g *Guard) admit(inner net.Conn) *conn {
+	g.mu.Lock()
+	full := g.open >= g.limits.Connections
+	g.mu.Unlock()
+	if full && !g.evictOldest() {
+		g.mu.Lock()
+		g.refused++
+		g.reportLocked()
+		g.mu.Unlock()
+		g.refusedTotal.Inc(1)
+		return nil
+	}
 	c := &conn{Conn: inner, guard: g}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	g.mu.Lock()
@@ -119,6 +143,23 @@
 	return c
 }
 
+// evictOldest closes the connection that has waited longest for its caller. It returns false if
+// there is none.
+func (g *Guard) evictOldest() bool {
+	g.mu.Lock()
+	front := g.waiting.Front()
+	if front == nil {
+		g.mu.Unlock()
+		return false
+	}
+	victim := front.Value.(*conn)
+	g.countEvictionLocked()
+	g.forgetLocked(victim)
+	g.mu.Unlock()
+	_ = victim.Close()
+	return true
+}
+
 // evictHolders ends the requests that have waited longest for their caller until they give back n
 // bytes. It returns false if they hold less, or if the request of c, which must end then, is among
 // them.
@@ -165,9 +206,9 @@
 // reportLocked logs the connections that were closed, unless it has just done so.
 func (g *Guard) reportLocked() {
 	if now := time.Now(); now.Sub(g.reportedAt) >= reportInterval {
-		g.logger.Warn("callers hold all request memory; requests that wait longest for their caller are ended",
-			"evicted", g.evicted, "connections", g.open, "max_request_bytes", g.limits.RequestBytes)
-		g.evicted, g.reportedAt = 0, now
+		g.logger.Warn("callers hold all connections or request memory; those that wait longest for their caller are closed",
+			"evicted", g.evicted, "refused", g.refused, "connections", g.open, "max_connections", g.limits.Connections, "max_request_bytes", g.limits.RequestBytes)
+		g.evicted, g.refused, g.reportedAt = 0, 0, now
 	}
 }
 
--- a/internal/transport/callerlimit/guard_test.go
+++ b/internal/transport/callerlimit/guard_test.go
@@ -100,11 +100,47 @@
 	}
 }
 
+// TestOldestWaitingConnectionMakesRoom guards against callers that hold all connections.
+func TestOldestWaitingConnectionMakesRoom(t *testing.T) {
+	is := is.New(t)
+	address, registry := startServer(t, Limits{Connections: 3, RequestBytes: 1 << 20}, generous)
+	silent := dial(t, address, "")
+	await(t, registry, "test.connections", 1)
+	unfinished := dial(t, address, post("/", 10, "x"))
+	await(t, registry, "test.connections", 2)
+	used := dial(t, address, post("/", 1, "x"))
+	is.Equal(status(used), http.StatusOK)
+	for range 2 {
+		is.Equal(status(dial(t, address, post("/", 1, "x"))), http.StatusOK)
+	}
+	is.Equal(status(silent), 0)
+	is.Equal(status(unfinished), 0)
+	_, err := io.WriteString(used, post("/", 1, "x"))
+	is.NoErr(err)
+	is.Equal(status(used), http.StatusOK) // it has waited for less time than the others
+	await(t, registry, "test.evicted", 2)
+}
+
+// TestRequestsInWorkAreNotClosedToMakeRoom guards against closing requests that may have run.
+func TestRequestsInWorkAreNotClosedToMakeRoom(t *testing.T) {
+	is := is.New(t)
+	registry := metrics.NewRegistry()
+	g := New("test", Limits{Connections: 1, RequestBytes: 1 << 20}, func() RequestLimits { return generous }, hclog.NewNullLogger(), registry)
+	one, other := net.Pipe()
+	defer other.Close()
+	working := g.admit(one)
+	g.connState(working, http.StateActive)
+	is.True(g.admit(other) == nil)
+	g.connState(working, http.StateIdle)
+	is.True(g.admit(other) != nil)
+	await(t, registry, "test.refused", 1)
+}
+
 // TestOldestUnfinishedBodyGivesMemoryBack guards against unfinished bodies that hold all memory.
 func TestOldestUnfinishedBodyGivesMemoryBack(t *testing.T) {
 	is := is.New(t)
 	const half = 100_000
-	address, registry := startServer(t, Limits{RequestBytes: bodyCopies * 2 * half}, generous)
+	address, registry := startServer(t, Limits{Connections: 100, RequestBytes: bodyCopies * 2 * half}, generous)
 	var unfinished []net.Conn
 	for range 5 {
 		unfinished = append(unfinished, dial(t, address, post("/", half, strings.Repeat("x", half-1))))
@@ -119,7 +155,7 @@
 // TestBodyLargerThanAllMemoryIsReadInCalm guards against bounds that no single request can meet.
 func TestBodyLargerThanAllMemoryIsReadInCalm(t *testing.T) {
 	is := is.New(t)
-	address, _ := startServer(t, Limits{RequestBytes: 200_000}, generous)
+	address, _ := startServer(t, Limits{Connections: 10, RequestBytes: 200_000}, generous)
 	for range 3 {
 		is.Equal(status(dial(t, address, post("/", 1<<20, strings.Repeat("x", 1<<20)))), http.StatusOK)
 	}
@@ -128,7 +164,7 @@
 // TestMemoryIsGivenBackAfterEachRequest guards against a bound that fills up for good.
 func TestMemoryIsGivenBackAfterEachRequest(t *testing.T) {
 	is := is.New(t)
-	address, registry := startServer(t, Limits{RequestBytes: 100_000}, generous)
+	address, registry := startServer(t, Limits{Connections: 10, RequestBytes: 100_000}, generous)
 	conn := dial(t, address, "")
 	for range 50 {
 		_, err := io.WriteString(conn, post("/", 10_000, strings.Repeat("x", 10_000)))
@@ -155,7 +191,7 @@
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
-			address, registry := startServer(t, Limits{RequestBytes: 1 << 20}, tt.limits)
+			address, registry := startServer(t, Limits{Connections: 10, RequestBytes: 1 << 20}, tt.limits)
 			conn := dial(t, address, tt.first)
 			if tt.first != "" {
 				is.Equal(status(conn), http.StatusOK)
@@ -172,7 +208,7 @@
 // TestHeaderOverTheConfiguredSizeIsRefused guards against published limits that are not applied.
 func TestHeaderOverTheConfiguredSizeIsRefused(t *testing.T) {
 	is := is.New(t)
-	address, _ := startServer(t, Limits{RequestBytes: 1 << 20}, generous)
+	address, _ := startServer(t, Limits{Connections: 10, RequestBytes: 1 << 20}, generous)
 	is.Equal(status(dial(t, address, "GET /refused HTTP/1.1\r\nHost: x\r\nA: "+strings.Repeat("a", 15<<10)+"\r\n\r\n")), http.StatusUnauthorized)
 	is.Equal(status(dial(t, address, "GET / HTTP/1.1\r\nHost: x\r\nA: "+strings.Repeat("a", 40<<10))), http.StatusRequestHeaderFieldsTooLarge)
 }
@@ -180,7 +216,7 @@
 // TestRefusalDoesNotWaitForALongBody guards against refusals that unfinished bodies hold back.
 func TestRefusalDoesNotWaitForALongBody(t *testing.T) {
 	is := is.New(t)
-	address, registry := startServer(t, Limits{RequestBytes: 1 << 20}, generous)
+	address, registry := startServer(t, Limits{Connections: 10, RequestBytes: 1 << 20}, generous)
 	is.Equal(status(dial(t, address, post("/refused", 1<<20, "x"))), http.StatusUnauthorized)
 	is.Equal(status(dial(t, address, post("/refused", 100, "x"))), http.StatusUnauthorized)
 	await(t, registry, "test.connections", 0)
--- a/internal/transport/callerlimit/listen.go
+++ b/internal/transport/callerlimit/listen.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"syscall"
 
@@ -13,6 +14,8 @@
 	// doubles them for its own data.
 	receiveBufferBytes = 16 << 10
 	sendBufferBytes    = 32 << 10
+	// backlog bounds the connections that wait to be accepted, whose received bytes also count.
+	backlog = 512
 )
 
 // Listen listens on a TCP address (IP:port). Its connections have small buffers, as received bytes
@@ -30,5 +33,29 @@
 		}
 		return optErr
 	}}
-	return config.Listen(context.Background(), "tcp4", address)
+	listener, err := config.Listen(context.Background(), "tcp4", address)
+	if err != nil {
+		return nil, err
+	}
+	if err := boundBacklog(listener); err != nil {
+		return nil, errors.Join(err, listener.Close())
+	}
+	return listener, nil
+}
+
+// boundBacklog bounds the connections of a TCP listener that wait to be accepted.
+func boundBacklog(listener net.Listener) error {
+	tcp, ok := listener.(*net.TCPListener)
+	if !ok {
+		return nil
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var listenErr error
+	if err := raw.Control(func(fd uintptr) { listenErr = unix.Listen(int(fd), backlog) }); err != nil {
+		return err
+	}
+	return listenErr
 }
