Bound what connections to the internal listener hold before a call

Cause: connections were not bounded and needed no call, and the decoder reserves up to 10 MB for a message by the length that its sender claims.

Change: connections without a call are few, end after 3 s and send 4 KiB at most; all connections and the size of a call have bounds from the settings. The lengths in the stream are checked before the decoder sees them.

--- a/internal/crowd/node_test.go
+++ b/internal/crowd/node_test.go
@@ -110,6 +110,7 @@
 	}{
 		{"ready", func(p *process) string { return p.ready }, []byte("GET / HTTP/1.1\r\nHost: x\r\n")},
 		{"metrics", func(p *process) string { return p.metrics }, []byte("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 1000000\r\n\r\n" + string(text(200_000)))},
+		{"internal", func(p *process) string { return p.internal }, append([]byte{0xfc, 0x10, 0, 0, 0}, text(1<<20)...)},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/node/limits.go
+++ b/internal/node/limits.go
@@ -6,7 +6,9 @@
 	"time"
 
 	"github.com/samphirerail/samphirerail/internal/settings"
+	"github.com/samphirerail/samphirerail/internal/state/ledger"
 	"github.com/samphirerail/samphirerail/internal/transport/callerlimit"
+	"github.com/samphirerail/samphirerail/internal/transport/peer"
 )
 
 // Limits of a request that the configuration does not set.
@@ -19,9 +21,10 @@
 const (
 	// reservedDescriptors is the number of descriptors that sockets may not use.
 	reservedDescriptors = 200
-	// callerDescriptorShare is the part of the others that callers may use, 1/n. The owner needs
-	// many for its upstreams.
+	// callerDescriptorShare and peerDescriptorShare are the parts of the others that callers and
+	// other entries may use, 1/n each. The owner needs many for its upstreams.
 	callerDescriptorShare = 4
+	peerDescriptorShare   = 2
 	// callerMemoryShare is the part of the VM's memory that connections of callers may take, and
 	// the part for their requests, 1/n each.
 	callerMemoryShare = 8
@@ -29,6 +32,8 @@
 	connectionBytes = 24 << 10
 	// defaultMemoryBytes is the memory of a VM whose size is not set.
 	defaultMemoryBytes = 512 << 20
+	// messageOverhead is what a relayed append has beside its records, in bytes.
+	messageOverhead = 1 << 20
 	// minConnections is the smallest bound of a listener.
 	minConnections = 32
 	// monitorConnections and monitorBytes bound what callers of the ready and metrics listeners hold.
@@ -39,10 +44,11 @@
 // limits bounds what callers of each listener hold.
 type limits struct {
 	callers, monitors callerlimit.Limits
+	peers             peer.Limits
 }
 
 // listenerLimits derives the bounds from the memory and the descriptors of the VM.
-func listenerLimits(s settings.NodeLimits) (limits, error) {
+func listenerLimits(s settings.NodeLimits, log ledger.Limits) (limits, error) {
 	memory := int64(s.MemoryMB) << 20
 	if memory == 0 {
 		memory = defaultMemoryBytes
@@ -55,12 +61,14 @@
 		}
 		descriptors = int(min(process.Cur, maxDescriptors))
 	}
+	share := func(n int) int { return max(minConnections, (descriptors-reservedDescriptors)/n) }
 	return limits{
 		callers: callerlimit.Limits{
-			Connections:  max(minConnections, min((descriptors-reservedDescriptors)/callerDescriptorShare, int(memory/callerMemoryShare/connectionBytes))),
+			Connections:  max(minConnections, min(share(callerDescriptorShare), int(memory/callerMemoryShare/connectionBytes))),
 			RequestBytes: memory / callerMemoryShare,
 		},
 		monitors: callerlimit.Limits{Connections: monitorConnections, RequestBytes: monitorBytes},
+		peers:    peer.Limits{Connections: share(peerDescriptorShare), MessageBytes: log.WithDefaults().RequestBytes + messageOverhead},
 	}, nil
 }
 
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -23,12 +23,12 @@
 func listen(p *parts) (*servers, error) {
 	s := p.settings.Load()
 	out := &servers{}
-	limits, err := listenerLimits(s.Limits)
+	limits, err := listenerLimits(s.Limits, s.Platform.Limits())
 	if err != nil {
 		return nil, err
 	}
-	p.logger.Info("limits of callers", "connections", limits.callers.Connections, "request_bytes", limits.callers.RequestBytes)
-	if out.peer, err = peer.Serve(s.Listen.Internal, p, p.logger); err != nil {
+	p.logger.Info("limits of callers", "connections", limits.callers.Connections, "request_bytes", limits.callers.RequestBytes, "peer_connections", limits.peers.Connections)
+	if out.peer, err = peer.Serve(s.Listen.Internal, p, limits.peers, p.logger); err != nil {
 		return nil, err
 	}
 	callerAPI := platform.NewCallerAPI(p.intake, p.replica.Config, p.logger)
--- a/internal/transport/callerlimit/listen.go
+++ b/internal/transport/callerlimit/listen.go
@@ -37,14 +37,14 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := boundBacklog(listener); err != nil {
+	if err := BoundBacklog(listener); err != nil {
 		return nil, errors.Join(err, listener.Close())
 	}
 	return listener, nil
 }
 
-// boundBacklog bounds the connections of a TCP listener that wait to be accepted.
-func boundBacklog(listener net.Listener) error {
+// BoundBacklog bounds the connections of a TCP listener that wait to be accepted.
+func BoundBacklog(listener net.Listener) error {
 	tcp, ok := listener.(*net.TCPListener)
 	if !ok {
 		return nil
--- a/internal/transport/peer/abandonedread_test.go
+++ b/internal/transport/peer/abandonedread_test.go
@@ -83,7 +83,7 @@
 		held[i] = &heldConn{held: release, begun: make(chan struct{}), ended: make(chan struct{})}
 		listener.conns <- held[i]
 	}
-	server, err := serve(listener, readingBackend{size: size}, hclog.NewNullLogger())
+	server, err := serve(listener, readingBackend{size: size}, testLimits, hclog.NewNullLogger())
 	is.NoErr(err)
 	t.Cleanup(func() { is.NoErr(server.Close()) })
 	t.Cleanup(func() { close(release) })
--- a/internal/transport/peer/peer_test.go
+++ b/internal/transport/peer/peer_test.go
@@ -17,6 +17,9 @@
 	"github.com/samphirerail/samphirerail/internal/testlink"
 )
 
+// testLimits allow what entries do.
+var testLimits = Limits{Connections: 10, MessageBytes: 8 << 20}
+
 // owningBackend is a Backend that owns the placement; its other methods are not called.
 type owningBackend struct{ Backend }
 
@@ -42,7 +45,7 @@
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	is.NoErr(err)
 	flaky := &flakyListener{Listener: listener}
-	server, err := serve(flaky, owningBackend{}, hclog.NewNullLogger())
+	server, err := serve(flaky, owningBackend{}, testLimits, hclog.NewNullLogger())
 	is.NoErr(err)
 	client := NewClient(nil)
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
@@ -61,7 +64,7 @@
 	is := is.New(t)
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	is.NoErr(err)
-	server, err := serve(listener, owningBackend{}, hclog.NewNullLogger())
+	server, err := serve(listener, owningBackend{}, testLimits, hclog.NewNullLogger())
 	is.NoErr(err)
 	client := NewClient(nil)
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
@@ -96,7 +99,7 @@
 	is := is.New(t)
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	is.NoErr(err)
-	server, err := serve(testlink.Narrow(listener), backend, hclog.NewNullLogger())
+	server, err := serve(testlink.Narrow(listener), backend, testLimits, hclog.NewNullLogger())
 	is.NoErr(err)
 	t.Cleanup(func() { is.NoErr(server.Close()) })
 	return listener.Addr().String()
--- a/internal/transport/peer/server.go
+++ b/internal/transport/peer/server.go
@@ -7,13 +7,13 @@
 	"net"
 	"net/rpc"
 	"runtime/debug"
-	"sync"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/samphirerail/samphirerail/internal/coordination/port"
 	"github.com/samphirerail/samphirerail/internal/state/ledger"
+	"github.com/samphirerail/samphirerail/internal/transport/callerlimit"
 	"github.com/samphirerail/samphirerail/internal/transport/netopt"
 )
 
@@ -119,29 +119,31 @@
 
 // Server accepts connections from other entries and passes their calls to a Backend.
 type Server struct {
-	listener net.Listener
-	cancel   context.CancelFunc
-	mu       sync.Mutex
-	conns    map[net.Conn]struct{}
+	listener  net.Listener
+	cancel    context.CancelFunc
+	admission *admission
 }
 
-// Serve listens on address and serves calls until the returned server is closed.
-func Serve(address string, backend Backend, logger hclog.Logger) (*Server, error) {
+// Serve listens on address and serves calls within limits until the returned server is closed.
+func Serve(address string, backend Backend, limits Limits, logger hclog.Logger) (*Server, error) {
 	listener, err := net.Listen("tcp4", address)
 	if err != nil {
 		return nil, fmt.Errorf("peer: cannot listen on %s: %w; check listen.internal", address, err)
 	}
-	return serve(listener, backend, logger)
+	if err := callerlimit.BoundBacklog(listener); err != nil {
+		return nil, errors.Join(err, listener.Close())
+	}
+	return serve(listener, backend, limits, logger)
 }
 
-func serve(listener net.Listener, backend Backend, logger hclog.Logger) (*Server, error) {
+func serve(listener net.Listener, backend Backend, limits Limits, logger hclog.Logger) (*Server, error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	server := rpc.NewServer()
 	if err := server.RegisterName(serviceName, &service{backend: backend, ctx: ctx, logger: logger}); err != nil {
 		cancel()
 		return nil, errors.Join(err, listener.Close())
 	}
-	s := &Server{listener: listener, cancel: cancel, conns: map[net.Conn]struct{}{}}
+	s := &Server{listener: listener, cancel: cancel, admission: &admission{limits: limits, open: map[*serverConn]struct{}{}}}
 	go s.accept(ctx, server, logger)
 	return s, nil
 }
@@ -163,15 +165,9 @@
 			continue
 		}
 		netopt.EnableKeepAlive(conn)
-		s.mu.Lock()
-		s.conns[conn] = struct{}{}
-		s.mu.Unlock()
-		go func() {
-			server.ServeConn(conn)
-			s.mu.Lock()
-			delete(s.conns, conn)
-			s.mu.Unlock()
-		}()
+		if admitted := s.admission.admit(conn); admitted != nil {
+			go server.ServeCodec(newServerCodec(admitted))
+		}
 	}
 }
 
@@ -179,14 +175,5 @@
 // connections.
 func (s *Server) Close() error {
 	s.cancel()
-	err := s.listener.Close()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for conn := range s.conns {
-		// A connection that the other entry has just closed may already be closed here.
-		if closeErr := conn.Close(); !errors.Is(closeErr, net.ErrClosed) {
-			err = errors.Join(err, closeErr)
-		}
-	}
-	return err
+	return errors.Join(s.listener.Close(), s.admission.closeAll())
 }
