Bound what callers of the older interface hold, and check keys before bodies

Cause: nothing bounded the sum of the bodies, and the body of a submission was read before its key, as the queue that it names may be open to all.

Change: the listeners for callers and operators have the guard of the users' platform. A submission of more than 4 KiB with a key that is not valid is refused before its body, with the verdict "unknown"; shorter ones as before.

--- a/internal/agent/listeners.go
+++ b/internal/agent/listeners.go
@@ -12,6 +12,7 @@
 	"github.com/samphirerail/samphirerail/internal/coordination/configlog"
 	"github.com/samphirerail/samphirerail/internal/coordination/membership"
 	"github.com/samphirerail/samphirerail/internal/settings"
+	"github.com/samphirerail/samphirerail/internal/transport/callerlimit"
 	"github.com/samphirerail/samphirerail/internal/transport/httpapi"
 	"github.com/samphirerail/samphirerail/internal/transport/rpc"
 )
@@ -29,7 +30,11 @@
 	ready func() error
 }
 
-func newListeners(s settings.Settings, id identity, jobs coordination.JobService, o *shardOwner, follower *configlog.Follower, members *membership.Service, logger hclog.Logger, registry metrics.Registry) *listeners {
+func newListeners(s settings.Settings, id identity, jobs coordination.JobService, o *shardOwner, follower *configlog.Follower, members *membership.Service, logger hclog.Logger, registry metrics.Registry) (*listeners, error) {
+	descriptors, err := callerlimit.Descriptors()
+	if err != nil {
+		return nil, err
+	}
 	l := &listeners{log: logger, ready: func() error { return errNoConfig }}
 	l.health = httpapi.NewHealth(func() error { return l.ready() })
 	handler := httpapi.NewHandler(httpapi.Config{
@@ -43,17 +48,19 @@
 	})
 	callers := httpapi.DefaultServerConfig(s.Listen.Callers)
 	callers.BalancerDelay = s.Shutdown.BalancerDelay.Std()
+	callers.Limits, callers.Name, callers.Logger, callers.Registry = callerlimit.ForVM(descriptors, 0), "callers", logger, registry
 	l.callers = httpapi.NewServer(callers, handler, l.health)
 	monitor := httpapi.NewMonitor(httpapi.MonitorConfig{Registry: registry, Health: l.health, Profiling: true})
 	operators := httpapi.DefaultServerConfig(s.Listen.Operators)
 	operators.BalancerDelay = 0
+	operators.Limits, operators.Name, operators.Logger, operators.Registry = callerlimit.ForMonitors(), "operators", logger, registry
 	l.monitor = httpapi.NewServer(operators, monitor, l.health)
 	peers := rpc.DefaultServerConfig(s.Listen.Internal)
 	peers.Logger = logger
 	peers.Registry = registry
 	peers.Tracer = otel.GetTracerProvider()
 	l.peers = rpc.NewServer(peers, &peerServer{members: members, manager: o.manager, follower: follower, shard: id.shard})
-	return l
+	return l, nil
 }
 
 func (l *listeners) start() error {
--- a/internal/transport/httpapi/jobs.go
+++ b/internal/transport/httpapi/jobs.go
@@ -12,10 +12,15 @@
 	"github.com/samphirerail/samphirerail/internal/coordination"
 	v1 "github.com/samphirerail/samphirerail/internal/protocol/v1"
 	"github.com/samphirerail/samphirerail/internal/state"
+	"github.com/samphirerail/samphirerail/internal/transport/callerlimit"
 )
 
 // submit handles POST /v1/jobs.
 func (a *api) submit(c *gin.Context) {
+	if refusal := a.refusedBeforeBody(c.Request); refusal != nil {
+		refuse(c, refusal)
+		return
+	}
 	var request v1.SubmitRequest
 	err := readMessage(c, MaxBodyBytes, &request)
 	team, refusal := a.submittingTeam(c, &request)
@@ -46,6 +51,20 @@
 	replySubmitted(c, request.ID, status)
 }
 
+// refusedBeforeBody refuses a long submission with a key that is not valid before its body is read.
+// The verdict is unknown, because the body may name a job that has run. Without a key, the queue
+// that the body names decides.
+func (a *api) refusedBeforeBody(r *http.Request) *v1.Refusal {
+	if _, hasKey := bearer(r); !hasKey || !callerlimit.LongBody(r) {
+		return nil
+	}
+	_, refusal := identify(a.Auth, r)
+	if refusal != nil {
+		refusal.NotRun = state.Unknown
+	}
+	return refusal
+}
+
 // submittingTeam returns the team whose quota a submission counts against. Only
 // open queues accept a submission without a key.
 func (a *api) submittingTeam(c *gin.Context, request *v1.SubmitRequest) (state.TeamID, *v1.Refusal) {
--- a/internal/transport/httpapi/jobs_test.go
+++ b/internal/transport/httpapi/jobs_test.go
@@ -42,6 +42,7 @@
 		{name: "wrong key", key: "k1.wrong", body: requestJob, code: 401, reason: v1.ReasonUnauthenticated, notRun: state.NotRun},
 		{name: "wrong key and malformed body", key: "k1.wrong", body: `{`, code: 401, reason: v1.ReasonUnauthenticated, notRun: state.NotRun},
 		{name: "wrong key for an ID that may be in use", key: "k1.wrong", body: withID, code: 401, reason: v1.ReasonUnauthenticated, notRun: state.Unknown},
+		{name: "wrong key and a long body", key: "k1.wrong", body: strings.Replace(firstID, "{", "{"+strings.Repeat(" ", 5000), 1), code: 401, reason: v1.ReasonUnauthenticated, notRun: state.Unknown},
 		{name: "wrong key for a first attempt", key: "k1.wrong", body: firstID, code: 401, reason: v1.ReasonUnauthenticated, notRun: state.NotRun},
 		{name: "no owner available for the team", key: noOwnerKey, body: requestJob, code: 503, reason: state.ReasonNoOwner, notRun: state.NotRun},
 		{name: "operator's key", key: operatorKey, body: requestJob, code: 403, reason: state.ReasonNotPermitted, notRun: state.NotRun},
--- a/internal/transport/httpapi/reply.go
+++ b/internal/transport/httpapi/reply.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -12,6 +11,7 @@
 
 	v1 "github.com/samphirerail/samphirerail/internal/protocol/v1"
 	"github.com/samphirerail/samphirerail/internal/state"
+	"github.com/samphirerail/samphirerail/internal/transport/callerlimit"
 )
 
 const (
@@ -98,32 +98,38 @@
 	return int64((d + time.Second - 1) / time.Second)
 }
 
-// readBody reads the whole body of a request. It fails with an
-// *http.MaxBytesError if the body exceeds limit bytes.
-func readBody(c *gin.Context, limit int64) ([]byte, error) {
-	if c.Request.ContentLength > limit {
-		return nil, &http.MaxBytesError{Limit: limit}
-	}
-	return io.ReadAll(http.MaxBytesReader(c.Writer, c.Request.Body, limit))
-}
-
 // validator is a message with a validation method.
 type validator interface{ Validate() error }
 
 // readMessage reads the body of a request and decodes it into message.
 func readMessage(c *gin.Context, limit int64, message any) error {
-	body, err := readBody(c, limit)
+	body, err := callerlimit.ReadBody(c.Request, limit, time.Time{})
 	if err != nil {
 		return err
 	}
+	defer callerlimit.Decoded(c.Request, body)
 	return v1.Decode(body, message)
 }
 
+// busyRetryAfter is the time after which a caller may send a request again for
+// which there was no memory.
+const busyRetryAfter = time.Second
+
 // bodyRefusal returns the refusal for a body that was not accepted. The verdict
-// is state.NotRun: the same bytes are always refused, so no call with this body
-// has run.
+// is state.NotRun if the same bytes are always refused, so that no call with this
+// body has run.
 func bodyRefusal(err error) *v1.Refusal {
-	var tooLarge *http.MaxBytesError
+	if errors.Is(err, callerlimit.ErrFull) {
+		return &v1.Refusal{
+			Reason:       state.ReasonQueueFull,
+			NotRun:       state.Unknown, // the body, which was not read, may name a job that has run
+			Field:        v1.FieldBody,
+			Detail:       "requests in work take all the memory that callers may use",
+			Remedy:       "send it again after the given time",
+			RetryAfterMS: busyRetryAfter.Milliseconds(),
+		}
+	}
+	var tooLarge *callerlimit.TooLargeError
 	if errors.As(err, &tooLarge) {
 		return &v1.Refusal{
 			Reason: v1.ReasonTooLarge,
--- a/internal/transport/httpapi/server.go
+++ b/internal/transport/httpapi/server.go
@@ -8,27 +8,44 @@
 	"sync"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
+	metrics "github.com/rcrowley/go-metrics"
 	"github.com/rotisserie/eris"
+
+	"github.com/samphirerail/samphirerail/internal/transport/callerlimit"
 )
 
 // ServerConfig holds the address and the timeouts of a Server.
 type ServerConfig struct {
 	// Address is the listen address, IP:port.
 	Address string
-	// ReadHeaderTimeout limits reading a request's header, ReadTimeout the
-	// whole request, WriteTimeout the time from the end of the header to the
-	// end of the response, IdleTimeout a connection between requests.
+	// ReadHeaderTimeout limits reading a request's header, ReadTimeout its body,
+	// WriteTimeout the time from the end of the header to the end of the
+	// response, IdleTimeout a connection between requests.
 	ReadHeaderTimeout time.Duration
 	ReadTimeout       time.Duration
 	WriteTimeout      time.Duration
 	IdleTimeout       time.Duration
+	// Limits bounds what all callers hold together.
+	Limits callerlimit.Limits
+	// Name begins the names of the server's metrics.
+	Name     string
+	Logger   hclog.Logger
+	Registry metrics.Registry
 	// BalancerDelay is how long the server keeps accepting calls after Shutdown
 	// begins, so that the load balancer can see that it is not ready.
 	BalancerDelay time.Duration
 }
 
+// defaultConnections and defaultRequestBytes are the limits of DefaultServerConfig.
+const (
+	defaultConnections  = 1024
+	defaultRequestBytes = 64 << 20
+	defaultBacklog      = 1024
+)
+
 // DefaultServerConfig returns a configuration whose timeouts allow a call to wait
-// for v1.MaxWait.
+// for v1.MaxWait. It logs nothing.
 func DefaultServerConfig(address string) ServerConfig {
 	return ServerConfig{
 		Address:           address,
@@ -37,6 +54,10 @@
 		WriteTimeout:      60 * time.Second,
 		IdleTimeout:       75 * time.Second,
 		BalancerDelay:     3 * time.Second,
+		Limits:            callerlimit.Limits{Connections: defaultConnections, RequestBytes: defaultRequestBytes, Backlog: defaultBacklog},
+		Name:              "http",
+		Logger:            hclog.NewNullLogger(),
+		Registry:          metrics.NewRegistry(),
 	}
 }
 
@@ -44,6 +65,7 @@
 type Server struct {
 	cfg      ServerConfig
 	health   *Health
+	guard    *callerlimit.Guard
 	http     *http.Server
 	stopOnce sync.Once
 	// stopped is closed when the shutdown is complete; shutdownErr is set before.
@@ -53,19 +75,18 @@
 
 // NewServer returns a server that is not listening yet.
 func NewServer(cfg ServerConfig, handler http.Handler, health *Health) *Server {
-	return &Server{
-		cfg:    cfg,
-		health: health,
-		http: &http.Server{
-			Handler:           handler,
-			ReadHeaderTimeout: cfg.ReadHeaderTimeout,
-			ReadTimeout:       cfg.ReadTimeout,
-			WriteTimeout:      cfg.WriteTimeout,
-			IdleTimeout:       cfg.IdleTimeout,
-			MaxHeaderBytes:    MaxHeaderBytes,
-		},
+	requestLimits := callerlimit.RequestLimits{
+		HeaderBytes: MaxHeaderBytes, HeaderTimeout: cfg.ReadHeaderTimeout, BodyTimeout: cfg.ReadTimeout, IdleTimeout: cfg.IdleTimeout,
+	}
+	s := &Server{
+		cfg:     cfg,
+		health:  health,
+		guard:   callerlimit.New(cfg.Name, cfg.Limits, func() callerlimit.RequestLimits { return requestLimits }, cfg.Logger, cfg.Registry),
+		http:    &http.Server{Handler: handler, WriteTimeout: cfg.WriteTimeout},
 		stopped: make(chan struct{}),
 	}
+	s.guard.Configure(s.http)
+	return s
 }
 
 // Start listens on the configured address and serves in a new goroutine. It
@@ -73,7 +94,7 @@
 // failed is not nil, it is called when serving ends for any reason other than
 // Shutdown.
 func (s *Server) Start(failed func(error)) (net.Addr, error) {
-	listener, err := net.Listen("tcp", s.cfg.Address)
+	listener, err := s.guard.Listen(s.cfg.Address)
 	if err != nil {
 		return nil, eris.Wrapf(err, "httpapi: can't listen on %s; choose a free IP:port", s.cfg.Address)
 	}
