Bound the memory of accepted large jobs, and keep less of ended ones

Cause: a job may take 256 KB, nothing bounded jobs together, and an ended job was kept whole until minutes after its end.

Change: the table sums up by how much jobs exceed 16 KB. Beyond 16 MiB the owner refuses further large ones with 429 and Retry-After before they are recorded. Ordinary jobs and the only large one never meet the bound. An ended large job is kept without its payload, texts and lists.

--- a/internal/coordination/dispatch/appends.go
+++ b/internal/coordination/dispatch/appends.go
@@ -128,6 +128,7 @@
 		}
 		if r.job != nil {
 			delete(o.submitted, r.job.ID)
+			delete(o.unreadLarge, r.job.ID)
 			o.sched.Drop(o.now(), r.job.ID)
 		}
 		r.done <- &port.RejectedError{Reason: "record " + r.record.Key}
--- a/internal/coordination/dispatch/flush.go
+++ b/internal/coordination/dispatch/flush.go
@@ -191,6 +191,10 @@
 			r.done <- err
 			return
 		}
+		if err := o.refuseLarge(r.job); err != nil {
+			r.done <- err
+			return
+		}
 		if retryAfter, refused := o.refuseEvacuated(r.job); refused {
 			r.done <- &port.RefusedError{Reason: "only upstreams of evacuated failure domains could run the job", RetryAfter: retryAfter}
 			return
@@ -205,6 +209,7 @@
 		// Placing the job need not wait for the append that records it: the starts are recorded
 		// by the same append or a later one, so none is sent before the log holds the job.
 		o.submitted[r.job.ID] = struct{}{}
+		o.noteLarge(r.job)
 		o.addNewJob(r.job, &ledger.JobState{}, false)
 	}
 }
--- a/internal/coordination/dispatch/owner.go
+++ b/internal/coordination/dispatch/owner.go
@@ -136,6 +136,9 @@
 	// submitted holds the submitted jobs that the log does not hold yet, as far as this
 	// entry knows; the scheduler knows them.
 	submitted map[workload.JobID]struct{}
+	// unreadLarge holds the submitted large jobs that the replica does not hold yet, with the
+	// memory by which they exceed ordinary ones.
+	unreadLarge map[workload.JobID]int
 	// addedJobs holds the jobs that were added to the scheduler in this term, so that
 	// none is added again when the replica reads it or a repeated request is recorded.
 	addedJobs map[workload.JobID]struct{}
@@ -197,7 +200,7 @@
 	clock := p.clock() // before base, so that a pause in between makes times of base later
 	o := &owner{
 		ownerDeps: p, epoch: claim.Epoch, claim: claim, base: time.Now(),
-		submitted: map[workload.JobID]struct{}{}, addedJobs: map[workload.JobID]struct{}{}, setAside: map[workload.JobID]struct{}{}, final: map[workload.JobID]finalPhase{},
+		submitted: map[workload.JobID]struct{}{}, unreadLarge: map[workload.JobID]int{}, addedJobs: map[workload.JobID]struct{}{}, setAside: map[workload.JobID]struct{}{}, final: map[workload.JobID]finalPhase{},
 		links: map[workload.UpstreamID]*link{}, signal: make(chan struct{}, 1), seq: 1,
 		adviceMargin: reachability.Timeout{Min: minAdviceMargin, Max: maxAdviceMargin},
 		expired:      map[workload.UpstreamID]struct{}{}, invalid: map[workload.UpstreamID]struct{}{}, unknownEnds: map[workload.UpstreamID]*unknownEnds{},
--- a/internal/coordination/intake/intake.go
+++ b/internal/coordination/intake/intake.go
@@ -128,6 +128,9 @@
 	}
 	began := time.Now()
 	via, err := "", in.batch.check(record)
+	if err == nil && !in.hasRoomFor(job) {
+		err = port.NoRoomForLargeJob()
+	}
 	if err == nil {
 		via, err = in.record(ctx, record)
 	}
@@ -162,6 +165,13 @@
 	return err
 }
 
+// hasRoomFor reports whether large jobs leave memory for a further job. The owner knows better, but
+// may not be asked.
+func (in *Intake) hasRoomFor(job *workload.Job) (room bool) {
+	in.replica.View(func(t *ledger.Table, _ int64) { room = t.HasRoomFor(job, 0) })
+	return room
+}
+
 // MayRun reports whether a job may have been accepted, as far as this entry knows. A refusal of its
 // submission would not be true then.
 func (in *Intake) MayRun(id workload.JobID) bool {
--- a/internal/coordination/port/port.go
+++ b/internal/coordination/port/port.go
@@ -150,6 +150,17 @@
 	return fmt.Sprintf("port: job refused: %s; submit it again after %s", e.Reason, e.RetryAfter)
 }
 
+// largeJobRetryAfter is the time after which a refused large job may be submitted again. Jobs give
+// their memory back some minutes after their end, and much of it at once.
+const largeJobRetryAfter = 30 * time.Second
+
+// NoRoomForLargeJob returns the refusal of a job for which other large jobs leave no memory.
+func NoRoomForLargeJob() *RefusedError {
+	return &RefusedError{
+		Cause: "large_jobs", Reason: "large jobs: those that are accepted take the memory for them; split the job, or submit it later", RetryAfter: largeJobRetryAfter,
+	}
+}
+
 // RejectedError means that the log refuses an append for what it holds, such as a record that is
 // too large. Nothing was done, and the same append would be refused again.
 type RejectedError struct {
--- a/internal/crowd/node_test.go
+++ b/internal/crowd/node_test.go
@@ -124,6 +124,47 @@
 	}
 }
 
+// TestAcceptedJobsStayWithinMemory submits whole jobs that take much memory, more than the VM holds,
+// by a crowd and one after the other.
+func TestAcceptedJobsStayWithinMemory(t *testing.T) {
+	quick, lasting := fakewire.Spec{RunMS: 10, CPU: 100, Image: "i"}, fakewire.Spec{RunMS: -1, CPU: 10, Image: "i"}
+	manySteps := fakewire.Spec{RunMS: 10, CPU: 100, Repeat: 1, FirstMS: time.Now().Add(time.Hour).UnixMilli(), PeriodMS: 1000}
+	largest := func(job []byte) string {
+		return strings.Replace(string(job), `"image":"i"`, `"image":"`+strings.Repeat("i", bodyBytes-2000)+`"`, 1)
+	}
+	counts := make([]int, 256)
+	for i := range counts {
+		counts[i] = 1
+	}
+	for _, tt := range []struct {
+		name, job string
+		// crowd submits them at once.
+		crowd bool
+	}{
+		{"by a crowd", largest(fakewire.LastingJob(quick, 1)), true},
+		{"one after the other", largest(fakewire.LastingJob(quick, 1)), false},
+		{"that last", largest(fakewire.LastingJob(lasting, 1)), false},
+		{"of many steps that are due later", string(fakewire.SizedJob(manySteps, counts, false, 0)), false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			s := startSystem(t, 1)
+			p := s.entries[0]
+			stop := p.watch(t)
+			if tt.crowd {
+				crowd{callers: 600, address: p.callers, returns: 2, request: func(i int) []byte {
+					return append([]byte(header(jobPath(i), length(len(tt.job)))), tt.job...)
+				}}.start(t)
+			} else {
+				for i := range 1000 {
+					p.lives(t)
+					exchange(t, p.callers, header(jobPath(i), length(len(tt.job)), "Connection: close"), tt.job, 1)
+				}
+			}
+			check(t, p, stop)
+		})
+	}
+}
+
 // TestLargeRequestsAreServedInCalm checks that one request of the largest legal size is accepted,
 // however its body arrives.
 func TestLargeRequestsAreServedInCalm(t *testing.T) {
--- a/internal/state/ledger/table.go
+++ b/internal/state/ledger/table.go
@@ -17,6 +17,8 @@
 	Offset    int64
 	State     JobState
 	Cancelled bool
+	// large is by how much the job exceeds the memory of an ordinary one.
+	large int
 }
 
 // Phase returns the phase as shown to callers: a cancelled job that is not final yet
@@ -44,6 +46,8 @@
 	// leaseEnds is the newest record of lease ends.
 	leaseEnds LeaseEnds
 	pending   map[workload.QueueName]int
+	// large is by how much all jobs exceed the memory of ordinary ones.
+	large int
 	// runTimes is the newest record of the learned run times, or nil.
 	runTimes []byte
 }
@@ -106,6 +110,17 @@
 // Pending returns the number of queued jobs of a queue, those without a started task.
 func (t *Table) Pending(queue workload.QueueName) int { return t.pending[queue] }
 
+// MaxLargeBytes bounds by how much all jobs may exceed the memory of ordinary ones. Every entry holds
+// all jobs, so that the smallest VM sets the bound.
+const MaxLargeBytes = 16 << 20
+
+// HasRoomFor reports whether there is memory for one more job, beside further bytes of large jobs that
+// the table does not hold yet. There always is for an ordinary job, and for the only large one.
+func (t *Table) HasRoomFor(job *workload.Job, further int) bool {
+	large, held := job.LargeBytes(), t.large+further
+	return large == 0 || held == 0 || held+large <= MaxLargeBytes
+}
+
 // Change describes the effect of a record.
 type Change struct {
 	// NewJob is the job, if it was not known before.
@@ -192,7 +207,7 @@
 	var change Change
 	switch {
 	case len(r.Value) == 0:
-		t.countPending(old, -1)
+		t.count(old, -1)
 		delete(t.rows, id)
 		return change, nil
 	case r.Key[0] == kindJob:
@@ -203,7 +218,7 @@
 		if err != nil {
 			return change, err
 		}
-		row.Job, row.Offset = job, r.Offset
+		row.Job, row.Offset, row.large = job, r.Offset, job.LargeBytes()
 		change.NewJob = row
 	case r.Key[0] == kindCancel:
 		if !row.Cancelled {
@@ -221,16 +236,23 @@
 		row.State = s
 		change.OwnerAlive = true
 	}
-	t.countPending(old, -1)
-	t.countPending(row, 1)
+	if row.large > 0 && row.State.Phase.Final() {
+		row.Job = row.Job.Ended()
+		row.large = row.Job.LargeBytes()
+	}
+	t.count(old, -1)
+	t.count(row, 1)
 	t.rows[id] = row
 	return change, nil
 }
 
-// countPending adds a number to the pending jobs of the row's queue, if the row is
-// pending.
-func (t *Table) countPending(row *Row, by int) {
-	if row != nil && row.Job != nil && row.Phase() == Queued {
+// count adds a row to the sums of the table, or takes it out if by is -1.
+func (t *Table) count(row *Row, by int) {
+	if row == nil || row.Job == nil {
+		return
+	}
+	t.large += by * row.large
+	if row.Phase() == Queued {
 		t.pending[row.Job.Queue] += by
 	}
 }
