Bound the large jobs that are on their way to the owner

What callers saw: large jobs at all entries at once, and the entry that owns the placement was over its VM's memory.

Cause: each entry passes as much as its callers may hold to the owner, which reads all of it.

Change: an entry has at most 1 MiB of large records on their way. The server of calls between entries waits for memory before it reads a large call, and gives it back with the answer.

--- a/internal/coordination/intake/intake.go
+++ b/internal/coordination/intake/intake.go
@@ -10,6 +10,7 @@
 
 	"github.com/hashicorp/go-hclog"
 	metrics "github.com/rcrowley/go-metrics"
+	"golang.org/x/sync/semaphore"
 
 	"github.com/samphirerail/samphirerail/internal/coordination/port"
 	"github.com/samphirerail/samphirerail/internal/coordination/replica"
@@ -33,6 +34,10 @@
 	phaseTimeout = 250 * time.Millisecond
 	// retryAfter is the time that a caller is told to wait when the log rejects a job.
 	retryAfter = time.Second
+	// largeRecordBytes is the size from which the record of a job is large. maxLargeInFlight bounds
+	// the large records that are on their way at a time: the owner gets those of all entries.
+	largeRecordBytes = 16 << 10
+	maxLargeInFlight = 1 << 20
 )
 
 // NotAcceptedError means that a job was not accepted and will never run.
@@ -90,21 +95,24 @@
 	domain state.DomainID
 	// unconfirmed holds the submissions whose outcome is unknown.
 	unconfirmed unconfirmedJobs
-	logger      hclog.Logger
-	accepted    metrics.Counter
-	rejected    metrics.Counter
-	unknown     metrics.Counter
-	latency     metrics.Histogram
+	// largeInFlight holds the bytes of large records that are on their way.
+	largeInFlight *semaphore.Weighted
+	logger        hclog.Logger
+	accepted      metrics.Counter
+	rejected      metrics.Counter
+	unknown       metrics.Counter
+	latency       metrics.Histogram
 }
 
 // New returns an Intake. self is the address at which other entries reach this one.
 func New(log Log, r *replica.Replica, owner Owner, peers Peers, self string, logger hclog.Logger, registry metrics.Registry) *Intake {
 	return &Intake{
 		log: log, batch: &batcher{log: log, limits: ledger.Limits{}.WithDefaults()}, replica: r, owner: owner, peers: peers, self: self, logger: logger,
-		accepted: metrics.GetOrRegisterCounter("intake.accepted", registry),
-		rejected: metrics.GetOrRegisterCounter("intake.rejected", registry),
-		unknown:  metrics.GetOrRegisterCounter("intake.unanswered", registry),
-		latency:  metrics.GetOrRegisterHistogram("intake.accept_us", registry, metrics.NewExpDecaySample(1028, 0.015)),
+		largeInFlight: semaphore.NewWeighted(maxLargeInFlight),
+		accepted:      metrics.GetOrRegisterCounter("intake.accepted", registry),
+		rejected:      metrics.GetOrRegisterCounter("intake.rejected", registry),
+		unknown:       metrics.GetOrRegisterCounter("intake.unanswered", registry),
+		latency:       metrics.GetOrRegisterHistogram("intake.accept_us", registry, metrics.NewExpDecaySample(1028, 0.015)),
 	}
 }
 
@@ -132,7 +140,7 @@
 		err = port.NoRoomForLargeJob()
 	}
 	if err == nil {
-		via, err = in.record(ctx, record)
+		via, err = in.recordJob(ctx, record)
 	}
 	took := time.Since(began)
 	in.latency.Update(took.Microseconds())
@@ -165,6 +173,18 @@
 	return err
 }
 
+// recordJob is record for a job. A large one waits until few others are on their way.
+func (in *Intake) recordJob(ctx context.Context, record ledger.Record) (via string, err error) {
+	if size := record.Size(); size > largeRecordBytes {
+		bytes := int64(min(size, maxLargeInFlight))
+		if in.largeInFlight.Acquire(ctx, bytes) != nil {
+			return "", port.ErrNotDone
+		}
+		defer in.largeInFlight.Release(bytes)
+	}
+	return in.record(ctx, record)
+}
+
 // hasRoomFor reports whether large jobs leave memory for a further job. The owner knows better, but
 // may not be asked.
 func (in *Intake) hasRoomFor(job *workload.Job) (room bool) {
--- a/internal/crowd/node_test.go
+++ b/internal/crowd/node_test.go
@@ -124,14 +124,35 @@
 	}
 }
 
+// largest returns a job whose image has the longest name that fits a legal body.
+func largest(job []byte) string {
+	return strings.Replace(string(job), `"image":"i"`, `"image":"`+strings.Repeat("i", bodyBytes-2000)+`"`, 1)
+}
+
+// TestOwnerOutlivesLargeJobsFromAllEntries submits large jobs at several entries at once, which pass
+// them to the one that owns the placement.
+func TestOwnerOutlivesLargeJobsFromAllEntries(t *testing.T) {
+	s := startSystem(t, 12)
+	job := largest(fakewire.LastingJob(fakewire.Spec{RunMS: 10, CPU: 100, Image: "i"}, 1))
+	stops := make([]func() usage, len(s.entries))
+	for i, e := range s.entries {
+		stops[i] = e.watch(t)
+	}
+	for n, e := range s.entries {
+		crowd{callers: 200, address: e.callers, returns: 5, request: func(i int) []byte {
+			return append([]byte(header(jobPath(1000*n+i), length(len(job)))), job...)
+		}}.start(t)
+	}
+	for i, e := range s.entries {
+		check(t, e, stops[i])
+	}
+}
+
 // TestAcceptedJobsStayWithinMemory submits whole jobs that take much memory, more than the VM holds,
 // by a crowd and one after the other.
 func TestAcceptedJobsStayWithinMemory(t *testing.T) {
 	quick, lasting := fakewire.Spec{RunMS: 10, CPU: 100, Image: "i"}, fakewire.Spec{RunMS: -1, CPU: 10, Image: "i"}
 	manySteps := fakewire.Spec{RunMS: 10, CPU: 100, Repeat: 1, FirstMS: time.Now().Add(time.Hour).UnixMilli(), PeriodMS: 1000}
-	largest := func(job []byte) string {
-		return strings.Replace(string(job), `"image":"i"`, `"image":"`+strings.Repeat("i", bodyBytes-2000)+`"`, 1)
-	}
 	counts := make([]int, 256)
 	for i := range counts {
 		counts[i] = 1
--- a/internal/node/limits.go
+++ b/internal/node/limits.go
@@ -40,11 +40,13 @@
 			return limits{}, err
 		}
 	}
+	callers := callerlimit.ForVM(descriptors, s.Limits.MemoryMB)
 	return limits{
-		callers: callerlimit.ForVM(descriptors, s.Limits.MemoryMB),
+		callers: callers,
 		peers: peer.Limits{
 			Connections:  max(minPeers, (descriptors-callerlimit.ReservedDescriptors)/peerDescriptorShare),
 			MessageBytes: s.Platform.Limits().WithDefaults().RequestBytes + messageOverhead,
+			CallBytes:    callers.RequestBytes,
 		},
 	}, nil
 }
--- a/internal/transport/peer/admission.go
+++ b/internal/transport/peer/admission.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"container/list"
+	"context"
 	"encoding/gob"
 	"errors"
 	"fmt"
@@ -11,6 +12,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"golang.org/x/sync/semaphore"
 )
 
 const (
@@ -23,6 +26,10 @@
 	unprovenTimeout = 3 * time.Second
 	// maxUnprovenBytes bounds a message before the first call of a connection.
 	maxUnprovenBytes = 4 << 10
+	// largeMessageBytes is the size from which a message counts as large. Its bytes are in memory
+	// messageCopies times: as read and as decoded.
+	largeMessageBytes = 16 << 10
+	messageCopies     = 2
 )
 
 var errNoCall = errors.New("peer: the connection carries no call of another entry; check which program connects to listen.internal")
@@ -31,12 +38,17 @@
 type Limits struct {
 	// Connections is the number of open connections, MessageBytes the size of a call.
 	Connections, MessageBytes int
+	// CallBytes is the memory of large calls that are read or in work.
+	CallBytes int64
 }
 
 // admission bounds the connections that others hold open. A connection is proven once it has made a
 // call.
 type admission struct {
 	limits Limits
+	// memory holds the memory of large calls. ctx ends with the server.
+	memory *semaphore.Weighted
+	ctx    context.Context
 
 	mu   sync.Mutex
 	open map[*serverConn]struct{}
@@ -55,6 +67,10 @@
 	proven bool
 }
 
+func newAdmission(ctx context.Context, limits Limits) *admission {
+	return &admission{limits: limits, memory: semaphore.NewWeighted(limits.CallBytes), ctx: ctx, open: map[*serverConn]struct{}{}}
+}
+
 // admit takes a connection, or closes it and returns nil if there is no room for it.
 func (a *admission) admit(conn net.Conn) *serverConn {
 	a.mu.Lock()
@@ -119,12 +135,13 @@
 }
 
 // messageReader reads a gob stream and ends it before a message that is larger than allowed, for
-// which package gob would reserve memory. Each message follows its length: one byte up to
+// which package gob would reserve memory. It waits for the memory of a large one. Each message follows its length: one byte up to
 // maxShortLength, else the negated number of the big-endian bytes that follow.
 type messageReader struct {
 	*bufio.Reader
-	// limit returns the size of the largest message.
-	limit func() uint64
+	// limit returns the size of the largest message. reserve is called before a message is read.
+	limit   func() uint64
+	reserve func(bytes uint64) error
 	// width is the number of bytes of the length that are not read yet, length what is known of
 	// it, rest the unread bytes of the message.
 	width        int
@@ -181,46 +198,92 @@
 		m.rest = 0
 		return 0, m.failed
 	}
+	if m.rest > largeMessageBytes {
+		if m.failed = m.reserve(m.rest); m.failed != nil {
+			return 0, m.failed
+		}
+	}
 	return b, nil
 }
 
-// serverCodec is the gob codec of net/rpc, which also notes the first call of a connection.
+// serverCodec is the gob codec of net/rpc. It also notes the first call of a connection, and holds
+// the memory of large calls until they are answered.
 type serverCodec struct {
 	conn    *serverConn
 	decoder *gob.Decoder
 	encoder *gob.Encoder
 	buffer  *bufio.Writer
+	// reading is the memory reserved for the call that is being read, seq its number. They belong to
+	// the goroutine that reads.
+	reading int64
+	seq     uint64
+
+	mu sync.Mutex
+	// held is the memory of calls in work, by their numbers; nil once the codec is closed.
+	held map[uint64]int64
 }
 
 func newServerCodec(conn *serverConn) *serverCodec {
 	buffer := bufio.NewWriter(conn)
+	c := &serverCodec{conn: conn, encoder: gob.NewEncoder(buffer), buffer: buffer, held: map[uint64]int64{}}
 	limit := func() uint64 {
 		if conn.proven {
 			return uint64(conn.admission.limits.MessageBytes)
 		}
 		return maxUnprovenBytes
 	}
-	reader := &messageReader{Reader: bufio.NewReader(conn), limit: limit}
-	return &serverCodec{conn: conn, decoder: gob.NewDecoder(reader), encoder: gob.NewEncoder(buffer), buffer: buffer}
+	c.decoder = gob.NewDecoder(&messageReader{Reader: bufio.NewReader(conn), limit: limit, reserve: c.reserve})
+	return c
+}
+
+// reserve waits for the memory of a message. Other calls of the connection wait, too.
+func (c *serverCodec) reserve(bytes uint64) error {
+	a := c.conn.admission
+	n := min(messageCopies*int64(bytes), a.limits.CallBytes-c.reading)
+	ctx, cancel := context.WithTimeout(a.ctx, maxRelayTime)
+	defer cancel()
+	if err := a.memory.Acquire(ctx, n); err != nil {
+		return fmt.Errorf("peer: no memory for a call of %d bytes; calls of other entries take all of %d: %w", bytes, a.limits.CallBytes, err)
+	}
+	c.reading += n
+	return nil
 }
 
 // ReadRequestHeader implements rpc.ServerCodec.
 func (c *serverCodec) ReadRequestHeader(r *rpc.Request) error {
 	if err := c.decoder.Decode(r); err != nil {
+		c.release(c.reading)
+		c.reading = 0
 		return err
 	}
 	if !strings.HasPrefix(r.ServiceMethod, serviceName+".") {
 		return errNoCall
 	}
+	c.seq = r.Seq
 	return c.conn.prove()
 }
 
 // ReadRequestBody implements rpc.ServerCodec.
-func (c *serverCodec) ReadRequestBody(body any) error { return c.decoder.Decode(body) }
+func (c *serverCodec) ReadRequestBody(body any) error {
+	err := c.decoder.Decode(body)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.held == nil || c.reading == 0 {
+		return err
+	}
+	c.held[c.seq] += c.reading
+	c.reading = 0
+	return err
+}
 
 // WriteResponse implements rpc.ServerCodec. After an error the connection is closed, so that its
 // calls fail.
 func (c *serverCodec) WriteResponse(r *rpc.Response, body any) error {
+	c.mu.Lock()
+	held := c.held[r.Seq]
+	delete(c.held, r.Seq)
+	c.mu.Unlock()
+	c.release(held)
 	err := c.encoder.Encode(r)
 	if err == nil {
 		err = c.encoder.Encode(body)
@@ -229,10 +292,26 @@
 		err = c.buffer.Flush()
 	}
 	if err != nil {
-		return errors.Join(err, c.Close())
+		return errors.Join(err, c.conn.Close()) // net/rpc closes the codec when its reading ends
 	}
 	return nil
 }
 
-// Close implements rpc.ServerCodec.
-func (c *serverCodec) Close() error { return c.conn.Close() }
+// Close implements rpc.ServerCodec. net/rpc calls it after the last call was answered.
+func (c *serverCodec) Close() error {
+	c.mu.Lock()
+	left := c.reading
+	for _, n := range c.held {
+		left += n
+	}
+	c.held, c.reading = nil, 0
+	c.mu.Unlock()
+	c.release(left)
+	return c.conn.Close()
+}
+
+func (c *serverCodec) release(n int64) {
+	if n > 0 {
+		c.conn.admission.memory.Release(n)
+	}
+}
--- a/internal/transport/peer/admission_test.go
+++ b/internal/transport/peer/admission_test.go
@@ -61,7 +61,7 @@
 // TestConnectionsWithoutACallMakeRoom guards against connections that hold an entry's descriptors.
 func TestConnectionsWithoutACallMakeRoom(t *testing.T) {
 	is := is.New(t)
-	address := startServer(t, Limits{Connections: maxUnproven + 1, MessageBytes: 1 << 20})
+	address := startServer(t, Limits{Connections: maxUnproven + 1, MessageBytes: 1 << 20, CallBytes: 1 << 20})
 	client := NewClient(nil)
 	defer client.Close()
 	is.NoErr(callOwning(t, client, address))
@@ -80,7 +80,7 @@
 // TestMessageOverItsLimitEndsTheConnection guards against memory for messages that never arrive.
 func TestMessageOverItsLimitEndsTheConnection(t *testing.T) {
 	is := is.New(t)
-	address := startServer(t, Limits{Connections: 10, MessageBytes: 100_000})
+	address := startServer(t, Limits{Connections: 10, MessageBytes: 100_000, CallBytes: 1 << 20})
 	for name, start := range map[string]string{"long": "\xfc\x10\x00\x00\x00", "longest": "\xf8" + strings.Repeat("\xff", 8), "no length": "\x80"} {
 		conn := dialRaw(t, address)
 		_, err := io.WriteString(conn, start)
@@ -104,3 +104,48 @@
 	}
 	is.True(strings.Contains(call(strings.Repeat("x", 200_000)), "exceeds the limit"))
 }
+
+// blockingBackend counts the records that arrive and takes them when it is told to.
+type blockingBackend struct {
+	owningBackend
+	arrived chan struct{}
+	proceed chan struct{}
+}
+
+func (b blockingBackend) Record(context.Context, ledger.Record) error {
+	b.arrived <- struct{}{}
+	<-b.proceed
+	return nil
+}
+
+// TestLargeCallsOfAllEntriesWaitForMemory guards against an owner that holds the large jobs of all
+// entries at once.
+func TestLargeCallsOfAllEntriesWaitForMemory(t *testing.T) {
+	is := is.New(t)
+	const calls, bytes = 6, 100_000
+	backend := blockingBackend{arrived: make(chan struct{}, calls), proceed: make(chan struct{})}
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	is.NoErr(err)
+	server, err := serve(listener, backend, Limits{Connections: calls, MessageBytes: 1 << 20, CallBytes: 5 * messageCopies * bytes / 2}, hclog.NewNullLogger())
+	is.NoErr(err)
+	defer server.Close()
+	results := make(chan error, calls)
+	for range calls {
+		client := NewClient(nil)
+		defer client.Close()
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), waitTimeout)
+			defer cancel()
+			results <- client.Record(ctx, listener.Addr().String(), ledger.Record{Key: "k", Value: make([]byte, bytes)})
+		}()
+	}
+	for range calls {
+		<-backend.arrived
+		time.Sleep(20 * time.Millisecond)
+		is.True(len(backend.arrived) <= 1) // two calls fit
+		backend.proceed <- struct{}{}
+	}
+	for range calls {
+		is.NoErr(<-results)
+	}
+}
--- a/internal/transport/peer/peer_test.go
+++ b/internal/transport/peer/peer_test.go
@@ -18,7 +18,7 @@
 )
 
 // testLimits allow what entries do.
-var testLimits = Limits{Connections: 10, MessageBytes: 8 << 20}
+var testLimits = Limits{Connections: 10, MessageBytes: 8 << 20, CallBytes: 8 << 20}
 
 // owningBackend is a Backend that owns the placement; its other methods are not called.
 type owningBackend struct{ Backend }
--- a/internal/transport/peer/server.go
+++ b/internal/transport/peer/server.go
@@ -143,7 +143,7 @@
 		cancel()
 		return nil, errors.Join(err, listener.Close())
 	}
-	s := &Server{listener: listener, cancel: cancel, admission: &admission{limits: limits, open: map[*serverConn]struct{}{}}}
+	s := &Server{listener: listener, cancel: cancel, admission: newAdmission(ctx, limits)}
 	go s.accept(ctx, server, logger)
 	return s, nil
 }
