--- a/internal/crowd/node_test.go
+++ b/internal/crowd/node_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -124,6 +125,26 @@
 	}
 }
 
+// TestLogThatNobodyReadsStaysWithinMemory plays refused calls with long paths, and then unfinished
+// bodies, against an entry whose output is not read.
+func TestLogThatNobodyReadsStaysWithinMemory(t *testing.T) {
+	s := startStandIns(t)
+	p, settings := newEntry(t, "entry-0", s.logAddress)
+	unread, output, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer unread.Close()
+	p.startWithFile(t, output, "node", "--config", settings)
+	p.submitOrdinary(t, "is ready")
+	stop := p.watch(t)
+	path := jobPath(0) + "/" + strings.Repeat("x", headerBytes-1000)
+	call := strings.Replace(strings.Replace(header(path), "POST", "GET", 1), fakewire.Key, "wrong", 1)
+	crowd{callers: 200, address: p.callers, request: always([]byte(strings.Repeat(call, 50)))}.start(t)
+	crowd{callers: 500, address: p.callers, request: byLength(text(bodyBytes), 3), returns: 5}.start(t)
+	check(t, p, stop)
+}
+
 // largest returns a job whose image has the longest name that fits a legal body.
 func largest(job []byte) string {
 	return strings.Replace(string(job), `"image":"i"`, `"image":"`+strings.Repeat("i", bodyBytes-2000)+`"`, 1)
--- a/internal/crowd/system_test.go
+++ b/internal/crowd/system_test.go
@@ -55,18 +55,32 @@
 
 // system is a stand-in platform with entries, each a process of its own.
 type system struct {
-	t       *testing.T
-	log     *fakewire.Log
-	fleet   *fakewire.Fleet
-	entries []*process
+	t          *testing.T
+	log        *fakewire.Log
+	logAddress string
+	fleet      *fakewire.Fleet
+	entries    []*process
 }
 
 // startSystem starts stand-ins and n entries, and waits until each has served a request.
 func startSystem(t *testing.T, n int) *system {
+	t.Helper()
+	s := startStandIns(t)
+	for i := range n {
+		s.entries = append(s.entries, startEntry(t, fmt.Sprintf("entry-%d", i), s.logAddress))
+	}
+	for _, e := range s.entries {
+		e.submitOrdinary(t, "is ready")
+	}
+	return s
+}
+
+// startStandIns starts the platform's log with a configuration, and two upstreams.
+func startStandIns(t *testing.T) *system {
 	t.Helper()
 	s := &system{t: t, log: fakewire.NewLog()}
 	s.fleet = fakewire.NewFleet(s.log, func(string) bool { return true })
-	logAddress := serve(t, s.log)
+	s.logAddress = serve(t, s.log)
 	for i := range 2 {
 		listener := listen(t)
 		serveOn(t, listener, s.fleet.Add(fmt.Sprintf("i-%d", i), service, listener.Addr().String(), 8000, "a", "r0"))
@@ -80,12 +94,6 @@
 		t.Fatal(err)
 	}
 	s.log.Put("keyed.op", "config", value)
-	for i := range n {
-		s.entries = append(s.entries, startEntry(t, fmt.Sprintf("entry-%d", i), logAddress))
-	}
-	for _, e := range s.entries {
-		e.submitOrdinary(t, "is ready")
-	}
 	return s
 }
 
@@ -100,6 +108,14 @@
 }
 
 func startEntry(t *testing.T, name, logAddress string) *process {
+	t.Helper()
+	p, path := newEntry(t, name, logAddress)
+	p.start(t, "node", "--config", path)
+	return p
+}
+
+// newEntry returns an entry that is not started, and the path of its settings.
+func newEntry(t *testing.T, name, logAddress string) (*process, string) {
 	t.Helper()
 	addresses := takeAddresses(t, 4)
 	p := &process{name: name, callers: addresses[0], ready: addresses[1], internal: addresses[2], metrics: addresses[3]}
@@ -124,8 +140,7 @@
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	p.start(t, "node", "--config", path)
-	return p
+	return p, path
 }
 
 // start runs the program with the descriptors of the VM and kills it at the end of the test.
@@ -140,6 +155,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	p.startWithFile(t, output, args...)
+}
+
+func (p *process) startWithFile(t *testing.T, output *os.File, args ...string) {
+	t.Helper()
 	limited := fmt.Sprintf("ulimit -n %d && exec %q \"$@\"", descriptors, program)
 	p.cmd = exec.Command("/bin/sh", append([]string{"-c", limited, p.name}, args...)...)
 	p.cmd.Stdout, p.cmd.Stderr = output, output
--- a/internal/telemetry/async.go
+++ b/internal/telemetry/async.go
@@ -6,15 +6,20 @@
 	"sync/atomic"
 )
 
-// maxQueuedLines is the number of log lines that may be queued. At 200 bytes a line
-// they take less than 1 MB.
-const maxQueuedLines = 4096
+// maxQueuedLines and maxQueuedBytes bound the log lines that are queued. Lines may hold
+// what callers sent.
+const (
+	maxQueuedLines = 4096
+	maxQueuedBytes = 1 << 20
+)
 
 // AsyncWriter writes lines from a separate goroutine, so that a slow reader of the
 // output does not block the process. Lines that do not fit into the queue are dropped
 // and counted; the next write reports their number. It is safe for concurrent use.
 type AsyncWriter struct {
-	lines   chan []byte
+	lines chan []byte
+	// queued is the number of bytes in lines.
+	queued  atomic.Int64
 	dropped atomic.Int64
 }
 
@@ -29,9 +34,16 @@
 // Write queues a copy of line, or drops it if the queue is full. It never blocks and
 // always returns len(line) and a nil error.
 func (w *AsyncWriter) Write(line []byte) (int, error) {
+	size := int64(len(line))
+	if w.queued.Add(size) > maxQueuedBytes {
+		w.queued.Add(-size)
+		w.dropped.Add(1)
+		return len(line), nil
+	}
 	select {
 	case w.lines <- append([]byte(nil), line...):
 	default:
+		w.queued.Add(-size)
 		w.dropped.Add(1)
 	}
 	return len(line), nil
@@ -43,11 +55,13 @@
 func (w *AsyncWriter) run(out io.Writer) {
 	var batch []byte
 	for line := range w.lines {
+		w.queued.Add(-int64(len(line)))
 		batch = append(batch[:0], line...)
 	fill:
 		for len(batch) < maxBatchBytes {
 			select {
 			case next := <-w.lines:
+				w.queued.Add(-int64(len(next)))
 				batch = append(batch, next...)
 			default:
 				break fill
