Close connections that were evicted while their request ended

Cause, by reading: an eviction that takes effect when the request has just ended left the connection marked as evicted, and its next submission would be answered 503 in calm.

Change: such a connection is closed when it becomes idle.

--- a/internal/transport/callerlimit/conn.go
+++ b/internal/transport/callerlimit/conn.go
@@ -83,10 +83,12 @@
 	return c
 }
 
-func (c *conn) enter(p phase) {
+// enter begins a phase. It reports whether the connection was evicted.
+func (c *conn) enter(p phase) (evicted bool) {
 	c.guard.mu.Lock()
 	defer c.guard.mu.Unlock()
 	c.enterLocked(p)
+	return c.evicted
 }
 
 // enterLocked begins a phase and sets the time at which it must have ended.
--- a/internal/transport/callerlimit/guard.go
+++ b/internal/transport/callerlimit/guard.go
@@ -258,7 +258,9 @@
 		c.enter(handling)
 	case http.StateIdle:
 		c.release(0)
-		c.enter(idle)
+		if c.enter(idle) {
+			_ = c.Close() // the request ended before its eviction took effect
+		}
 	case http.StateClosed, http.StateHijacked:
 		c.release(0)
 		g.mu.Lock()
