Do not override the deadline of an evicted request

Cause, by reading: a request that was evicted between the beginning of its body and the setting of its deadline was read until that deadline, with the memory that it was to give back.

Change: both are set under the lock under which requests are evicted.

--- a/internal/transport/callerlimit/body.go
+++ b/internal/transport/callerlimit/body.go
@@ -44,11 +44,10 @@
 	if c == nil {
 		return readAll(r, limit, func(int64) error { return nil })
 	}
-	c.enter(readingBody)
 	if deadline.IsZero() {
 		deadline = time.Now().Add(c.guard.request().BodyTimeout)
 	}
-	if err := c.SetReadDeadline(deadline); err != nil {
+	if err := c.awaitBody(deadline); err != nil {
 		return nil, err
 	}
 	body, err := readAll(r, limit, func(n int64) error { return c.reserve(bodyCopies * n) })
@@ -64,6 +63,15 @@
 	return body, err
 }
 
+// awaitBody begins the phase of reading a body, or of waiting for what is left of it, until a
+// deadline. An eviction from then on sets another one.
+func (c *conn) awaitBody(deadline time.Time) error {
+	c.guard.mu.Lock()
+	defer c.guard.mu.Unlock()
+	c.enterLocked(readingBody)
+	return c.SetReadDeadline(deadline)
+}
+
 // endBody ends the phase of reading a body. It reports whether the request was evicted.
 func (c *conn) endBody() (evicted bool) {
 	c.guard.mu.Lock()
--- a/internal/transport/callerlimit/guard.go
+++ b/internal/transport/callerlimit/guard.go
@@ -293,12 +293,11 @@
 // awaitRest bounds how long the server waits for what the handler has left of a body: a short rest
 // is awaited, so that the connection can serve further requests.
 func (c *conn) awaitRest(r *http.Request) {
-	c.enter(readingBody)
 	deadline := longAgo
 	if c.body == bodyUnread && shortBody(r) {
 		deadline = time.Now().Add(unreadBodyTimeout)
 	}
-	_ = c.SetReadDeadline(deadline) // fails only on a closed connection
+	_ = c.awaitBody(deadline) // fails only on a closed connection
 }
 
 // answer closes the connection after an answer that does not need the body, unless the rest of the
