--- a/internal/transport/peer/admission.go
+++ b/internal/transport/peer/admission.go
@@ -134,9 +134,10 @@
 	return c.SetReadDeadline(time.Time{})
 }
 
-// messageReader reads a gob stream and ends it before a message that is larger than allowed, for
-// which package gob would reserve memory. It waits for the memory of a large one. Each message follows its length: one byte up to
-// maxShortLength, else the negated number of the big-endian bytes that follow.
+// messageReader reads a gob stream. It waits for the memory of a large message, and ends the stream
+// before one that is larger than allowed: package gob reserves memory for what the sender announces.
+// Each message follows its length: one byte up to maxShortLength, else the negated number of the
+// big-endian bytes that follow.
 type messageReader struct {
 	*bufio.Reader
 	// limit returns the size of the largest message. reserve is called before a message is read.
