Wait for the beginning of a body in a test of evictions

It expected an unfinished body to wait longer than a connection that became idle later, but waited only until the body's connection was accepted. If the server reads its header late, the body begins to wait after the other connection, which is then closed by right.

Change: the test waits until the body is being read; what it checks is the same.

--- a/internal/transport/callerlimit/guard_test.go
+++ b/internal/transport/callerlimit/guard_test.go
@@ -34,6 +34,7 @@
 			w.WriteHeader(http.StatusUnauthorized)
 			return
 		}
+		r.Body = &countingBody{ReadCloser: r.Body, reading: metrics.GetOrRegisterCounter("reading", registry)}
 		body, err := ReadBody(r, 1<<20, time.Now().Add(waitTimeout))
 		if errors.Is(err, ErrFull) {
 			w.WriteHeader(http.StatusServiceUnavailable)
@@ -48,6 +49,21 @@
 	return listener.Addr().String(), registry
 }
 
+// countingBody counts the bodies that are being read, or were read.
+type countingBody struct {
+	io.ReadCloser
+	reading metrics.Counter
+	begun   bool
+}
+
+func (b *countingBody) Read(p []byte) (int, error) {
+	if !b.begun {
+		b.begun = true
+		b.reading.Inc(1)
+	}
+	return b.ReadCloser.Read(p)
+}
+
 var generous = RequestLimits{HeaderBytes: 16 << 10, HeaderTimeout: waitTimeout, IdleTimeout: waitTimeout}
 
 func dial(t *testing.T, address, text string) net.Conn {
@@ -105,7 +121,7 @@
 	silent := dial(t, address, "")
 	await(t, registry, "test.connections", 1)
 	unfinished := dial(t, address, post("/", 10, "x"))
-	await(t, registry, "test.connections", 2)
+	await(t, registry, "reading", 1)
 	used := dial(t, address, post("/", 1, "x"))
 	is.Equal(status(used), http.StatusOK)
 	for range 2 {
