--- /dev/null
+++ b/review/tools3/log.go
@@ -0,0 +1,383 @@
+//go:build review3
+
+package main
+
+import (
+	"encoding/base64"
+	"encoding/binary"
+	"encoding/json"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// Figures of the store in the sheets of the small sites.
+const (
+	appendTime  = 2 * time.Millisecond
+	answerTime  = 2 * time.Millisecond
+	historyTime = 20 * time.Second
+	pageRecords = 500
+	pageBytes   = 1 << 20
+	storeBytes  = 400 << 20
+)
+
+// store plays the platform's log. Every topic has one partition.
+type store struct {
+	mu      sync.Mutex
+	topics  map[string]*partition
+	changed chan struct{}
+	// stored is the size of all records that are kept.
+	stored int
+}
+
+type partition struct {
+	appending sync.Mutex // a partition processes its appends one at a time
+	records   []storedRecord
+	// first is the oldest offset that reads return.
+	first int64
+	// newest holds the offset of the newest record of each key that has a value, keys these keys in order.
+	newest map[string]int64
+	keys   []string
+	fences map[string]*producer
+}
+
+type storedRecord struct {
+	data, value []byte
+	key         string
+	at          time.Time
+}
+
+type producer struct {
+	epoch, seq int64
+	offsets    map[int64]int64
+}
+
+func newStore() *store {
+	return &store{topics: map[string]*partition{}, changed: make(chan struct{})}
+}
+
+func (s *store) topic(name string) *partition {
+	t := s.topics[name]
+	if t == nil {
+		t = &partition{newest: map[string]int64{}, fences: map[string]*producer{}}
+		s.topics[name] = t
+	}
+	return t
+}
+
+// Put appends a record as the operator and the runners do.
+func (s *store) Put(name, key string, value []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.add(s.topic(name), [][]byte{append(append([]byte{byte(len(key))}, key...), value...)})
+}
+
+// value returns the newest value of a key.
+func (s *store) value(name, key string) []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.topic(name)
+	if offset, ok := t.newest[key]; ok {
+		return t.records[offset].value
+	}
+	return nil
+}
+
+func (s *store) add(t *partition, records [][]byte) int64 {
+	offset := int64(len(t.records))
+	for _, data := range records {
+		r := storedRecord{data: data, at: time.Now()}
+		if len(data) > 0 && len(data) > int(data[0]) {
+			r.key, r.value = string(data[1:1+data[0]]), data[1+data[0]:]
+		}
+		at, known := slices.BinarySearch(t.keys, r.key)
+		switch {
+		case len(r.value) > 0 && !known:
+			t.keys = slices.Insert(t.keys, at, r.key)
+		case len(r.value) == 0 && known:
+			t.keys = slices.Delete(t.keys, at, at+1)
+			s.supersede(t, r.key)
+			delete(t.newest, r.key)
+		}
+		if len(r.value) > 0 {
+			s.supersede(t, r.key)
+			t.newest[r.key] = int64(len(t.records))
+		}
+		t.records = append(t.records, r)
+		s.stored += len(data)
+	}
+	s.expire(t)
+	close(s.changed)
+	s.changed = make(chan struct{})
+	return offset
+}
+
+// supersede drops the newest record of a key if it isn't part of the history any more.
+func (s *store) supersede(t *partition, key string) {
+	if offset, ok := t.newest[key]; ok && offset < t.first {
+		s.drop(&t.records[offset])
+	}
+}
+
+func (s *store) drop(r *storedRecord) {
+	s.stored -= len(r.data)
+	r.data, r.value = nil, nil
+}
+
+// expire drops the records of the history that are too old.
+func (s *store) expire(t *partition) {
+	for t.first < int64(len(t.records)) && time.Since(t.records[t.first].at) > historyTime {
+		r := &t.records[t.first]
+		if offset, ok := t.newest[r.key]; !ok || offset != t.first {
+			s.drop(r)
+		}
+		t.first++
+	}
+}
+
+// storeMode is what happens to the calls of one caller.
+type storeMode struct {
+	// refuse answers 503, silent never answers. lost carries writes out and doesn't answer them; late
+	// carries them out that much later and doesn't answer them.
+	refuse, silent, lost bool
+	late                 time.Duration
+}
+
+// access is the store as one machine reaches it.
+type access struct {
+	*store
+	mu   sync.Mutex
+	mode storeMode
+	// ended is closed when the mode changes, so that silent calls end.
+	ended chan struct{}
+	calls map[string]int
+}
+
+func (s *store) access() *access {
+	return &access{store: s, ended: make(chan struct{}), calls: map[string]int{}}
+}
+
+func (a *access) set(m storeMode) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.mode = m
+	close(a.ended)
+	a.ended = make(chan struct{})
+}
+
+// silence holds a call until its caller gives up, or resets its channel.
+func silence(r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	<-r.Context().Done()
+	panic(http.ErrAbortHandler)
+}
+
+// ServeHTTP serves the calls of one machine.
+func (a *access) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	a.mu.Lock()
+	mode := a.mode
+	a.calls[r.URL.Path]++
+	a.mu.Unlock()
+	switch {
+	case mode.silent:
+		silence(r)
+	case mode.refuse:
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	time.Sleep(answerTime)
+	switch r.URL.Path {
+	case "/-/log-append":
+		a.serveAppend(w, r, mode)
+	case "/-/log-read":
+		a.serveRead(w, r)
+	case "/-/log-newest":
+		a.serveNewest(w, r)
+	default:
+		w.WriteHeader(http.StatusNotFound)
+	}
+}
+
+func (a *access) serveAppend(w http.ResponseWriter, r *http.Request, mode storeMode) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	var records [][]byte
+	for rest := body; len(rest) >= 4; {
+		n := int(binary.BigEndian.Uint32(rest))
+		if n > len(rest)-4 || n > 262144 {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		records = append(records, slices.Clone(rest[4:4+n]))
+		rest = rest[4+n:]
+	}
+	if len(body) > 2097152 {
+		w.WriteHeader(http.StatusRequestEntityTooLarge)
+		return
+	}
+	name := r.URL.Query().Get("topic")
+	if name == "keyed.op" || name == "keyed.servers" {
+		w.WriteHeader(http.StatusForbidden)
+		return
+	}
+	if mode.late > 0 {
+		time.AfterFunc(mode.late, func() { a.append(r, name, records) })
+		silence(r)
+	}
+	status, result := a.append(r, name, records)
+	if mode.lost {
+		silence(r)
+	}
+	writeJSON(w, status, result)
+}
+
+// append carries an append out.
+func (s *store) append(r *http.Request, name string, records [][]byte) (int, map[string]any) {
+	s.mu.Lock()
+	t := s.topic(name)
+	s.mu.Unlock()
+	t.appending.Lock()
+	defer t.appending.Unlock()
+	time.Sleep(appendTime)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	end := int64(len(t.records))
+	by, epoch, seq := r.URL.Query().Get("producer"), number(r, "epoch"), number(r, "seq")
+	p := t.fences[by]
+	if by != "" && p != nil {
+		if epoch < p.epoch {
+			return http.StatusConflict, map[string]any{"reason": "fenced"}
+		}
+		if epoch == p.epoch {
+			if offset, ok := p.offsets[seq]; ok {
+				return http.StatusOK, map[string]any{"offset": offset, "end": end}
+			}
+			if seq != p.seq+1 {
+				return http.StatusConflict, map[string]any{"reason": "seq", "seq": p.seq + 1}
+			}
+		}
+	}
+	if at := number(r, "at"); at >= 0 && at != end {
+		return http.StatusPreconditionFailed, map[string]any{"end": end}
+	}
+	if s.stored >= storeBytes {
+		return http.StatusInsufficientStorage, nil
+	}
+	offset := s.add(t, records)
+	if by != "" {
+		if p == nil || epoch > p.epoch {
+			p = &producer{epoch: epoch, offsets: map[int64]int64{}}
+			t.fences[by] = p
+		}
+		p.seq = seq
+		p.offsets[seq] = offset
+		delete(p.offsets, seq-5)
+	}
+	return http.StatusOK, map[string]any{"offset": offset, "end": len(t.records)}
+}
+
+func (a *access) serveRead(w http.ResponseWriter, r *http.Request) {
+	from := number(r, "from")
+	limit := 1024 << 10
+	if kb := number(r, "max_read_kb"); kb > 0 {
+		limit = int(kb) << 10
+	}
+	deadline := time.NewTimer(time.Duration(max(0, number(r, "wait_ms"))) * time.Millisecond)
+	defer deadline.Stop()
+	over := false
+	for {
+		a.mu.Lock()
+		silent, ended := a.mode.silent, a.ended
+		a.mu.Unlock()
+		if silent {
+			silence(r)
+		}
+		a.store.mu.Lock()
+		t := a.topic(r.URL.Query().Get("topic"))
+		a.expire(t)
+		if from < t.first {
+			first := t.first
+			a.store.mu.Unlock()
+			writeJSON(w, http.StatusGone, map[string]any{"first": first})
+			return
+		}
+		if over || from < int64(len(t.records)) {
+			out := binary.BigEndian.AppendUint64(nil, uint64(len(t.records)))
+			out = binary.BigEndian.AppendUint64(out, uint64(t.first))
+			for i := from; i < int64(len(t.records)); i++ {
+				data := t.records[i].data
+				if len(out) > 16 && len(out)+len(data) > limit {
+					break
+				}
+				out = binary.BigEndian.AppendUint32(out, uint32(len(data)))
+				out = append(out, data...)
+			}
+			a.store.mu.Unlock()
+			_, _ = w.Write(out)
+			return
+		}
+		changed := a.changed
+		a.store.mu.Unlock()
+		select {
+		case <-changed:
+		case <-ended:
+		case <-r.Context().Done():
+			return
+		case <-deadline.C:
+			over = true
+		}
+	}
+}
+
+func (a *access) serveNewest(w http.ResponseWriter, r *http.Request) {
+	a.store.mu.Lock()
+	defer a.store.mu.Unlock()
+	t := a.topic(r.URL.Query().Get("topic"))
+	type item struct {
+		Key    string `json:"key"`
+		Value  string `json:"value"`
+		Offset int64  `json:"offset"`
+	}
+	items, more, size := []item{}, false, 0
+	after := r.URL.Query().Get("after")
+	at, known := slices.BinarySearch(t.keys, after)
+	if known {
+		at++
+	}
+	for _, key := range t.keys[at:] {
+		rec := &t.records[t.newest[key]]
+		if size += len(rec.value); len(items) == pageRecords || len(items) > 0 && size > pageBytes {
+			more = true
+			break
+		}
+		items = append(items, item{key, base64.StdEncoding.EncodeToString(rec.value), t.newest[key]})
+	}
+	writeJSON(w, http.StatusOK, map[string]any{"items": items, "has_more": more, "end": len(t.records)})
+}
+
+func writeJSON(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(body)
+}
+
+// number returns a number of the query, or -1.
+func number(r *http.Request, name string) int64 {
+	n, err := strconv.ParseInt(r.URL.Query().Get(name), 10, 64)
+	if err != nil {
+		return -1
+	}
+	return n
+}
+
+// size returns the size of all records that are kept.
+func (s *store) size() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.stored
+}
