--- a/review/tools3/memory.go
+++ b/review/tools3/memory.go
@@ -62,6 +62,7 @@
 					continue
 				}
 				answered.Add(1)
+				b.ids.Store(id, time.Now())
 				return
 			}
 		})
--- a/review/tools3/platform.go
+++ b/review/tools3/platform.go
@@ -18,6 +18,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -46,6 +47,14 @@
 	entries []*entry
 	ports   portpool.Pool
 
+	// tunnels makes the entries reach the store through toStore.
+	tunnels bool
+	toStore []*tunnel
+	// sent and answered count the ordinary submissions.
+	sent, answered atomic.Int64
+	// ids holds the ordinary jobs that were accepted, and when.
+	ids sync.Map
+
 	mu       sync.Mutex
 	problems []string
 }
@@ -92,6 +101,12 @@
 	b.problems = append(b.problems, fmt.Sprintf(format, args...))
 }
 
+func (b *bench) isBroken() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.problems) > 0
+}
+
 // serve serves a handler on a free loopback port.
 func (b *bench) serve(h http.Handler) (string, error) {
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
@@ -140,6 +155,14 @@
 		if err != nil {
 			return err
 		}
+		if b.tunnels {
+			t, err := newTunnel(logAddress)
+			if err != nil {
+				return err
+			}
+			b.toStore = append(b.toStore, t)
+			logAddress = t.address()
+		}
 		e := &entry{name: fmt.Sprintf("frontend-%d", i), callers: addresses[3*i], ready: addresses[3*i+1], internal: addresses[3*i+2]}
 		e.settings = filepath.Join(b.dir, e.name+".toml")
 		text := fmt.Sprintf(`[entry]
@@ -274,6 +297,9 @@
 		}
 		_ = e.output.Close()
 	}
+	for _, t := range b.toStore {
+		t.close()
+	}
 	for _, s := range b.servers {
 		_ = s.Close()
 	}
