--- a/review/tools3/memory.go
+++ b/review/tools3/memory.go
@@ -128,22 +128,8 @@
 	}
 	for i := range memoryWatch {
 		time.Sleep(time.Second)
-		var line []string
-		killed := 0
-		for _, e := range b.entries {
-			rss := e.statusKB("VmRSS")
-			e.peakKB = max(e.peakKB, rss)
-			line = append(line, fmt.Sprintf("%s %d MB", e.name, rss>>10))
-			if rss>>10 > memoryMB {
-				e.ownEnds++
-				b.note("%s exceeds its memory with %d MB, of %d, for the %d. time; the platform kills it", e.name, rss>>10, memoryMB, e.ownEnds)
-				e.signal(syscall.SIGKILL)
-			}
-			if e.ownEnds >= 3 {
-				killed++
-			}
-		}
-		b.note("%s; outside: accepted %d refused %d other %d; ordinary: sent %d answered %d; the store holds %d MB", strings.Join(line, ", "), accepted.Load(), refused.Load(), other.Load(), sent.Load(), answered.Load(), b.store.size()>>20)
+		killed := b.watchMemory()
+		b.note("outside: accepted %d refused %d other %d; ordinary: sent %d answered %d; the store holds %d MB", accepted.Load(), refused.Load(), other.Load(), sent.Load(), answered.Load(), b.store.size()>>20)
 		if i > 5 && killed >= 2 {
 			b.broken("Fault: processes of %d of %d machines have exceeded their memory three times", killed, len(b.entries))
 			break
@@ -157,3 +143,24 @@
 	}
 	return nil
 }
+
+// watchMemory kills the processes that exceed the memory of their machine, as the platform does, and
+// returns the number of machines on which that has happened three times.
+func (b *bench) watchMemory() (machines int) {
+	var line []string
+	for _, e := range b.entries {
+		rss := e.statusKB("VmRSS")
+		e.peakKB = max(e.peakKB, rss)
+		line = append(line, fmt.Sprintf("%s %d MB", e.name, rss>>10))
+		if rss>>10 > memoryMB {
+			e.ownEnds++
+			b.note("%s exceeds its memory with %d MB, of %d, for the %d. time; the platform kills it", e.name, rss>>10, memoryMB, e.ownEnds)
+			e.signal(syscall.SIGKILL)
+		}
+		if e.ownEnds >= 3 {
+			machines++
+		}
+	}
+	b.note("%s", strings.Join(line, ", "))
+	return machines
+}
