--- a/review/tools3/flood.go
+++ b/review/tools3/flood.go
@@ -61,7 +61,7 @@
 	if trouble {
 		c := newClient("outside-key", 3*time.Second)
 		text, _ := json.Marshal(spec{MS: -1, CPU: 1})
-		body, err := json.Marshal(map[string]any{"task_spec": string(text), "steps": []map[string]any{{"count": tasksEach, "cpu": 1, "mem_mb": 1, "long_running": true}}})
+		body, err := json.Marshal(map[string]any{wire.Spec: string(text), "steps": []map[string]any{{"count": tasksEach, "cpu": 1, "mem_mb": 1, "long_running": true}}})
 		if err != nil {
 			return err
 		}
--- a/review/tools3/log.go
+++ b/review/tools3/log.go
@@ -190,11 +190,11 @@
 	}
 	time.Sleep(answerTime)
 	switch r.URL.Path {
-	case "/-/log-append":
+	case wire.Append:
 		a.serveAppend(w, r, mode)
-	case "/-/log-read":
+	case wire.Read:
 		a.serveRead(w, r)
-	case "/-/log-newest":
+	case wire.Newest:
 		a.serveNewest(w, r)
 	default:
 		w.WriteHeader(http.StatusNotFound)
--- a/review/tools3/memory.go
+++ b/review/tools3/memory.go
@@ -33,8 +33,8 @@
 		"services":       []map[string]any{{"name": "pool", "health_path": "/healthz", "enforces_capacity": false}},
 		"limits":         map[string]any{"max_body_bytes": 262144},
 		"tenants": []map[string]any{
-			{"name": "team", "api_keys": []string{"team-key"}, "weight": 10, "maximum": map[string]int64{"cpu": 100000}},
-			{"name": "outsiders", "api_keys": []string{"outside-key"}, "weight": 10, "maximum": map[string]int64{"cpu": 100000}},
+			{"name": "team", wire.Keys: []string{"team-key"}, "weight": 10, "maximum": map[string]int64{"cpu": 100000}},
+			{"name": "outsiders", wire.Keys: []string{"outside-key"}, "weight": 10, "maximum": map[string]int64{"cpu": 100000}},
 		},
 	}
 }
@@ -98,7 +98,7 @@
 		for i := range steps {
 			steps[i] = map[string]any{"count": 1, "cpu": 1000, "mem_mb": 64, "estimate_ms": 1000}
 		}
-		body, err := json.Marshal(map[string]any{"task_spec": strings.Repeat("x", 3900), "first_ms": first, "period_ms": 1000, "repeat_count": 1, "steps": steps})
+		body, err := json.Marshal(map[string]any{wire.Spec: strings.Repeat("x", 3900), "first_ms": first, "period_ms": 1000, "repeat_count": 1, "steps": steps})
 		if err != nil {
 			return err
 		}
--- a/review/tools3/platform.go
+++ b/review/tools3/platform.go
@@ -132,7 +132,7 @@
 // route is a route of the configuration.
 func route(name, prefix, service string) map[string]any {
 	return map[string]any{
-		"name": name, "host": host, "path_prefix": prefix, "service": service, "route_kind": "non_idempotent",
+		"name": name, "host": host, wire.Prefix: prefix, "service": service, "route_kind": "non_idempotent",
 		"timeout_ms": 3000, "target_latency_ms": 500, "priority": 1, "max_attempts": 3, "stretch": 2,
 	}
 }
--- a/review/tools3/runner.go
+++ b/review/tools3/runner.go
@@ -62,7 +62,6 @@
 	running  map[string]*task
 	ended    []endedTask
 	ends     int64
-	lastSeen int64
 	refused  map[string]int64 // the newest run that was stopped or has ended
 	changed  chan struct{}
 	down     bool
@@ -117,7 +116,7 @@
 // begin begins a life, which knows nothing of the one before.
 func (r *runner) begin() {
 	r.life++
-	r.born, r.seq, r.token, r.lease, r.ends, r.lastSeen = time.Now(), 0, 0, 0, 0, 0
+	r.born, r.seq, r.token, r.lease, r.ends = time.Now(), 0, 0, 0, 0
 	r.running, r.refused, r.ended = map[string]*task{}, map[string]int64{}, nil
 	r.changed = make(chan struct{})
 }
@@ -172,25 +171,14 @@
 	}
 }
 
-// order is the body of a call.
-type order struct {
-	Task         string `json:"task"`
-	RunID        int64  `json:"run_id"`
-	TaskSpec     string `json:"task_spec"`
-	DeadlineMS   int64  `json:"deadline_ms"`
-	FencingToken int64  `json:"fencing_token"`
-	LastSeen     int64  `json:"last_seen"`
-	WaitMS       int64  `json:"wait_ms"`
-}
-
 // ServeHTTP serves the calls to the runner.
 func (r *runner) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	body, err := io.ReadAll(req.Body)
 	if err != nil {
 		return
 	}
-	var o order
-	if err := json.Unmarshal(body, &o); err != nil {
+	o, err := readOrder(body)
+	if err != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
@@ -214,7 +202,7 @@
 		<-req.Context().Done()
 		panic(http.ErrAbortHandler)
 	}
-	if req.URL.Path == "/-/hold" && o.WaitMS > 0 {
+	if req.URL.Path == wire.Hold && o.WaitMS > 0 {
 		r.awaitEnd(req, time.Duration(min(o.WaitMS, 2000))*time.Millisecond, &o)
 	}
 	status, reply, ok := r.carryOut(req.URL.Path, &o, life)
@@ -257,10 +245,9 @@
 
 // note takes note of ends.
 func (r *runner) note(lastSeen int64) {
-	r.lastSeen = max(r.lastSeen, lastSeen)
 	kept := r.ended[:0]
 	for _, e := range r.ended {
-		if e.n > r.lastSeen {
+		if e.n > lastSeen {
 			kept = append(kept, e)
 		} else if e.how == "done" {
 			if _, ok := r.f.done[e.task]; !ok {
@@ -287,7 +274,7 @@
 	}
 	r.token = o.FencingToken
 	switch path {
-	case "/-/run-start":
+	case wire.Start:
 		if o.DeadlineMS < r.clock() {
 			return refuse("late")
 		}
@@ -306,12 +293,12 @@
 		if r.f.onStart != nil {
 			r.f.onStart(r, o.Task, o.RunID, sp)
 		}
-	case "/-/run-stop":
+	case wire.Stop:
 		r.refused[o.Task] = max(r.refused[o.Task], o.RunID)
 		if t := r.running[o.Task]; t != nil && t.run == o.RunID && t.stop.IsZero() {
 			t.stop = time.Now().Add(stopTime)
 		}
-	case "/-/hold":
+	case wire.Hold:
 		r.prolong(o.DeadlineMS)
 		r.note(o.LastSeen)
 		return http.StatusOK, r.list(), true
@@ -381,7 +368,7 @@
 	if sp.MS < 0 {
 		step["long_running"] = true
 	}
-	job := map[string]any{"task_spec": string(text), "steps": []map[string]any{step}}
+	job := map[string]any{wire.Spec: string(text), "steps": []map[string]any{step}}
 	for k, v := range more {
 		job[k] = v
 	}
