Show that an order without an answer runs again in the runner's next life

Cause: an order that got no answer counts as settled once the runner's life has acknowledged a stop; the next life knows nothing of it.

--- a/review/tools3/runner.go
+++ b/review/tools3/runner.go
@@ -66,9 +66,9 @@
 	changed  chan struct{}
 	down     bool
 	draining bool
-	// lateFor holds back an order and leaves it unanswered; 0 for none.
-	lateFor func(path string) time.Duration
-	life    int
+	// withhold is asked for each call; if it returns true, the call is not carried out and gets no answer.
+	withhold func(path string, o *order) bool
+	life     int
 }
 
 type task struct {
@@ -98,9 +98,7 @@
 		return nil, err
 	}
 	r.address = l.Addr().String()
-	r.server = &http.Server{Handler: r, ReadHeaderTimeout: time.Minute}
-	f.b.servers = append(f.b.servers, r.server)
-	go func() { _ = r.server.Serve(l) }()
+	r.serve(l)
 	f.all = append(f.all, r)
 	go func() {
 		for {
@@ -113,6 +111,40 @@
 	return r, nil
 }
 
+func (r *runner) serve(l net.Listener) {
+	server := &http.Server{Handler: r, ReadHeaderTimeout: time.Minute}
+	r.server = server
+	r.f.b.servers = append(r.f.b.servers, server)
+	go func() { _ = server.Serve(l) }()
+}
+
+// crash ends what runs and closes all channels.
+func (r *runner) crash() {
+	r.f.mu.Lock()
+	r.down = true
+	r.running, r.ended = map[string]*task{}, nil
+	r.f.mu.Unlock()
+	_ = r.server.Close()
+}
+
+// restart starts the runner again under its id and address. first is called before any other call is served.
+func (r *runner) restart(first func()) error {
+	l, err := net.Listen("tcp4", r.address)
+	if err != nil {
+		return err
+	}
+	r.f.mu.Lock()
+	r.begin()
+	r.down = false
+	r.f.mu.Unlock()
+	first()
+	r.f.mu.Lock()
+	r.register()
+	r.f.mu.Unlock()
+	r.serve(l)
+	return nil
+}
+
 // begin begins a life, which knows nothing of the one before.
 func (r *runner) begin() {
 	r.life++
@@ -188,17 +220,13 @@
 		r.f.mu.Unlock()
 		panic(http.ErrAbortHandler)
 	}
-	late := time.Duration(0)
-	if r.lateFor != nil {
-		late = r.lateFor(req.URL.Path)
-	}
+	withheld := r.withhold != nil && r.withhold(req.URL.Path, &o)
 	r.f.mu.Unlock()
 	if want := req.Header.Get("X-Target-Instance"); want != "" && want != r.id {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	if late > 0 {
-		time.AfterFunc(late, func() { r.carryOut(req.URL.Path, &o, life) })
+	if withheld {
 		<-req.Context().Done()
 		panic(http.ErrAbortHandler)
 	}
