--- a/review/tools3/log.go
+++ b/review/tools3/log.go
@@ -75,17 +75,6 @@
 	s.add(s.topic(name), [][]byte{append(append([]byte{byte(len(key))}, key...), value...)})
 }
 
-// value returns the newest value of a key.
-func (s *store) value(name, key string) []byte {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	t := s.topic(name)
-	if offset, ok := t.newest[key]; ok {
-		return t.records[offset].value
-	}
-	return nil
-}
-
 func (s *store) add(t *partition, records [][]byte) int64 {
 	offset := int64(len(t.records))
 	for _, data := range records {
@@ -138,70 +127,22 @@
 	}
 }
 
-// storeMode is what happens to the calls of one caller.
-type storeMode struct {
-	// refuse answers 503, silent never answers. lost carries writes out and doesn't answer them; late
-	// carries them out that much later and doesn't answer them.
-	refuse, silent, lost bool
-	late                 time.Duration
-}
-
-// access is the store as one machine reaches it.
-type access struct {
-	*store
-	mu   sync.Mutex
-	mode storeMode
-	// ended is closed when the mode changes, so that silent calls end.
-	ended chan struct{}
-	calls map[string]int
-}
-
-func (s *store) access() *access {
-	return &access{store: s, ended: make(chan struct{}), calls: map[string]int{}}
-}
-
-func (a *access) set(m storeMode) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.mode = m
-	close(a.ended)
-	a.ended = make(chan struct{})
-}
-
-// silence holds a call until its caller gives up, or resets its channel.
-func silence(r *http.Request) {
-	_, _ = io.Copy(io.Discard, r.Body)
-	<-r.Context().Done()
-	panic(http.ErrAbortHandler)
-}
-
-// ServeHTTP serves the calls of one machine.
-func (a *access) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	a.mu.Lock()
-	mode := a.mode
-	a.calls[r.URL.Path]++
-	a.mu.Unlock()
-	switch {
-	case mode.silent:
-		silence(r)
-	case mode.refuse:
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
-	}
+// ServeHTTP serves the calls of the machines.
+func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	time.Sleep(answerTime)
 	switch r.URL.Path {
 	case wire.Append:
-		a.serveAppend(w, r, mode)
+		s.serveAppend(w, r)
 	case wire.Read:
-		a.serveRead(w, r)
+		s.serveRead(w, r)
 	case wire.Newest:
-		a.serveNewest(w, r)
+		s.serveNewest(w, r)
 	default:
 		w.WriteHeader(http.StatusNotFound)
 	}
 }
 
-func (a *access) serveAppend(w http.ResponseWriter, r *http.Request, mode storeMode) {
+func (s *store) serveAppend(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
@@ -225,14 +166,7 @@
 		w.WriteHeader(http.StatusForbidden)
 		return
 	}
-	if mode.late > 0 {
-		time.AfterFunc(mode.late, func() { a.append(r, name, records) })
-		silence(r)
-	}
-	status, result := a.append(r, name, records)
-	if mode.lost {
-		silence(r)
-	}
+	status, result := s.append(r, name, records)
 	writeJSON(w, status, result)
 }
 
@@ -281,7 +215,7 @@
 	return http.StatusOK, map[string]any{"offset": offset, "end": len(t.records)}
 }
 
-func (a *access) serveRead(w http.ResponseWriter, r *http.Request) {
+func (s *store) serveRead(w http.ResponseWriter, r *http.Request) {
 	from := number(r, "from")
 	limit := 1024 << 10
 	if kb := number(r, "max_read_kb"); kb > 0 {
@@ -291,18 +225,12 @@
 	defer deadline.Stop()
 	over := false
 	for {
-		a.mu.Lock()
-		silent, ended := a.mode.silent, a.ended
-		a.mu.Unlock()
-		if silent {
-			silence(r)
-		}
-		a.store.mu.Lock()
-		t := a.topic(r.URL.Query().Get("topic"))
-		a.expire(t)
+		s.mu.Lock()
+		t := s.topic(r.URL.Query().Get("topic"))
+		s.expire(t)
 		if from < t.first {
 			first := t.first
-			a.store.mu.Unlock()
+			s.mu.Unlock()
 			writeJSON(w, http.StatusGone, map[string]any{"first": first})
 			return
 		}
@@ -317,15 +245,14 @@
 				out = binary.BigEndian.AppendUint32(out, uint32(len(data)))
 				out = append(out, data...)
 			}
-			a.store.mu.Unlock()
+			s.mu.Unlock()
 			_, _ = w.Write(out)
 			return
 		}
-		changed := a.changed
-		a.store.mu.Unlock()
+		changed := s.changed
+		s.mu.Unlock()
 		select {
 		case <-changed:
-		case <-ended:
 		case <-r.Context().Done():
 			return
 		case <-deadline.C:
@@ -334,10 +261,10 @@
 	}
 }
 
-func (a *access) serveNewest(w http.ResponseWriter, r *http.Request) {
-	a.store.mu.Lock()
-	defer a.store.mu.Unlock()
-	t := a.topic(r.URL.Query().Get("topic"))
+func (s *store) serveNewest(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.topic(r.URL.Query().Get("topic"))
 	type item struct {
 		Key    string `json:"key"`
 		Value  string `json:"value"`
--- a/review/tools3/platform.go
+++ b/review/tools3/platform.go
@@ -41,8 +41,6 @@
 	started time.Time
 	store   *store
 	fleet   *fleet
-	// access is the store as each entry reaches it.
-	access  []*access
 	servers []*http.Server
 	entries []*entry
 	ports   portpool.Pool
@@ -149,9 +147,7 @@
 		seeds = append(seeds, strconv.Quote(addresses[3*i+2]))
 	}
 	for i := range n {
-		a := b.store.access()
-		b.access = append(b.access, a)
-		logAddress, err := b.serve(a)
+		logAddress, err := b.serve(b.store)
 		if err != nil {
 			return err
 		}
--- a/review/tools3/proxy.go
+++ b/review/tools3/proxy.go
@@ -3,7 +3,6 @@
 package main
 
 import (
-	"io"
 	"net"
 	"sync"
 )
@@ -16,7 +15,6 @@
 
 	mu       sync.Mutex
 	channels map[*channel]struct{}
-	silenced int
 }
 
 type channel struct {
@@ -73,10 +71,8 @@
 			if err == nil {
 				continue
 			}
-			if err == io.EOF || err != nil { // this end has given the channel up; the other one isn't told
-				_ = from.Close()
-				return
-			}
+			_ = from.Close() // this end has given the channel up; the other one isn't told
+			return
 		default:
 		}
 		if n > 0 {
