--- a/review/tools3/log.go
+++ b/review/tools3/log.go
@@ -16,9 +16,14 @@
 
 // Figures of the store in the sheets of the small sites.
 const (
-	appendTime  = 2 * time.Millisecond
-	answerTime  = 2 * time.Millisecond
-	historyTime = 20 * time.Second
+	appendTime                     = 2 * time.Millisecond
+	answerTime                     = 2 * time.Millisecond
+	historyTime                    = 300 * time.Second // keep_s
+	partitionBytes                 = 200 << 20
+	appendBytesPerS, readBytesPerS = 20 << 20, 80 << 20
+	writesPerS, readsPerS          = 600, 2000
+	// appendWait is the most that may wait at a partition.
+	appendWait  = 2 * time.Second
 	pageRecords = 500
 	pageBytes   = 1 << 20
 	storeBytes  = 400 << 20
@@ -31,11 +36,58 @@
 	changed chan struct{}
 	// stored is the size of all records that are kept.
 	stored int
+	// writes and reads are the calls of all machines, readFree is when all reads so far have been passed on.
+	writes, reads bucket
+	readFree      time.Time
+}
+
+// bucket counts calls against a limit a second.
+type bucket struct {
+	left float64
+	at   time.Time
+}
+
+// take reports whether a call is within the limit.
+func (k *bucket) take(perS float64) bool {
+	now := time.Now()
+	k.left = min(perS, k.left+now.Sub(k.at).Seconds()*perS)
+	k.at = now
+	if k.left < 1 {
+		return false
+	}
+	k.left--
+	return true
+}
+
+// beyond reports whether a call is beyond the limits of the sheet.
+func (s *store) beyond(path string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if path == wire.Append {
+		return !s.writes.take(writesPerS)
+	}
+	return !s.reads.take(readsPerS)
+}
+
+// passOn waits while an answer of that many bytes is read, at the rate that all reads share.
+func (s *store) passOn(bytes int) {
+	s.mu.Lock()
+	if now := time.Now(); s.readFree.Before(now) {
+		s.readFree = now
+	}
+	s.readFree = s.readFree.Add(time.Duration(bytes) * time.Second / readBytesPerS)
+	until := s.readFree
+	s.mu.Unlock()
+	time.Sleep(time.Until(until))
 }
 
 type partition struct {
 	appending sync.Mutex // a partition processes its appends one at a time
-	records   []storedRecord
+	// free is when all appends so far have been processed.
+	free time.Time
+	// size is the size of the records that are kept.
+	size    int
+	records []storedRecord
 	// first is the oldest offset that reads return.
 	first int64
 	// newest holds the offset of the newest record of each key that has a value, keys these keys in order.
@@ -52,7 +104,8 @@
 
 type producer struct {
 	epoch, seq int64
-	offsets    map[int64]int64
+	// answers holds the answers to the last appends.
+	answers map[int64]map[string]any
 }
 
 func newStore() *store {
@@ -97,6 +150,7 @@
 		}
 		t.records = append(t.records, r)
 		s.stored += len(data)
+		t.size += len(data)
 	}
 	s.expire(t)
 	close(s.changed)
@@ -107,21 +161,22 @@
 // supersede drops the newest record of a key if it isn't part of the history any more.
 func (s *store) supersede(t *partition, key string) {
 	if offset, ok := t.newest[key]; ok && offset < t.first {
-		s.drop(&t.records[offset])
+		s.drop(t, &t.records[offset])
 	}
 }
 
-func (s *store) drop(r *storedRecord) {
+func (s *store) drop(t *partition, r *storedRecord) {
 	s.stored -= len(r.data)
+	t.size -= len(r.data)
 	r.data, r.value = nil, nil
 }
 
-// expire drops the records of the history that are too old.
+// expire drops the records of the history that are too old, or beyond the size of a partition.
 func (s *store) expire(t *partition) {
-	for t.first < int64(len(t.records)) && time.Since(t.records[t.first].at) > historyTime {
+	for t.first < int64(len(t.records)) && (t.size > partitionBytes || time.Since(t.records[t.first].at) > historyTime) {
 		r := &t.records[t.first]
 		if offset, ok := t.newest[r.key]; !ok || offset != t.first {
-			s.drop(r)
+			s.drop(t, r)
 		}
 		t.first++
 	}
@@ -129,6 +184,10 @@
 
 // ServeHTTP serves the calls of the machines.
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if s.beyond(r.URL.Path) {
+		w.WriteHeader(http.StatusTooManyRequests)
+		return
+	}
 	time.Sleep(answerTime)
 	switch r.URL.Path {
 	case wire.Append:
@@ -166,18 +225,27 @@
 		w.WriteHeader(http.StatusForbidden)
 		return
 	}
-	status, result := s.append(r, name, records)
+	status, result := s.append(r, name, records, len(body))
 	writeJSON(w, status, result)
 }
 
 // append carries an append out.
-func (s *store) append(r *http.Request, name string, records [][]byte) (int, map[string]any) {
+func (s *store) append(r *http.Request, name string, records [][]byte, size int) (int, map[string]any) {
+	cost := appendTime + time.Duration(size)*time.Second/appendBytesPerS
 	s.mu.Lock()
-	t := s.topic(name)
+	t, now := s.topic(name), time.Now()
+	if t.free.Sub(now) > appendWait {
+		s.mu.Unlock()
+		return http.StatusServiceUnavailable, nil
+	}
+	if t.free.Before(now) {
+		t.free = now
+	}
+	t.free = t.free.Add(cost)
 	s.mu.Unlock()
 	t.appending.Lock()
 	defer t.appending.Unlock()
-	time.Sleep(appendTime)
+	time.Sleep(cost)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	end := int64(len(t.records))
@@ -188,8 +256,8 @@
 			return http.StatusConflict, map[string]any{"reason": "fenced"}
 		}
 		if epoch == p.epoch {
-			if offset, ok := p.offsets[seq]; ok {
-				return http.StatusOK, map[string]any{"offset": offset, "end": end}
+			if answer, ok := p.answers[seq]; ok {
+				return http.StatusOK, answer
 			}
 			if seq != p.seq+1 {
 				return http.StatusConflict, map[string]any{"reason": "seq", "seq": p.seq + 1}
@@ -203,16 +271,17 @@
 		return http.StatusInsufficientStorage, nil
 	}
 	offset := s.add(t, records)
+	answer := map[string]any{"offset": offset, "end": len(t.records)}
 	if by != "" {
 		if p == nil || epoch > p.epoch {
-			p = &producer{epoch: epoch, offsets: map[int64]int64{}}
+			p = &producer{epoch: epoch, answers: map[int64]map[string]any{}}
 			t.fences[by] = p
 		}
 		p.seq = seq
-		p.offsets[seq] = offset
-		delete(p.offsets, seq-5)
+		p.answers[seq] = answer
+		delete(p.answers, seq-5)
 	}
-	return http.StatusOK, map[string]any{"offset": offset, "end": len(t.records)}
+	return http.StatusOK, answer
 }
 
 func (s *store) serveRead(w http.ResponseWriter, r *http.Request) {
@@ -246,6 +315,7 @@
 				out = append(out, data...)
 			}
 			s.mu.Unlock()
+			s.passOn(len(out))
 			_, _ = w.Write(out)
 			return
 		}
@@ -262,6 +332,13 @@
 }
 
 func (s *store) serveNewest(w http.ResponseWriter, r *http.Request) {
+	body, size := s.newestPage(r)
+	s.passOn(size)
+	writeJSON(w, http.StatusOK, body)
+}
+
+// newestPage returns a page of the newest records, and its size.
+func (s *store) newestPage(r *http.Request) (body map[string]any, size int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t := s.topic(r.URL.Query().Get("topic"))
@@ -270,7 +347,7 @@
 		Value  string `json:"value"`
 		Offset int64  `json:"offset"`
 	}
-	items, more, size := []item{}, false, 0
+	items, more := []item{}, false
 	after := r.URL.Query().Get("after")
 	at, known := slices.BinarySearch(t.keys, after)
 	if known {
@@ -284,7 +361,7 @@
 		}
 		items = append(items, item{key, base64.StdEncoding.EncodeToString(rec.value), t.newest[key]})
 	}
-	writeJSON(w, http.StatusOK, map[string]any{"items": items, "has_more": more, "end": len(t.records)})
+	return map[string]any{"items": items, "has_more": more, "end": len(t.records)}, size
 }
 
 func writeJSON(w http.ResponseWriter, status int, body any) {
--- a/review/tools3/memory.go
+++ b/review/tools3/memory.go
@@ -73,7 +73,7 @@
 const memoryClients = 12
 
 // memoryWatch is for how many seconds the memory is watched.
-const memoryWatch = 100
+const memoryWatch = 92
 
 // playMemory lets a client that the operator doesn't control submit jobs that are due in a day.
 // The platform kills a process that exceeds its memory, and starts it again.
