Start no task while a start of it without a response is open

One start without a response, and a crash of its upstream within 12 s, were enough.

Cause: a start without a response counted as settled once its upstream had acknowledged a stop of the run, and the task was started elsewhere. Only that incarnation refuses the start. The next one knows neither the stop nor a fencing token, the deadline is a time on the former clock, and the start may be its first call. A complete task can't give way.

Ruled out: that the owner reaches the next incarnation too late (no call can be there before its first one), and that the stop is lost (it is acknowledged).

Change: the scheduler tracks each start from its sending until it is settled: answered, reported, refused by another upstream at the address, or 13 s after it was given up. Until then nothing else of its task is started. A run that begins late in the same incarnation is kept, for as long as the lease may last. Gangs are stopped at once, as before, and started again as a whole. The log keeps the upstream of an open start, so that the next owner waits too: 18 s from its claim, or 13 s where the former one is certain to have ended. Steps that allow copies and starts with a ticket do not wait.

--- a/internal/coordination/dispatch/commands.go
+++ b/internal/coordination/dispatch/commands.go
@@ -17,6 +17,7 @@
 	o.noteCopies(plan.Copies)
 	o.noteLosses(plan.Losses, plan.GivenUp)
 	o.noteTrials(plan.Trials)
+	o.noteSettled(plan.Settled)
 	for _, stop := range plan.Stops {
 		if stop.Preemption != nil {
 			o.notePreemption(&stop)
--- a/internal/coordination/dispatch/losses.go
+++ b/internal/coordination/dispatch/losses.go
@@ -12,6 +12,8 @@
 	// runs counts the runs that were lost with their upstreams, trials the upstreams reserved
 	// for suspected tasks, givenUp the jobs that failed because upstreams crashed under them.
 	runs, trials, givenUp metrics.Counter
+	// barred counts the tasks that waited until a start without a response was settled.
+	barred metrics.Counter
 }
 
 func newLossMetrics(registry metrics.Registry) lossMetrics {
@@ -19,6 +21,7 @@
 		runs:    metrics.GetOrRegisterCounter("owner.runs_lost", registry),
 		trials:  metrics.GetOrRegisterCounter("owner.trials", registry),
 		givenUp: metrics.GetOrRegisterCounter("owner.jobs_given_up", registry),
+		barred:  metrics.GetOrRegisterCounter("owner.barred_tasks", registry),
 	}
 }
 
@@ -53,6 +56,17 @@
 	}
 }
 
+// noteSettled logs and counts the starts without a response that were settled.
+func (o *owner) noteSettled(settled []scheduler.SettledStart) {
+	for i := range settled {
+		s := &settled[i]
+		if s.Barred {
+			o.metrics.losses.barred.Inc(1)
+		}
+		o.logger.Info("start without a response settled", "task", s.Task, "run", s.Number, "upstream", s.Upstream, "how", s.How, "age_ms", s.Age.Milliseconds(), "barred", s.Barred, "epoch", o.epoch)
+	}
+}
+
 // handlePollFailure processes a failed poll.
 func (o *owner) handlePollFailure(id workload.UpstreamID, l *link, f pollFailure) {
 	if o.links[id] != l {
--- a/internal/coordination/dispatch/manager.go
+++ b/internal/coordination/dispatch/manager.go
@@ -14,6 +14,7 @@
 	"github.com/samphirerail/samphirerail/internal/coordination/replica"
 	"github.com/samphirerail/samphirerail/internal/state"
 	"github.com/samphirerail/samphirerail/internal/state/ledger"
+	"github.com/samphirerail/samphirerail/internal/state/scheduler"
 	"github.com/samphirerail/samphirerail/internal/state/workload"
 )
 
@@ -102,6 +103,10 @@
 	probedOwning bool
 	// probeRefused says that no process listens at the owner's address.
 	probeRefused bool
+	// followedEpoch is the epoch of the newest claim, followedAt when this entry first knew it; only
+	// Run uses them.
+	followedEpoch int64
+	followedAt    time.Time
 	// claimBegan is when the newest claim began, on the clock of the permission to act.
 	claimBegan time.Duration
 
@@ -171,9 +176,10 @@
 	for ctx.Err() == nil && !m.isStopped() {
 		pause := claimCheckInterval
 		if old, ok := m.claimable(delay); ok {
+			formerEnded := m.hasEnded(old)
 			if claim, ok := m.claim(ctx, old); ok {
 				retries.Reset()
-				m.serve(ctx, claim)
+				m.serve(ctx, claim, formerEnded)
 			} else {
 				pause = retries.NextBackOff()
 				if m.cfg.Slow() {
@@ -228,6 +234,9 @@
 		return claim, false
 	}
 	claim = m.newestClaim()
+	if claim.Epoch != m.followedEpoch {
+		m.followedEpoch, m.followedAt = claim.Epoch, time.Now()
+	}
 	free := claim.Epoch == 0 || claim.Released
 	m.cfg.Replica.View(func(t *ledger.Table, _ int64) {
 		read, _ := t.Claim()
@@ -297,9 +306,27 @@
 	return m.probedOwning
 }
 
-// serve runs one term of ownership until it ends.
-func (m *Manager) serve(ctx context.Context, claim ledger.Claim) {
+// hasEnded reports whether the owner of a claim is certain to send no more commands, and the one before it
+// too. A refused connection does not show that: a cut may refuse it.
+func (m *Manager) hasEnded(claim ledger.Claim) (ended bool) {
+	if m.followedEpoch != claim.Epoch || time.Since(m.followedAt) < logContactTimeout {
+		return false // its predecessor may still act
+	}
+	ended = claim.Released || (claim.Entry == m.cfg.Name && claim.Incarnation != m.cfg.Incarnation)
+	m.cfg.Replica.View(func(t *ledger.Table, _ int64) {
+		read, _ := t.Claim()
+		ended = ended || (read.Epoch == claim.Epoch && t.OwnerGone())
+	})
+	return ended
+}
+
+// serve runs one term of ownership until it ends. formerEnded says that former owners send no more
+// commands.
+func (m *Manager) serve(ctx context.Context, claim ledger.Claim, formerEnded bool) {
 	o := m.deps.newOwner(ctx, claim)
+	if formerEnded {
+		o.sched.ExpectFormerStarts(scheduler.MaxStartDelay)
+	}
 	if m.claimBegan > 0 {
 		o.contactAt.Store(int64(m.claimBegan))
 	}
--- a/internal/coordination/dispatch/manager_test.go
+++ b/internal/coordination/dispatch/manager_test.go
@@ -86,3 +86,30 @@
 		})
 	}
 }
+
+// TestOnlyAnEndedOwnerSendsNoMoreStarts guards against a short wait for the starts of an owner that may only be cut off, or of the one before it.
+func TestOnlyAnEndedOwnerSendsNoMoreStarts(t *testing.T) {
+	old := ledger.Claim{Epoch: 70_000, Entry: "other", Incarnation: "1"}
+	for _, c := range []struct {
+		name   string
+		change func(m *Manager, claim *ledger.Claim)
+		want   bool
+	}{
+		{"silent", func(*Manager, *ledger.Claim) {}, false},
+		{"it refuses connections", func(m *Manager, claim *ledger.Claim) { m.probedEpoch, m.probeRefused = claim.Epoch, true }, false},
+		{"it has released ownership", func(_ *Manager, claim *ledger.Claim) { claim.Released = true }, true},
+		{"it was the former process of this entry", func(_ *Manager, claim *ledger.Claim) { claim.Entry = "self" }, true},
+		{"it was this process", func(_ *Manager, claim *ledger.Claim) { claim.Entry, claim.Incarnation = "self", "2" }, false},
+		{"released soon after its claim", func(m *Manager, claim *ledger.Claim) {
+			claim.Released, m.followedAt = true, time.Now().Add(-time.Second)
+		}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			m := NewManager(Config{Replica: loadedReplica(t, &slowLog{}), Name: "self", Incarnation: "2", Logger: hclog.NewNullLogger(), Registry: metrics.NewRegistry()})
+			claim := old
+			m.followedEpoch, m.followedAt = claim.Epoch, time.Now().Add(-2*logContactTimeout)
+			c.change(m, &claim)
+			is.New(t).Equal(m.hasEnded(claim), c.want)
+		})
+	}
+}
--- a/internal/coordination/dispatch/owner.go
+++ b/internal/coordination/dispatch/owner.go
@@ -208,14 +208,15 @@
 	o.ctx, o.cancel = context.WithCancel(ctx)
 	o.runTimes, o.runTimesAt = p.loadRunTimes(), o.base
 	o.sched = scheduler.New(p.replica.Config(), scheduler.Options{
-		FirstRun:         p.firstRun(claim.Epoch),
-		StartList:        p.startList(claim),
-		Advisors:         []string{p.self},
-		Lookup:           o.lookup,
-		RunTimes:         o.runTimes,
-		UnconfirmedUntil: p.unconfirmedTime(),
-		LeaseEnds:        p.inheritLeaseEnds(claim.Epoch, clock),
-		Lease:            p.lease,
+		FirstRun:          p.firstRun(claim.Epoch),
+		StartList:         p.startList(claim),
+		Advisors:          []string{p.self},
+		Lookup:            o.lookup,
+		RunTimes:          o.runTimes,
+		UnconfirmedUntil:  p.unconfirmedTime(),
+		FormerStartsUntil: logContactTimeout + scheduler.MaxStartDelay,
+		LeaseEnds:         p.inheritLeaseEnds(claim.Epoch, clock),
+		Lease:             p.lease,
 	})
 	o.appendedAt.Store(int64(o.now()))
 	o.contactAt.Store(int64(o.clock()))
--- a/internal/state/scheduler/latestarts.go
+++ b/internal/state/scheduler/latestarts.go
@@ -9,8 +9,9 @@
 
 // A start without a response may be carried out up to MaxStartDelay later. The stop that revoked it
 // holds in the incarnation of the upstream that acknowledged it only: if the upstream ends, its next
-// incarnation may carry out the start beside the run that has replaced it. So the task gives way
-// from the moment that the upstream closes its connections: its run is stopped, and it is not
+// incarnation may carry out the start. Tasks that end are not started before that time has passed; see
+// openStart. Long-running ones can't wait that long: their run that has replaced the start gives way
+// from the moment that the upstream closes its connections. It is stopped, and the task not
 // started again until the next incarnation has acknowledged a stop and made a report after it, or
 // can't carry out the start.
 
@@ -22,15 +23,12 @@
 // yieldToNextIncarnation stops the runs that have replaced the unconfirmed starts on an upstream that
 // has closed its connections.
 func (s *Scheduler) yieldToNextIncarnation(now state.Time, id workload.UpstreamID) {
-	for start, l := range s.unconfirmedStarts[id] {
+	for start, o := range s.openStarts[id] {
 		t := s.heldTask(start.Task)
-		if l.awaitsNext || l.waited || l.undelivered || now >= l.until || t == nil || !t.yields() {
+		if !o.unanswered || o.awaitsNext || o.waited || o.undelivered || now >= o.until || t == nil || !t.yields() {
 			continue
 		}
-		l.awaitsNext, l.inNext, l.waitUntil = true, false, l.until
-		if t.step.spec.LongRunning {
-			l.waitUntil = min(l.until, now+maxLastingWait)
-		}
+		o.awaitsNext, o.inNext, o.waitUntil = true, false, min(o.until, now+maxLastingWait)
 		t.awaitedIncarnations++
 		for _, r := range append([]*run(nil), t.runs...) {
 			if r.Upstream != id {
@@ -42,43 +40,43 @@
 
 // StartInterrupted records that the connection of an unconfirmed start was closed before a response.
 func (s *Scheduler) StartInterrupted(start Run) {
-	if l := s.unconfirmedStarts[start.Upstream][start]; l != nil {
-		l.undelivered = true
+	if o := s.openStarts[start.Upstream][start]; o != nil {
+		o.undelivered = true
 	}
 }
 
-// yields reports whether two runs of the task at the same time must be avoided at the cost of a
-// stop.
+// yields reports whether two runs of a long-running task at the same time must be avoided at the cost
+// of a stop.
 func (t *task) yields() bool {
 	spec := t.step.spec
-	return !t.done && !t.step.job.phase.Final() && !spec.Speculative && spec.MayMiss == 0
+	return !t.done && !t.step.job.phase.Final() && spec.LongRunning && !spec.Speculative && spec.MayMiss == 0
 }
 
 // endWait lets a task be started again that waited for the next incarnation of an upstream.
-func (s *Scheduler) endWait(start Run, l *unconfirmedStart) {
-	if !l.awaitsNext {
+func (s *Scheduler) endWait(o *openStart) {
+	if !o.awaitsNext {
 		return
 	}
-	l.awaitsNext = false
-	if t := s.heldTask(start.Task); t != nil {
+	o.awaitsNext = false
+	if t := s.heldTask(o.run.Task); t != nil {
 		t.awaitedIncarnations = max(0, t.awaitedIncarnations-1)
 		s.requeue(t.step)
 	}
 }
 
-// endWaits lets all tasks be started again that waited for the next incarnation of an upstream.
-func (s *Scheduler) endWaits(id workload.UpstreamID) {
-	for start, l := range s.unconfirmedStarts[id] {
-		s.endWait(start, l)
+// settleStarts ends the tracking of all starts to an upstream that can't carry them out any more.
+func (s *Scheduler) settleStarts(now state.Time, id workload.UpstreamID) {
+	for run := range s.openStarts[id] {
+		s.settleStart(now, run, SettledByReplacement)
 	}
 }
 
 // endWaitsForSurvivor lets the tasks be started again that waited for the next incarnation of an
 // upstream which was only not reached: its stops still hold.
 func (s *Scheduler) endWaitsForSurvivor(id workload.UpstreamID) {
-	for start, l := range s.unconfirmedStarts[id] {
-		if !l.inNext {
-			s.endWait(start, l)
+	for _, o := range s.openStarts[id] {
+		if !o.inNext {
+			s.endWait(o)
 		}
 	}
 }
@@ -86,9 +84,9 @@
 // endRevokedWaits lets the tasks be started again whose late starts the newest incarnation of an
 // upstream refuses since before a report was requested: the report shows those that it has run.
 func (s *Scheduler) endRevokedWaits(id workload.UpstreamID, sentAt state.Time) {
-	for start, l := range s.unconfirmedStarts[id] {
-		if l.revokedAt > 0 && sentAt > l.revokedAt {
-			s.endWait(start, l)
+	for _, o := range s.openStarts[id] {
+		if o.revokedAt > 0 && sentAt > o.revokedAt {
+			s.endWait(o)
 		}
 	}
 }
@@ -96,5 +94,10 @@
 // AwaitsNextIncarnation reports whether an upstream, or its next incarnation, may still carry out a start
 // without a response. It is polled all the while, so that its end is noticed at once.
 func (s *Scheduler) AwaitsNextIncarnation(id workload.UpstreamID) bool {
-	return len(s.unconfirmedStarts[id]) > 0
+	for _, o := range s.openStarts[id] {
+		if o.unanswered {
+			return true
+		}
+	}
+	return false
 }
--- a/internal/state/scheduler/model.go
+++ b/internal/state/scheduler/model.go
@@ -128,6 +128,8 @@
 	GivenUp []GivenUp
 	// Trials are the upstreams that were reserved for suspected tasks.
 	Trials []Trial
+	// Settled are the starts without a response that were settled since the last plan.
+	Settled []SettledStart
 }
 
 // phase is the progress of a run as known to the scheduler.
@@ -212,6 +214,8 @@
 	// still be running there. It is "" once this owner has polled the upstream. The
 	// upstream may be absent from the platform's list.
 	unconfirmedOn workload.UpstreamID
+	// openStart is the start that bars further ones, or nil; see openStart.task.
+	openStart *openStart
 	// awaitedIncarnations counts the upstreams whose next incarnations may carry out a start of the task; it is
 	// not started until they cannot. See yieldToNextIncarnation.
 	awaitedIncarnations int
--- a/internal/state/scheduler/plan.go
+++ b/internal/state/scheduler/plan.go
@@ -1,6 +1,8 @@
 package scheduler
 
 import (
+	"slices"
+
 	"github.com/samphirerail/samphirerail/internal/state"
 	"github.com/samphirerail/samphirerail/internal/state/ledger"
 	"github.com/samphirerail/samphirerail/internal/state/workload"
@@ -32,6 +34,7 @@
 	plan.Ended, s.ended = s.ended, nil
 	plan.Losses, s.losses = s.losses, nil
 	plan.GivenUp, s.givenUp = s.givenUp, nil
+	plan.Settled, s.settledStarts = s.settledStarts, nil
 	return plan
 }
 
@@ -47,7 +50,7 @@
 	}
 	waiting, unconfirmed := s.countPlaceable(st)
 	s.waiting.Unconfirmed += unconfirmed
-	if st.spec.Gang && unconfirmed == 0 && s.stopIncompleteGang(now, st) {
+	if st.spec.Gang && !s.mayRunUnseen(st) && s.stopIncompleteGang(now, st) {
 		return
 	}
 	suspected := !s.heldBack(st) && len(st.suspects()) > 0
@@ -108,7 +111,7 @@
 		case t.done:
 		case len(t.runs) > 0:
 			gangRuns = true
-		case t.unconfirmedOn != "", t.awaitedIncarnations > 0:
+		case t.unconfirmedOn != "", t.barred():
 			unconfirmed++
 		case t.isolated && !st.spec.Gang: // see suspects
 		default:
@@ -121,6 +124,11 @@
 	return waiting, unconfirmed
 }
 
+// mayRunUnseen reports whether tasks of the step may have runs on upstreams that have not been polled yet.
+func (s *Scheduler) mayRunUnseen(st *step) bool {
+	return s.heldBack(st) || slices.ContainsFunc(st.tasks, func(t *task) bool { return t.unconfirmedOn != "" })
+}
+
 // stopIncompleteGang stops the members of a gang that does not run completely. An owner
 // starts all members together, but may fail in between. It reports whether any member
 // runs.
--- a/internal/state/scheduler/report.go
+++ b/internal/state/scheduler/report.go
@@ -97,21 +97,21 @@
 	u.leasedAt = max(u.leasedAt, report.SentAt)
 	s.endWaitsForSurvivor(id)
 	for i := range report.Ended {
-		s.settleStart(Run{report.Ended[i].Task, report.Ended[i].Run, id})
+		s.settleStart(now, Run{report.Ended[i].Task, report.Ended[i].Run, id}, SettledByReport)
 		s.applyEnded(now, u, &report.Ended[i])
 	}
 	listed := make(map[workload.TaskID]int64, len(report.Running))
 	for i := range report.Running {
 		reported := &report.Running[i]
 		listed[reported.Task] = reported.Run
-		s.settleStart(Run{reported.Task, reported.Run, id})
+		s.settleStart(now, Run{reported.Task, reported.Run, id}, SettledByReport)
 		s.applyRunning(now, u, reported, report.Clock)
 	}
 	if !report.Partial {
 		s.noteUnreported(u, &report)
 		s.endRevokedWaits(id, report.SentAt)
 	}
-	s.confirmUpstream(id, report.Partial)
+	s.confirmUpstream(now, id, report.Partial)
 	for _, r := range u.sortedRuns() {
 		if listed[r.Task] != r.Number && !report.Partial {
 			s.notListed(now, r, report.SentAt)
@@ -130,7 +130,7 @@
 			s.release(now, r, false)
 		}
 	case startUnconfirmed:
-		if sentAt >= r.since {
+		if sentAt >= r.since && !s.mayBeginLate(now, r) {
 			s.stop(now, r, StopUnconfirmed)
 		}
 	case stopping:
@@ -265,6 +265,9 @@
 	if r != nil && r.Number != reported.Run {
 		r = nil
 	}
+	if t.unconfirmedOn == u.ID && reported.Run >= t.lastRun {
+		s.clearUnconfirmed(t)
+	}
 	t.lastRun = max(t.lastRun, reported.Run)
 	if reported.Checkpoint != "" {
 		t.checkpoint = reported.Checkpoint
--- a/internal/state/scheduler/runs.go
+++ b/internal/state/scheduler/runs.go
@@ -30,6 +30,7 @@
 	}
 	st.perUpstream[u.ID]++
 	r.task.runs = append(r.task.runs, r)
+	s.uncountBarred(r.task.openStart)
 	s.runSeq++
 	r.seq = s.runSeq
 	st.useEarmark(u)
@@ -67,6 +68,7 @@
 	s.used[w] = s.used[w].Sub(st.spec.Each)
 	st.job.countUrgent(state.Vector{}.Sub(st.spec.Demand()))
 	r.task.runs = slices.Delete(r.task.runs, i, i+1)
+	s.countBarred(r.task)
 	if r.phase != awaitingTicket {
 		s.markDirty(st.job)
 	}
@@ -162,6 +164,7 @@
 		return false
 	}
 	r.phase, r.since, r.startedAt = starting, now, now
+	s.trackStart(now, r)
 	r.task.suspectedAt = 0
 	r.measure.begin(now, r)
 	return true
@@ -169,6 +172,11 @@
 
 // StartResult applies the result of a start.
 func (s *Scheduler) StartResult(now state.Time, id Run, outcome Outcome) {
+	if outcome == Unconfirmed {
+		s.startUnanswered(now, id)
+	} else {
+		s.settleStart(now, id, SettledByAnswer)
+	}
 	r := s.find(id)
 	if r == nil {
 		return
@@ -187,7 +195,6 @@
 			u.lossCounted = true
 			u.health.fault(now, 1)
 		}
-		s.trackUnconfirmedStart(now, id)
 		if r.phase == starting {
 			r.phase, r.since = startUnconfirmed, now
 		}
@@ -421,13 +428,13 @@
 	}
 	u.polled = false
 	giveUp := s.loseRuns(now, u, cause)
-	s.confirmUpstream(id, false)
+	s.confirmUpstream(now, id, false)
 	for _, r := range u.sortedRuns() {
 		s.release(now, r, false)
 	}
 	switch {
 	case cause == LossRestarted: // another upstream answers, which refuses starts for this one
-		s.endWaits(id)
+		s.settleStarts(now, id)
 	case u.closed:
 		s.yieldToNextIncarnation(now, id)
 	}
@@ -445,7 +452,7 @@
 		return false, false
 	}
 	for _, r := range u.runs {
-		if r.phase == startUnconfirmed || (r.phase == stopping && r.stopAckedAt > 0) {
+		if (r.phase == startUnconfirmed && (r.task.openStart == nil || r.task.step.spec.Gang)) || (r.phase == stopping && r.stopAckedAt > 0) {
 			close = true
 		}
 	}
--- a/internal/state/scheduler/scheduler.go
+++ b/internal/state/scheduler/scheduler.go
@@ -20,6 +20,8 @@
 	// UnconfirmedUntil is the time from which no run of a previous owner can exist any
 	// more.
 	UnconfirmedUntil state.Time
+	// FormerStartsUntil is the time from which no start of a previous owner can be carried out any more.
+	FormerStartsUntil state.Time
 	// LeaseEnds holds earlier such times for single upstreams. They hold until this owner reaches
 	// the upstream.
 	LeaseEnds map[workload.UpstreamID]state.Time
@@ -40,18 +42,19 @@
 
 // Scheduler is the placement logic of the owner. It is not safe for concurrent use.
 type Scheduler struct {
-	opts      Options
-	config    *workload.Config
-	jobs      map[workload.JobID]*job
-	upstreams map[workload.UpstreamID]*upstream
-	byService map[workload.ServiceName][]*upstream
-	used      map[workload.WorkspaceName]state.Vector
-	shares    map[workload.WorkspaceName]*share
-	dirty     []*job
-	ended     []EndedJob
-	stops     []Stop
-	losses    []Loss
-	givenUp   []GivenUp
+	opts          Options
+	config        *workload.Config
+	jobs          map[workload.JobID]*job
+	upstreams     map[workload.UpstreamID]*upstream
+	byService     map[workload.ServiceName][]*upstream
+	used          map[workload.WorkspaceName]state.Vector
+	shares        map[workload.WorkspaceName]*share
+	dirty         []*job
+	ended         []EndedJob
+	stops         []Stop
+	losses        []Loss
+	givenUp       []GivenUp
+	settledStarts []SettledStart
 	// registrationsRead is the time up to which the registrations were read.
 	registrationsRead state.Time
 	// outages remembers when contact to upstreams was lost, trials the jobs that are tried alone.
@@ -78,8 +81,8 @@
 	fullScans bool
 	// pools holds the usable upstreams by service; it is rebuilt by each Plan.
 	pools map[workload.ServiceName]*pool
-	// unconfirmedStarts holds the starts without a response, by upstream.
-	unconfirmedStarts map[workload.UpstreamID]map[Run]*unconfirmedStart
+	// openStarts holds the starts that are not settled, by upstream.
+	openStarts map[workload.UpstreamID]map[Run]*openStart
 	// waiting counts the tasks that the latest plan could not place.
 	waiting Waiting
 	// startList holds the upstreams of Options.StartList that are not settled, and
@@ -115,25 +118,25 @@
 // indexed.
 func New(config *workload.Config, opts Options) *Scheduler {
 	s := &Scheduler{
-		opts:              opts,
-		config:            config,
-		jobs:              map[workload.JobID]*job{},
-		upstreams:         map[workload.UpstreamID]*upstream{},
-		byService:         map[workload.ServiceName][]*upstream{},
-		used:              map[workload.WorkspaceName]state.Vector{},
-		shares:            map[workload.WorkspaceName]*share{},
-		ready:             map[*step]struct{}{},
-		unconfirmed:       map[workload.UpstreamID][]*task{},
-		leaseEnds:         opts.LeaseEnds,
-		series:            map[workload.JobID]*job{},
-		unconfirmedStarts: map[workload.UpstreamID]map[Run]*unconfirmedStart{},
-		freed:             map[workload.ServiceName]*freedLog{},
-		advised:           map[workload.QueueName]*advised{},
-		admission:         newAdmission(),
-		fair:              newFairness(),
-		contended:         map[workload.ServiceName]*contention{},
-		startList:         newStartList(opts.StartList),
-		trials:            map[workload.JobID]*trial{},
+		opts:        opts,
+		config:      config,
+		jobs:        map[workload.JobID]*job{},
+		upstreams:   map[workload.UpstreamID]*upstream{},
+		byService:   map[workload.ServiceName][]*upstream{},
+		used:        map[workload.WorkspaceName]state.Vector{},
+		shares:      map[workload.WorkspaceName]*share{},
+		ready:       map[*step]struct{}{},
+		unconfirmed: map[workload.UpstreamID][]*task{},
+		leaseEnds:   opts.LeaseEnds,
+		series:      map[workload.JobID]*job{},
+		openStarts:  map[workload.UpstreamID]map[Run]*openStart{},
+		freed:       map[workload.ServiceName]*freedLog{},
+		advised:     map[workload.QueueName]*advised{},
+		admission:   newAdmission(),
+		fair:        newFairness(),
+		contended:   map[workload.ServiceName]*contention{},
+		startList:   newStartList(opts.StartList),
+		trials:      map[workload.JobID]*trial{},
 	}
 	s.advisors.set(opts.Advisors)
 	return s
@@ -386,8 +389,11 @@
 	for _, t := range s.tasks {
 		if !t.done && (t.lastRun > 0 || len(t.failed) > 0) {
 			ts := ledger.TaskState{Index: t.index, Run: t.lastRun, Failed: t.failed, Checkpoint: t.checkpoint, Upstream: t.unconfirmedOn}
-			if n := len(t.runs); n > 0 {
+			switch n := len(t.runs); {
+			case n > 0:
 				ts.Upstream = t.runs[n-1].Upstream
+			case t.openStart != nil:
+				ts.Upstream = t.openStart.run.Upstream
 			}
 			rec.Tasks = append(rec.Tasks, ts)
 			any = true
--- a/internal/state/scheduler/tasks.go
+++ b/internal/state/scheduler/tasks.go
@@ -135,7 +135,7 @@
 	}
 	var out []*task
 	for _, t := range st.tasks {
-		if !t.done && len(t.runs) == 0 && t.unconfirmedOn == "" && t.awaitedIncarnations == 0 && (!t.isolated || st.spec.Gang) {
+		if !t.done && len(t.runs) == 0 && t.unconfirmedOn == "" && !t.barred() && (!t.isolated || st.spec.Gang) {
 			out = append(out, t)
 		}
 	}
--- a/internal/state/scheduler/unconfirmed.go
+++ b/internal/state/scheduler/unconfirmed.go
@@ -41,22 +41,23 @@
 
 // confirmUpstream notes that a poll of this owner has listed the runs and the ends on an
 // upstream, all of them unless the report was partial.
-func (s *Scheduler) confirmUpstream(id workload.UpstreamID, partial bool) {
+func (s *Scheduler) confirmUpstream(now state.Time, id workload.UpstreamID, partial bool) {
 	delete(s.leaseEnds, id) // this owner may grant leases now, also to runs that a partial report lacks
 	if partial {
 		return
 	}
-	s.clearUnconfirmedOn(id)
+	s.clearUnconfirmedOn(now, id)
 	s.startList.settle(id)
 }
 
 // clearUnconfirmedOn clears all unconfirmed tasks of an upstream, once it has been
 // polled or its runs cannot exist any more.
-func (s *Scheduler) clearUnconfirmedOn(id workload.UpstreamID) {
+func (s *Scheduler) clearUnconfirmedOn(now state.Time, id workload.UpstreamID) {
 	tasks := s.unconfirmed[id]
 	delete(s.unconfirmed, id)
 	for _, t := range tasks {
 		s.clearUnconfirmed(t)
+		s.inheritStart(now, t, id)
 	}
 }
 
@@ -65,7 +66,7 @@
 func (s *Scheduler) refreshUnconfirmed(now state.Time) {
 	for id, end := range s.leaseEnds {
 		if now >= end {
-			s.expireUnconfirmedOn(id)
+			s.expireUnconfirmedOn(now, id)
 		}
 	}
 	if now < s.opts.UnconfirmedUntil {
@@ -74,12 +75,12 @@
 	}
 	s.expireStartList()
 	for id := range s.unconfirmed {
-		s.expireUnconfirmedOn(id)
+		s.expireUnconfirmedOn(now, id)
 	}
 }
 
 // expireUnconfirmedOn clears the unconfirmed tasks of an upstream whose leases have ended.
-func (s *Scheduler) expireUnconfirmedOn(id workload.UpstreamID) {
+func (s *Scheduler) expireUnconfirmedOn(now state.Time, id workload.UpstreamID) {
 	tasks, u := s.unconfirmed[id], s.upstreams[id]
 	if len(tasks) == 0 {
 		return
@@ -92,7 +93,7 @@
 			s.markDirty(t.step.job) // the next owner need not wait for it again
 		}
 	}
-	s.clearUnconfirmedOn(id)
+	s.clearUnconfirmedOn(now, id)
 	if u != nil && !u.listed && len(u.runs) == 0 && !s.startList.holds(id) {
 		s.dropUpstream(u)
 	}
