Bar fewer tasks after a takeover, and no longer for each further one

Cause: the log had lost answers, so that the owner which was killed at 16 s had recorded 69 starts without having sent them. The next owner can't tell these from starts that may still be carried out and barred their tasks for 18 s; a second takeover at 20.6 s barred them anew, until 38.8 s. Most of them belonged to queues with an advice service, whose starts carry a ticket.

Ruled out: the bar of starts without a response in a term.

Change: inherited starts on a queue with an advice service bar nothing, since its upstreams refuse a start without a ticket of their present incarnation. The time of an inherited start counts from the claim that ended the term of its owner, which the number of its run tells, and not from the newest claim.

--- a/internal/coordination/dispatch/manager.go
+++ b/internal/coordination/dispatch/manager.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"hash/fnv"
+	"slices"
 	"sync"
 	"time"
 
@@ -46,10 +47,19 @@
 	// peerCallTimeout bounds the probe of an owner of which the log shows no record, and
 	// the nomination of a successor.
 	peerCallTimeout = 500 * time.Millisecond
+	// claimMemory is how long claims are remembered: longer than starts of the owner before them may be
+	// carried out.
+	claimMemory = time.Minute
 	// slowClaimFactor lengthens the pause between claims on a slow log.
 	slowClaimFactor = 4
 )
 
+// knownClaim is a claim and when this entry first knew it.
+type knownClaim struct {
+	epoch int64
+	at    time.Time
+}
+
 // Config holds the identity of an entry and the dependencies of its Manager.
 type Config struct {
 	Log         port.Log
@@ -103,10 +113,8 @@
 	probedOwning bool
 	// probeRefused says that no process listens at the owner's address.
 	probeRefused bool
-	// followedEpoch is the epoch of the newest claim, followedAt when this entry first knew it; only
-	// Run uses them.
-	followedEpoch int64
-	followedAt    time.Time
+	// claims holds the recent claims, oldest first; only Run uses it.
+	claims []knownClaim
 	// claimBegan is when the newest claim began, on the clock of the permission to act.
 	claimBegan time.Duration
 
@@ -176,10 +184,9 @@
 	for ctx.Err() == nil && !m.isStopped() {
 		pause := claimCheckInterval
 		if old, ok := m.claimable(delay); ok {
-			formerEnded := m.hasEnded(old)
 			if claim, ok := m.claim(ctx, old); ok {
 				retries.Reset()
-				m.serve(ctx, claim, formerEnded)
+				m.serve(ctx, claim)
 			} else {
 				pause = retries.NextBackOff()
 				if m.cfg.Slow() {
@@ -234,9 +241,7 @@
 		return claim, false
 	}
 	claim = m.newestClaim()
-	if claim.Epoch != m.followedEpoch {
-		m.followedEpoch, m.followedAt = claim.Epoch, time.Now()
-	}
+	m.noteClaim(claim)
 	free := claim.Epoch == 0 || claim.Released
 	m.cfg.Replica.View(func(t *ledger.Table, _ int64) {
 		read, _ := t.Claim()
@@ -306,27 +311,31 @@
 	return m.probedOwning
 }
 
-// hasEnded reports whether the owner of a claim is certain to send no more commands, and the one before it
-// too. A refused connection does not show that: a cut may refuse it.
-func (m *Manager) hasEnded(claim ledger.Claim) (ended bool) {
-	if m.followedEpoch != claim.Epoch || time.Since(m.followedAt) < logContactTimeout {
-		return false // its predecessor may still act
+// noteClaim remembers when this entry first knew a claim.
+func (m *Manager) noteClaim(claim ledger.Claim) {
+	now := time.Now()
+	if n := len(m.claims); n > 0 && m.claims[n-1].epoch >= claim.Epoch {
+		return
 	}
-	ended = claim.Released || (claim.Entry == m.cfg.Name && claim.Incarnation != m.cfg.Incarnation)
-	m.cfg.Replica.View(func(t *ledger.Table, _ int64) {
-		read, _ := t.Claim()
-		ended = ended || (read.Epoch == claim.Epoch && t.OwnerGone())
-	})
-	return ended
+	m.claims = slices.DeleteFunc(m.claims, func(c knownClaim) bool { return now.Sub(c.at) > claimMemory })
+	m.claims = append(m.claims, knownClaim{claim.Epoch, now})
 }
 
-// serve runs one term of ownership until it ends. formerEnded says that former owners send no more
-// commands.
-func (m *Manager) serve(ctx context.Context, claim ledger.Claim, formerEnded bool) {
-	o := m.deps.newOwner(ctx, claim)
-	if formerEnded {
-		o.sched.ExpectFormerStarts(scheduler.MaxStartDelay)
+// endedTerms returns until when starts of the terms may be carried out that ended with the claims before
+// the given one. A former owner acts for up to logContactTimeout beside the next one.
+func (m *Manager) endedTerms(o *owner, claim ledger.Claim) (out []scheduler.EndedTerm) {
+	for _, c := range m.claims {
+		if c.epoch < claim.Epoch {
+			out = append(out, scheduler.EndedTerm{NextRun: c.epoch * runsPerEpoch, StartsUntil: o.at(c.at) + logContactTimeout + scheduler.MaxStartDelay})
+		}
 	}
+	return out
+}
+
+// serve runs one term of ownership until it ends.
+func (m *Manager) serve(ctx context.Context, claim ledger.Claim) {
+	o := m.deps.newOwner(ctx, claim)
+	o.sched.SetEndedTerms(m.endedTerms(o, claim))
 	if m.claimBegan > 0 {
 		o.contactAt.Store(int64(m.claimBegan))
 	}
--- a/internal/state/scheduler/latestarts_test.go
+++ b/internal/state/scheduler/latestarts_test.go
@@ -119,6 +119,44 @@
 	}
 }
 
+// TestNextOwnerWaitsOnlyForStartsThatMayStillCome guards against waits after a takeover for starts that can do no harm or come from a term that ended long ago.
+func TestNextOwnerWaitsOnlyForStartsThatMayStillCome(t *testing.T) {
+	advised := func(q *workload.Queue, _ *workload.Workspace) {
+		q.Advice = &workload.Advice{DecisionMS: 10, ValidMS: 60_000}
+	}
+	for _, c := range []struct {
+		name  string
+		queue func(q *workload.Queue, w *workload.Workspace)
+		terms []EndedTerm
+		// within is when the task is complete after the takeover.
+		within time.Duration
+	}{
+		{"a former owner", nil, nil, MaxStartDelay + time.Second},
+		{"a start with a ticket", advised, nil, time.Second},
+		{"the term ended 10 s ago", nil, []EndedTerm{{NextRun: 5000, StartsUntil: 4 * time.Second}}, 5 * time.Second},
+		{"the term before ended 10 s ago", nil, []EndedTerm{{NextRun: 1, StartsUntil: 4 * time.Second}}, MaxStartDelay + time.Second},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			sim := newSimulation(t, oneQueue(c.queue))
+			sim.add(3, largeUpstream)
+			sim.loseStarts(&workload.Job{ID: jobID(1), Steps: []workload.Step{tasksOf(1, cores(1), 300)}}, 1)
+			sim.takeOver()
+			began := sim.now
+			for i := range c.terms {
+				c.terms[i].StartsUntil += began
+			}
+			sim.s.SetEndedTerms(c.terms)
+			for sim.phaseOf(jobID(1)) != ledger.Complete && sim.now-began < 2*MaxStartDelay {
+				sim.advance(100 * time.Millisecond)
+			}
+			took := sim.now - began
+			is.True(took <= c.within)
+			is.True(took > c.within-1500*time.Millisecond)
+		})
+	}
+}
+
 // TestStartThatIsCarriedOutLateKeepsItsRun guards against stopping a run that begins within the lease of its start, although nothing else may run the task.
 func TestStartThatIsCarriedOutLateKeepsItsRun(t *testing.T) {
 	is := is.New(t)
--- a/internal/state/scheduler/openstarts.go
+++ b/internal/state/scheduler/openstarts.go
@@ -84,8 +84,27 @@
 // that long, and never complete; see yieldToNextIncarnation.
 func (st *step) startsOnce() bool { return !st.spec.Speculative && !st.spec.LongRunning }
 
-// ExpectFormerStarts replaces Options.FormerStartsUntil before the first report of an upstream.
-func (s *Scheduler) ExpectFormerStarts(until state.Time) { s.opts.FormerStartsUntil = until }
+// EndedTerm is the term of a former owner that ended with a claim.
+type EndedTerm struct {
+	// NextRun is the smallest run number that owners since that claim have used.
+	NextRun int64
+	// StartsUntil is the time from which no start of the term can be carried out any more.
+	StartsUntil state.Time
+}
+
+// SetEndedTerms sets the terms, oldest first, of which it is known when they ended. For others
+// Options.FormerStartsUntil holds.
+func (s *Scheduler) SetEndedTerms(terms []EndedTerm) { s.endedTerms = terms }
+
+// formerStartUntil returns the time from which a start of a former owner can't be carried out any more.
+func (s *Scheduler) formerStartUntil(number int64) state.Time {
+	for _, term := range s.endedTerms {
+		if number < term.NextRun {
+			return min(term.StartsUntil, s.opts.FormerStartsUntil)
+		}
+	}
+	return s.opts.FormerStartsUntil
+}
 
 // trackStart records that a start is sent.
 func (s *Scheduler) trackStart(now state.Time, r *run) {
@@ -97,12 +116,14 @@
 }
 
 // inheritStart records that a former owner may have sent the newest start of a task, which its upstream
-// does not report.
+// does not report. Where the queue has an advice service, upstreams refuse starts without a ticket of
+// their present incarnation.
 func (s *Scheduler) inheritStart(now state.Time, t *task, id workload.UpstreamID) {
-	if t.done || t.lastRun == 0 || !t.step.startsOnce() || now >= s.opts.FormerStartsUntil {
+	q, until := s.config.Queue(t.step.job.spec.Queue), s.formerStartUntil(t.lastRun)
+	if t.done || t.lastRun == 0 || !t.step.startsOnce() || (q != nil && q.Advice != nil) || now >= until {
 		return
 	}
-	o := &openStart{run: Run{t.id(), t.lastRun, id}, until: s.opts.FormerStartsUntil, task: t, unanswered: true}
+	o := &openStart{run: Run{t.id(), t.lastRun, id}, until: until, task: t, unanswered: true}
 	t.openStart = o
 	s.addOpenStart(o)
 	s.countBarred(t)
--- a/internal/state/scheduler/scheduler.go
+++ b/internal/state/scheduler/scheduler.go
@@ -81,6 +81,8 @@
 	fullScans bool
 	// pools holds the usable upstreams by service; it is rebuilt by each Plan.
 	pools map[workload.ServiceName]*pool
+	// endedTerms are the terms of former owners that are known to have ended.
+	endedTerms []EndedTerm
 	// openStarts holds the starts that are not settled, by upstream.
 	openStarts map[workload.UpstreamID]map[Run]*openStart
 	// waiting counts the tasks that the latest plan could not place.
