Do not count barred tasks against the maximum of their workspace

Cause: a task that waits for a start of a former owner counted against its workspace, so that 49 of them used up the maximum. The placement lines show runs=0 wait_held=49 wait_maximum=1178.

Ruled out: lost capacity (wait_room=0, no upstream silent or avoided).

Change: barred tasks without a run do not count, as revoked starts did not before.

Evidence: TestBarredTasksLeaveTheMaximumToOthers fails without the change (the job of the same workspace is queued).

--- a/internal/state/scheduler/latestarts_test.go
+++ b/internal/state/scheduler/latestarts_test.go
@@ -283,3 +283,17 @@
 func (sim *simulation) loseStart(id Run) {
 	sim.s.addOpenStart(&openStart{run: id, sentAt: sim.now, until: sim.now + MaxStartDelay, unanswered: true})
 }
+
+// TestBarredTasksLeaveTheMaximumToOthers guards against a workspace whose jobs do not run because tasks that wait for late starts of a former owner use up its maximum.
+func TestBarredTasksLeaveTheMaximumToOthers(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation(t, oneQueue(func(_ *workload.Queue, w *workload.Workspace) { w.Maximum = state.Vector{CPUMilli: 8000} }))
+	sim.add(3, largeUpstream)
+	sim.loseStarts(&workload.Job{ID: jobID(1), Steps: []workload.Step{tasksOf(8, cores(1), 300)}}, 8)
+	sim.takeOver()
+	sim.submit(&workload.Job{ID: jobID(2), Steps: []workload.Step{tasksOf(8, cores(1), 300)}})
+	sim.advance(time.Second)
+	is.Equal(sim.phaseOf(jobID(2)), ledger.Complete)
+	sim.advance(MaxStartDelay)
+	is.Equal(sim.phaseOf(jobID(1)), ledger.Complete)
+}
--- a/internal/state/scheduler/openstarts.go
+++ b/internal/state/scheduler/openstarts.go
@@ -28,8 +28,6 @@
 	// task is the task that is not started anywhere else until the start is settled, or nil if
 	// the start bars none.
 	task *task
-	// counted is set while the task counts against its workspace without a run.
-	counted bool
 	// unanswered is set once the start had no response.
 	unanswered bool
 	// revokeAt is when the revoking stop is due; 0 while one is in flight or once the
@@ -126,7 +124,6 @@
 	o := &openStart{run: Run{t.id(), t.lastRun, id}, until: until, task: t, unanswered: true}
 	t.openStart = o
 	s.addOpenStart(o)
-	s.countBarred(t)
 }
 
 func (s *Scheduler) addOpenStart(o *openStart) {
@@ -168,7 +165,6 @@
 		return
 	}
 	t.openStart = nil
-	s.uncountBarred(o)
 	if j := t.step.job; len(t.runs) == 0 && !j.phase.Final() && s.jobs[j.id] == j {
 		s.markDirty(j) // the next owner need not wait for it again
 		s.requeue(t.step)
@@ -186,24 +182,6 @@
 	return o != nil && o.run == r.Run && !r.task.step.spec.Gang && now < o.sentAt+s.opts.Lease
 }
 
-// countBarred counts a task that has no run and may get one by an open start against its workspace.
-func (s *Scheduler) countBarred(t *task) {
-	if o := t.openStart; o != nil && !o.counted && len(t.runs) == 0 && !t.step.job.phase.Final() {
-		o.counted = true
-		w := t.step.job.spec.Workspace
-		s.used[w] = s.used[w].Add(t.step.spec.Each)
-	}
-}
-
-// uncountBarred is the reverse of countBarred.
-func (s *Scheduler) uncountBarred(o *openStart) {
-	if o != nil && o.counted {
-		o.counted = false
-		w := o.task.step.job.spec.Workspace
-		s.used[w] = s.used[w].Sub(o.task.step.spec.Each)
-	}
-}
-
 // revokeStarts schedules the revocation of all starts without a response in a new incarnation of an
 // upstream.
 func (s *Scheduler) revokeStarts(now state.Time, id workload.UpstreamID) {
--- a/internal/state/scheduler/runs.go
+++ b/internal/state/scheduler/runs.go
@@ -30,7 +30,6 @@
 	}
 	st.perUpstream[u.ID]++
 	r.task.runs = append(r.task.runs, r)
-	s.uncountBarred(r.task.openStart)
 	s.runSeq++
 	r.seq = s.runSeq
 	st.useEarmark(u)
@@ -68,7 +67,6 @@
 	s.used[w] = s.used[w].Sub(st.spec.Each)
 	st.job.countUrgent(state.Vector{}.Sub(st.spec.Demand()))
 	r.task.runs = slices.Delete(r.task.runs, i, i+1)
-	s.countBarred(r.task)
 	if r.phase != awaitingTicket {
 		s.markDirty(st.job)
 	}
