--- a/internal/state/scheduler/openstarts.go
+++ b/internal/state/scheduler/openstarts.go
@@ -18,7 +18,8 @@
 
 // openStart is a start from the time when it is sent until it is settled: its upstream has answered it
 // or reports the run, or it can't be carried out any more. A stop revokes it in the incarnation of the
-// upstream that acknowledges the stop; later incarnations do not know of it.
+// upstream that acknowledges the stop; later incarnations do not know of it. While it is open, no
+// other run of its task is started; see startsOnce for the exceptions.
 type openStart struct {
 	run Run
 	// sentAt is when the start was sent; 0 if a former owner has recorded it.
@@ -174,9 +175,9 @@
 // barred reports whether the task is not to be started, because a start of it may still be carried out.
 func (t *task) barred() bool { return t.openStart != nil || t.awaitedIncarnations > 0 }
 
-// mayBeginLate reports whether a run whose start had no response is left to begin in the incarnation
-// that the start was sent to. Its lease is shorter than this, and the members of a gang do not wait
-// as long for each other.
+// mayBeginLate reports whether a run whose start had no response may still begin in the incarnation
+// that the start was sent to, and is not stopped meanwhile. The lease of a start is no longer than that
+// of polls. The members of a gang do not wait that long for each other.
 func (s *Scheduler) mayBeginLate(now state.Time, r *run) bool {
 	o := r.task.openStart
 	return o != nil && o.run == r.Run && !r.task.step.spec.Gang && now < o.sentAt+s.opts.Lease
